--- /dev/null
+++ b/sablewheel/choice.py
@@ -0,0 +1,456 @@
+"""Every decision of a server about its tickets.
+
+Called as `Controller(machine, seed).decide(now, happenings) -> deeds`, once per server and batch; the first
+call may bring no happenings and opens the server. The interface, all plain types, is in `terms.py`; the
+mechanism and where it was extended are told in `docs/design.md`.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop, heappush
+from math import inf
+
+from . import terms
+from .terms import Deed, Happening, Machine, Nature, Outcome, Router, Speech, Stage, Ticket
+
+SLOPE_LEAST = 0.1  # t_e: the least extra output per extra intake that still counts as a gain
+DROPS_MOST = 1.0  # t_d: drops per ticket taken in
+CUT = 0.02  # d
+STEP = 0.001  # a, for each caller session
+TRIPS = 4  # round trips in an iteration
+SAMPLES = 100  # raw samples kept of each measure: enough for a 99th percentile
+DONT_RUN_AGAIN = (Nature.LABELLED, Nature.IRREVERSIBLE)
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
+
+
+class Samples:
+    """The last few raw samples of one measure."""
+
+    def __init__(self) -> None:
+        self.raw: deque[float] = deque(maxlen=SAMPLES)
+        self.ranked: list[float] | None = None
+
+    def add(self, value: float) -> None:
+        self.raw.append(value)
+        self.ranked = None
+
+    def at(self, share: float, unknown: float = 0.0) -> float:
+        """The sample below which `share` of them lie; `unknown` while there are none."""
+        if not self.raw:
+            return unknown
+        if self.ranked is None:
+            self.ranked = sorted(self.raw)
+        return self.ranked[min(int(share * len(self.ranked)), len(self.ranked) - 1)]
+
+
+class Row:
+    """What differs by track: one row a track."""
+
+    def __init__(self) -> None:
+        self.service = Samples()
+
+
+class Controller:
+    """One server's decisions, from its own events alone."""
+
+    def __init__(self, machine: Machine, seed: int) -> None:
+        self.machine = machine
+        self.chance = seed
+        self.now = 0.0
+        self.opened = -1.0
+        self.deeds: list[Deed] = []
+        self.table = {track: Row() for track in machine.tracks}
+        self.hold: deque[Ticket] = deque()
+        self.running: set[Ticket] = set()
+        self.joined: set[Ticket] = set()
+        self.at_call: deque[Ticket] = deque()
+        self.dues: list[tuple[float, int, Ticket]] = []
+        self.read = 0
+        self.on_cores = 0
+        self.kb = 0.0
+        self.labels: deque[tuple[float, Ticket]] = deque()
+        self.calls: dict[Ticket, float] = {}
+        self.past_calls: deque[tuple[float, float]] = deque()
+        self.call_times = Samples()
+        self.trips = Samples()
+        self.credit = float(machine.cores)
+        self.turn_at = 0.0
+        self.taken = self.taken_last = self.put = self.put_last = self.drops = 0
+        self.dropped_at = -inf
+        self.leave_at = self.notice_at = inf
+        self.said: float | None = None
+        self.armed = inf
+
+    # -- the one entry point
+
+    def decide(self, now: float, happenings: list[Happening]) -> list[Deed]:
+        """What is to be done now that these things have happened."""
+        self.now, self.deeds = now, []
+        if self.opened < 0:
+            self.opened, self.turn_at = now, now + self.machine.said_for
+            self.deeds.append(terms.Health(True, True))
+        while self.labels and self.labels[0][0] <= now:
+            self._release(self.labels[0][1])
+        for happening in happenings:
+            match happening:
+                case terms.Arrived(ticket):
+                    self._take(ticket)
+                case terms.Ended(ticket, took, outcome):
+                    self._ended(ticket, took, outcome)
+                case terms.CallNeeded(ticket):
+                    self._stand(ticket)
+                case terms.CallEnded(ticket, took, outcome):
+                    self._returned(ticket, took, outcome)
+                case terms.CallerGone(ticket):
+                    self._gone(ticket)
+                case terms.Notice(left):
+                    self._notice(left)
+                case terms.Bell():
+                    self.armed = inf
+        while self.dues and (self.dues[0][0] <= now or self.dues[0][2].answered):
+            self._give_up(heappop(self.dues)[2])
+        self._make_calls()
+        self._start_held()
+        if now >= self.turn_at:
+            self._turn()
+        self._speak()
+        self._set_clock()
+        return self.deeds
+
+    # -- the ordinary path
+
+    def _take(self, ticket: Ticket) -> None:
+        """The ordinary path of a ticket: repeat, guards, budget, then run, hold or deny."""
+        machine, now, track = self.machine, self.now, ticket.track
+        left = ticket.wait_left if ticket.wait_left is not None else ticket.arrived + track.abandon - now
+        ticket.due = min(max(now, now + left - machine.tick), self.leave_at)
+        self.kb += ticket.kb
+        ticket.router.out += 1
+        self.read += 1
+        heappush(self.dues, (ticket.due, self.read, ticket))
+        # A repeat of what ran, or may still run here, gets that one's result.
+        first = ticket.repeats
+        ticket.repeats = None
+        if first is not None and (first.begun or not first.answered):
+            return self._join(ticket, first)
+        # Guards: what came too late for a server that leaves, and what memory has no room for.
+        if ticket.arrived > self.notice_at + machine.drain_grace:
+            return self._deny(ticket)
+        labelled = track.nature is Nature.LABELLED
+        if not self._memory_fits(machine.label_kb if labelled else 0.0):
+            return self._deny(ticket)
+        if labelled and ticket.arrived + track.window > now:
+            self._remember(ticket, ticket.arrived + track.window - now)
+        elif machine.share_reads_for and not ticket.writes and ticket.subject is not None:
+            self._remember(ticket, left)
+        # The budget for waiting, in the hold and before each call.
+        whole = ticket.wait_left if ticket.wait_left is not None else track.abandon
+        ticket.budget = whole / 2 - self.table[track].service.at(0.99)
+        if ticket.wait_left is None:
+            ticket.budget -= now - ticket.arrived
+        if not self.hold and self._may_start(ticket):
+            return self._run(ticket)
+        if self.hold and now - self.hold[0].since > ticket.budget:
+            return self._deny(ticket)
+        ticket.since = now
+        self.hold.append(ticket)
+
+    def _start_held(self) -> None:
+        """Held tickets start oldest first."""
+        while self.hold:
+            ticket = self.hold[0]
+            if ticket.stage is Stage.HELD:
+                if not self._may_start(ticket):
+                    return
+                ticket.budget -= self.now - ticket.since
+                self._run(ticket)
+            self.hold.popleft()
+
+    def _may_start(self, ticket: Ticket) -> bool:
+        """While pressed the credit pool bounds what runs or is at calls; the guards bound it always."""
+        more = ticket.kb * (self.machine.run_factor - 1)
+        if self.on_cores + len(self.calls) >= int(self._crowd_most()) or not self._memory_fits(more):
+            return False
+        pressed = self.on_cores >= self.machine.cores or self.now < self.dropped_at + self.trips.at(0.5)
+        return not pressed or len(self.running) < max(self.credit, self.machine.cores)
+
+    def _run(self, ticket: Ticket) -> None:
+        ticket.stage, ticket.begun, ticket.since = Stage.RUNNING, True, self.now
+        self.running.add(ticket)
+        self.on_cores += 1
+        self.kb += ticket.kb * (self.machine.run_factor - 1)
+        self.taken += 1
+        self.deeds.append(terms.Run(ticket))
+
+    def _join(self, ticket: Ticket, first: Ticket) -> None:
+        """A repeat waits for the result of the first; if there can be none, it ends in an error."""
+        failed = first.ended not in (None, Outcome.WORKED)
+        more = ticket.kb * (self.machine.run_factor - 1)
+        if (
+            failed
+            or self.on_cores + len(self.calls) >= int(self._crowd_most())
+            or not self._memory_fits(more)
+        ):
+            return self._terminate(ticket)
+        ticket.stage = Stage.JOINED
+        self.joined.add(ticket)
+        self.on_cores += 1
+        self.kb += more
+        self.deeds.append(terms.Join(ticket))
+
+    # -- what happens to a ticket on its way
+
+    def _ended(self, ticket: Ticket, took: float, outcome: Outcome) -> None:
+        if ticket.stage is Stage.OVER:
+            return
+        joined = ticket.stage is Stage.JOINED
+        ticket.ended = outcome
+        if outcome is Outcome.WORKED and not joined:
+            self.table[ticket.track].service.add(took)
+        if outcome in (Outcome.WORKED, Outcome.ERROR):
+            if not ticket.answered:
+                self.trips.add(self.now - ticket.arrived)
+            if not joined:
+                self.put += 1
+            self._answer(ticket)
+        elif not ticket.answered:
+            # Stopped without an answer: a rerun is never needed here, the answer is.
+            self.deeds.append(terms.Terminate(ticket))
+            self._answer(ticket)
+        self._leave(ticket)
+
+    def _stand(self, ticket: Ticket) -> None:
+        if ticket.stage is not Stage.RUNNING:
+            return
+        ticket.stage, ticket.since = Stage.AT_CALL, self.now
+        self.on_cores -= 1
+        if ticket.answered:
+            self.deeds.append(terms.Terminate(ticket))
+            return
+        # The budget again, against the oldest ticket that waits to call.
+        waiting = [one for one in self.at_call if one.stage is Stage.AT_CALL]
+        if waiting and self.now - waiting[0].since > ticket.budget:
+            return self._drop_begun(ticket)
+        self.at_call.append(ticket)
+
+    def _make_calls(self) -> None:
+        """Calls go out oldest first while this server's share of the ledger has room."""
+        while self.at_call:
+            ticket = self.at_call[0]
+            if ticket.stage is Stage.AT_CALL and not ticket.answered:
+                left = max(ticket.due - self.now, self.machine.tick)
+                allow = min(left, 2 * self.call_times.at(0.99, left))
+                if not self._call_fits(allow):
+                    if not ticket.track.skip_share:
+                        return
+                    self.deeds.append(terms.LeaveOut(ticket))
+                    ticket.stage = Stage.RUNNING
+                    self.on_cores += 1
+                else:
+                    ticket.budget -= self.now - ticket.since
+                    ticket.stage, ticket.called = Stage.CALLING, self.now
+                    self.calls[ticket] = allow
+                    self.deeds.append(terms.Call(ticket, allow))
+            self.at_call.popleft()
+
+    def _returned(self, ticket: Ticket, took: float, outcome: Outcome) -> None:
+        if ticket not in self.calls:
+            return
+        self._close_call(ticket)
+        self.call_times.add(took)
+        if outcome is Outcome.WORKED:
+            ticket.stage = Stage.RUNNING
+            self.on_cores += 1
+            return
+        ticket.stage, ticket.since = Stage.AT_CALL, self.now
+        if ticket.answered:
+            self.deeds.append(terms.Terminate(ticket))
+        elif ticket.track.skip_share:
+            self.deeds.append(terms.LeaveOut(ticket))
+            ticket.stage = Stage.RUNNING
+            self.on_cores += 1
+        elif ticket.track.nature in DONT_RUN_AGAIN and outcome not in NEVER_RAN:
+            self._drop_begun(ticket)
+        else:
+            self.at_call.append(ticket)
+
+    def _close_call(self, ticket: Ticket) -> None:
+        """A call left the books; one given up may stay in the ledger's hands for a while."""
+        self.calls.pop(ticket)
+        ledger = self.machine.ledger
+        linger = ledger.linger if ledger else 0.0
+        self.past_calls.append((self.now, self.now - ticket.called + linger))
+
+    def _gone(self, ticket: Ticket) -> None:
+        """Nobody waits: held work is over, running work is stopped where it would only be wasted."""
+        if ticket.stage is Stage.OVER:
+            return
+        self._answer(ticket)
+        if ticket.stage in (Stage.HELD, Stage.JOINED):
+            if ticket.stage is Stage.HELD and not ticket.begun:
+                self._release(ticket)
+            self._leave(ticket)
+        elif ticket.track.nature is Nature.REDOABLE:
+            self._stop(ticket)
+
+    def _give_up(self, ticket: Ticket) -> None:
+        """A ticket whose time is up is answered at once, whatever it is doing."""
+        if ticket.answered or ticket.stage is Stage.OVER:
+            return
+        if ticket.stage is Stage.HELD and not ticket.begun:
+            return self._deny(ticket)
+        self._drop_begun(ticket)
+
+    def _drop_begun(self, ticket: Ticket) -> None:
+        """An error for a ticket that has begun; work that no repeat can use is stopped."""
+        self.drops += 1
+        self.dropped_at = self.now
+        self._terminate(ticket)
+        if ticket.stage is Stage.RUNNING and ticket.track.nature is Nature.REDOABLE:
+            self._stop(ticket)
+
+    def _stop(self, ticket: Ticket) -> None:
+        if self.machine.halting is not terms.Halting.NEVER and ticket.stage is Stage.RUNNING:
+            self.deeds.append(terms.Stop(ticket))
+
+    def _deny(self, ticket: Ticket) -> None:
+        """Final answer to a ticket that never ran, with when to come back."""
+        oldest = self.now - self.hold[0].since if self.hold else self.trips.at(0.5)
+        self.drops += 1
+        self.dropped_at = self.now
+        self._release(ticket)
+        self.deeds.append(terms.Deny(ticket, min(oldest, self.machine.advice_limit), ticket.again))
+        self._answer(ticket)
+        self._leave(ticket)
+
+    def _terminate(self, ticket: Ticket) -> None:
+        self.deeds.append(terms.Terminate(ticket))
+        self._answer(ticket)
+        if ticket.stage in (Stage.HELD, Stage.JOINED):
+            self._leave(ticket)
+
+    def _answer(self, ticket: Ticket) -> None:
+        if not ticket.answered:
+            ticket.answered = True
+            ticket.router.out -= 1
+
+    def _leave(self, ticket: Ticket) -> None:
+        """The ticket is over and its memory free."""
+        if ticket.stage is Stage.OVER:
+            return
+        if ticket in self.calls:
+            self._close_call(ticket)
+        if ticket.stage in (Stage.RUNNING, Stage.JOINED):
+            self.on_cores -= 1
+        self.kb -= ticket.kb * (1 if ticket.stage is Stage.HELD else self.machine.run_factor)
+        self.running.discard(ticket)
+        self.joined.discard(ticket)
+        ticket.stage = Stage.OVER
+
+    def _remember(self, ticket: Ticket, life: float) -> None:
+        ticket.remembered = True
+        self.kb += self.machine.label_kb
+        self.labels.append((self.now + life, ticket))
+        self.deeds.append(terms.Remember(ticket, life))
+
+    def _release(self, ticket: Ticket) -> None:
+        if ticket.remembered:
+            ticket.remembered = False
+            self.kb -= self.machine.label_kb
+            self.labels = deque(entry for entry in self.labels if entry[1] is not ticket)
+            self.deeds.append(terms.Release(ticket))
+
+    def _notice(self, left: float) -> None:
+        """A drain: nothing that comes past the grace runs, and all is answered before the stop."""
+        self.notice_at = self.now
+        self.leave_at = self.now + left - self.machine.slack - 2 * self.machine.tick
+        self.deeds.append(terms.Health(False, True))
+        waiting, self.dues = self.dues, []
+        for due, number, ticket in waiting:
+            ticket.due = min(due, self.leave_at)
+            heappush(self.dues, (ticket.due, number, ticket))
+
+    # -- guards
+
+    def _memory_fits(self, more: float) -> bool:
+        return self.kb + more <= self.machine.memory_kb
+
+    def _crowd_most(self) -> float:
+        """Running tickets the cores survive; a cold server is taken at the slowest it may be."""
+        machine, share = self.machine, 1.0
+        if machine.fresh_start and self.now < self.opened + machine.warm_up:
+            share = machine.cold_from + (1 - machine.cold_from) * (self.now - self.opened) / machine.warm_up
+        return machine.cores * (1 + (machine.crowd_multiple - 1) * share)
+
+    def _call_fits(self, allow: float) -> bool:
+        """Whether the calls of any one span, at their longest, stay within this server's share."""
+        ledger = self.machine.ledger
+        if ledger is None or ledger.in_hand is None:
+            return True
+        while self.past_calls and self.past_calls[0][0] + ledger.linger <= self.now - ledger.span:
+            self.past_calls.popleft()
+        booked = sum(min(took, ledger.span) for _, took in self.past_calls) + sum(
+            min(one + ledger.linger, ledger.span) for one in self.calls.values()
+        )
+        return booked + min(allow + ledger.linger, ledger.span) <= ledger.in_hand * ledger.span
+
+    # -- the credit pool
+
+    def _turn(self) -> None:
+        """The design page's iteration, line for line."""
+        taken, put = self.taken - self.taken_last, self.put - self.put_last
+        if self.drops > DROPS_MOST * self.taken:
+            self.credit *= 1 - CUT
+        elif taken * put > 0 and abs(put) > SLOPE_LEAST * abs(taken):
+            self.credit += STEP * self._sessions()
+        else:
+            self.credit *= 1 - CUT
+        self.credit = min(max(self.credit, self.machine.cores), self._credit_most())
+        self.taken_last, self.put_last = self.taken, self.put
+        self.taken = self.put = self.drops = 0
+        self.turn_at = self.now + max(TRIPS * self.trips.at(0.5, self.machine.said_for), self.machine.tick)
+
+    def _sessions(self) -> int:
+        return max(self.machine.routers, 1)
+
+    def _credit_most(self) -> float:
+        return min(self._crowd_most(), self._memory_most())
+
+    def _memory_most(self) -> float:
+        kb = [ticket.kb for ticket in self.running] or [ticket.kb for ticket in self.hold]
+        mean = sum(kb) / len(kb) if kb else 0.0
+        return self.machine.memory_kb / (mean * self.machine.run_factor) if mean else inf
+
+    def _speak(self) -> None:
+        """Tell callers their share while the pool binds, and the memory cap's share otherwise."""
+        machine = self.machine
+        if machine.speech is Speech.SILENT:
+            return
+        binds = bool(self.hold)
+        pool = max(self.credit, machine.cores)
+        if machine.speech is Speech.CREDIT:
+            callers: set[Router] = {ticket.router for ticket in self.running if not ticket.answered}
+            callers.update(ticket.router for ticket in self.hold if ticket.stage is Stage.HELD)
+            most = pool if binds else min(self._memory_most(), 2**31)
+            amount = max(most / max(len(callers), 1), 1.0)
+        else:
+            share = pool / (len(self.running) + len(self.hold)) if binds else 1.0
+            amount = min(share, 1.0) if machine.speech is Speech.CHANCE else max(1 - share, 0.0)
+        amount = round(amount, 2)
+        if amount != self.said:
+            self.said = amount
+            self.deeds.append(terms.Say(amount))
+
+    # -- the clock
+
+    def _set_clock(self) -> None:
+        """One alarm for the earliest need; an older, later one may still ring."""
+        need = self.turn_at
+        if self.dues:
+            need = min(need, self.dues[0][0])
+        if self.at_call and self.past_calls:
+            need = min(need, self.now + max(self.machine.tick, 0.01))
+        if need < self.armed:
+            self.armed = need
+            self.deeds.append(terms.Alarm(max(need - self.now, 0.0)))
--- /dev/null
+++ b/sablewheel/terms.py
@@ -0,0 +1,353 @@
+"""The interface of the decision module: what it is told and what it may do.
+
+Plain types only. A `Ticket` points to its track, customer and router; ids stay at the door, with
+whoever carries the happenings in and the deeds out. All times are seconds with fractions.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import TypeAlias
+
+
+class Nature(Enum):
+    """What a second run of a ticket would do."""
+
+    REDOABLE = auto()
+    LABELLED = auto()
+    IRREVERSIBLE = auto()
+
+
+class Halting(Enum):
+    """What stopping a running ticket does on this machine."""
+
+    NEVER = auto()
+    DROPS = auto()
+    PAUSES = auto()
+
+
+class Speech(Enum):
+    """What callers do with the free number that goes with every answer."""
+
+    SILENT = auto()
+    CREDIT = auto()
+    LEVEL = auto()
+    CHANCE = auto()
+
+
+class Outcome(Enum):
+    """How a run or a call ended."""
+
+    WORKED = auto()
+    ERROR = auto()
+    FULL = auto()
+    TIMED_OUT = auto()
+    UNREACHED = auto()
+    CUT_OFF = auto()
+    STOPPED = auto()
+    MOOT = auto()
+
+
+class Stage(Enum):
+    """Where a ticket stands; kept by the controller."""
+
+    HELD = auto()
+    RUNNING = auto()
+    AT_CALL = auto()
+    CALLING = auto()
+    JOINED = auto()
+    OVER = auto()
+
+
+@dataclass(frozen=True, eq=False)
+class Track:
+    """A class of tickets; `position` is its place in the settings' list."""
+
+    position: int
+    nature: Nature
+    goal: float
+    abandon: float
+    earnings: float = 1.0
+    late_share: float = 0.0
+    window: float = 0.0
+    goal_stretch: float = 0.0
+    calls: bool = False
+    skip_share: float = 0.0
+
+
+@dataclass(frozen=True, eq=False)
+class Customer:
+    """Whose tickets they are; `quota` is tickets a second over the whole fleet."""
+
+    quota: float
+    share: float
+
+
+@dataclass(frozen=True, eq=False)
+class Location:
+    """A zone of the site."""
+
+    position: int
+
+
+@dataclass(frozen=True, eq=False)
+class Ledger:
+    """What tickets call; `in_hand` is this server's share of what it survives, None if not told."""
+
+    common: bool
+    in_hand: float | None = None
+    span: float = 0.0
+    linger: float = 0.0
+
+
+@dataclass(eq=False)
+class Router:
+    """Someone who sends tickets here; `out` counts its tickets not answered yet."""
+
+    out: int = 0
+
+
+@dataclass(frozen=True, eq=False)
+class Machine:
+    """The server as it is told at its start."""
+
+    tracks: tuple[Track, ...]
+    cores: int
+    memory_kb: float
+    run_factor: float
+    customers: tuple[Customer, ...] = ()
+    location: Location | None = None
+    ledger: Ledger | None = None
+    servers: int = 1
+    routers: int = 1
+    label_kb: float = 0.0
+    halting: Halting = Halting.NEVER
+    speech: Speech = Speech.SILENT
+    said_for: float = 0.0
+    share_reads_for: float = 0.0
+    told_wait: bool = False
+    told_gone: bool = False
+    marks_again: bool = False
+    by_work: bool = False
+    over_share_worth: float = 1.0
+    fresh_start: bool = False
+    deep_checks: bool = False
+    readiness: bool = False
+    idle: float = 0.0
+    tick: float = 0.0
+    slack: float = 0.0
+    drain_grace: float = 0.0
+    crowd_multiple: float = 1.0
+    crowd_span: float = 0.0
+    cold_from: float = 1.0
+    warm_up: float = 0.0
+    advice_limit: float = 0.0
+    goal_weights: tuple[tuple[str, float], ...] = ()
+    charges: tuple[tuple[str, float], ...] = ()
+
+
+@dataclass(eq=False, slots=True, weakref_slot=True)
+class Ticket:
+    """One try of a request. The fields below `repeats` are the controller's own notes."""
+
+    track: Track
+    router: Router
+    customer: Customer | None
+    arrived: float
+    kb: float
+    wait_left: float | None = None
+    estimate: float | None = None
+    rank: float = 0.0
+    again: bool = False
+    writes: bool = False
+    subject: str | None = None
+    repeats: Ticket | None = None
+    stage: Stage = Stage.HELD
+    begun: bool = False
+    ended: Outcome | None = None
+    answered: bool = False
+    due: float = 0.0
+    budget: float = 0.0
+    since: float = 0.0
+    called: float = 0.0
+    uncalled: bool = False
+    remembered: bool = False
+    over_share: bool = False
+
+
+@dataclass(slots=True)
+class Arrived:
+    """A ticket was read and is now held."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Ended:
+    """A run or a join is over."""
+
+    ticket: Ticket
+    took: float
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class CallNeeded:
+    """A running ticket stands at a call."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class CallEnded:
+    """A call came back."""
+
+    ticket: Ticket
+    took: float
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class CallerGone:
+    """No one waits for this ticket any more."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Notice:
+    """The server will be stopped after `left` seconds."""
+
+    left: float
+
+
+@dataclass(slots=True)
+class Bell:
+    """An alarm rang; `gauges` by the names the machine gives them."""
+
+    gauges: dict[str, float] = field(default_factory=dict)
+
+
+Happening: TypeAlias = Arrived | Ended | CallNeeded | CallEnded | CallerGone | Notice | Bell
+
+
+@dataclass(slots=True)
+class Run:
+    """Start a held ticket, or take up a paused one."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Stop:
+    """Stop running work; no answer by itself."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Deny:
+    """Final answer: it never ran. `come_back`: when to return; `nowhere`: try no other server."""
+
+    ticket: Ticket
+    come_back: float = 0.0
+    nowhere: bool = False
+
+
+@dataclass(slots=True)
+class Terminate:
+    """Final answer: an error, with no promise."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Call:
+    """Make the call a ticket stands at, given up after `allow` seconds."""
+
+    ticket: Ticket
+    allow: float
+
+
+@dataclass(slots=True)
+class LeaveOut:
+    """Go on without the call."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Remember:
+    """Put a ticket into the table of labels."""
+
+    ticket: Ticket
+    life: float
+
+
+@dataclass(slots=True)
+class Release:
+    """Take a ticket out of the table."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Join:
+    """Answer a held ticket with the result of the one it repeats."""
+
+    ticket: Ticket
+
+
+@dataclass(slots=True)
+class Health:
+    """What health checks are told; `stored` answers them without work."""
+
+    good: bool
+    stored: bool
+
+
+@dataclass(slots=True)
+class Say:
+    """The free number on every answer from now on."""
+
+    amount: float
+
+
+@dataclass(slots=True)
+class CloseIdle:
+    """Close connections unused for `after` seconds."""
+
+    after: float
+
+
+@dataclass(slots=True)
+class Alarm:
+    """Ring after `after` seconds; it cannot be taken back."""
+
+    after: float
+
+
+@dataclass(slots=True)
+class Log:
+    """A line for the report."""
+
+    words: str
+
+
+Deed: TypeAlias = (
+    Run
+    | Stop
+    | Deny
+    | Terminate
+    | Call
+    | LeaveOut
+    | Remember
+    | Release
+    | Join
+    | Health
+    | Say
+    | CloseIdle
+    | Alarm
+    | Log
+)
