--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -62,8 +62,7 @@
         self.deeds: list[Deed] = []
         self.table = {track: Row() for track in machine.tracks}
         self.hold: deque[Ticket] = deque()
-        self.running: set[Ticket] = set()
-        self.joined: set[Ticket] = set()
+        self.running: dict[Ticket, None] = {}  # in order of their starts: a set's order is chance
         self.at_call: deque[Ticket] = deque()
         self.dues: list[tuple[float, int, Ticket]] = []
         self.read = 0
@@ -177,7 +176,7 @@
 
     def _run(self, ticket: Ticket) -> None:
         ticket.stage, ticket.begun, ticket.since = Stage.RUNNING, True, self.now
-        self.running.add(ticket)
+        self.running[ticket] = None
         self.on_cores += 1
         self.kb += ticket.kb * (self.machine.run_factor - 1)
         self.taken += 1
@@ -194,7 +193,6 @@
         ):
             return self._terminate(ticket)
         ticket.stage = Stage.JOINED
-        self.joined.add(ticket)
         self.on_cores += 1
         self.kb += more
         self.deeds.append(terms.Join(ticket))
@@ -344,8 +342,7 @@
         if ticket.stage in (Stage.RUNNING, Stage.JOINED):
             self.on_cores -= 1
         self.kb -= ticket.kb * (1 if ticket.stage is Stage.HELD else self.machine.run_factor)
-        self.running.discard(ticket)
-        self.joined.discard(ticket)
+        self.running.pop(ticket, None)
         ticket.stage = Stage.OVER
 
     def _remember(self, ticket: Ticket, life: float) -> None:
