Calls: only given-up ones linger; wait for room within the budget before leaving one out

Also: held tickets are denied once the goal is out of reach. Guards also against any slow ledger; may hold a ticket at a call longer than the call is worth.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -49,6 +49,7 @@
 
     def __init__(self) -> None:
         self.service = Samples()
+        self.first_wait = 0.0  # how long callers wait for a first try
 
 
 class Controller:
@@ -107,9 +108,9 @@
                     self._notice(left)
                 case terms.Bell():
                     self.armed = inf
+        self._make_calls()
         while self.dues and (self.dues[0][0] <= now or self.dues[0][2].answered):
             self._give_up(heappop(self.dues)[2])
-        self._make_calls()
         self._start_held()
         if now >= self.turn_at:
             self._turn()
@@ -144,16 +145,33 @@
         elif machine.share_reads_for and not ticket.writes and ticket.subject is not None:
             self._remember(ticket, left)
         # The budget for waiting, in the hold and before each call.
-        whole = ticket.wait_left if ticket.wait_left is not None else track.abandon
-        ticket.budget = whole / 2 - self.table[track].service.at(0.99)
-        if ticket.wait_left is None:
-            ticket.budget -= now - ticket.arrived
+        ticket.budget, patience = self._budgets(ticket, left)
         if not self.hold and self._may_start(ticket):
             return self._run(ticket)
-        if self.hold and now - self.hold[0].since > ticket.budget:
+        oldest = now - self.hold[0].since if self.hold else 0.0
+        if (self.hold and oldest > ticket.budget) or patience < 0:
             return self._deny(ticket)
         ticket.since = now
         self.hold.append(ticket)
+        heappush(self.dues, (now + patience, -self.read, ticket))
+
+    def _budgets(self, ticket: Ticket, left: float) -> tuple[float, float]:
+        """The page's budget, half the remaining wait less the learned p99, and the wait that the goal allows.
+
+        Departure, acts in the hold: what can only be late earns little or nothing, so it is denied once its
+        goal is out of reach. Guards against any queue that is short for the callers' patience and long for
+        the goal; it may deny what a sudden calm would still have saved.
+        """
+        row, track, waited = self.table[ticket.track], ticket.track, self.now - ticket.arrived
+        age, budget = waited, track.abandon / 2 - waited
+        if ticket.wait_left is not None:
+            budget = left / 2
+            if not ticket.again:
+                row.first_wait = left + waited
+            elif left + waited > row.first_wait:
+                age = max(age, track.abandon - left)  # a last try is given all that the client has left
+        goal = min(track.goal + track.goal_stretch * (ticket.estimate or 0.0), track.abandon)
+        return budget - row.service.at(0.99), goal - age - row.service.at(0.5)
 
     def _start_held(self) -> None:
         """Held tickets start oldest first."""
@@ -229,8 +247,10 @@
         # The budget again, against the oldest ticket that waits to call.
         waiting = [one for one in self.at_call if one.stage is Stage.AT_CALL]
         if waiting and self.now - waiting[0].since > ticket.budget:
-            return self._drop_begun(ticket)
+            return self._go_without(ticket)
         self.at_call.append(ticket)
+        self.read += 1
+        heappush(self.dues, (self.now + max(ticket.budget, 0.0), self.read, ticket))
 
     def _make_calls(self) -> None:
         """Calls go out oldest first while this server's share of the ledger has room."""
@@ -238,24 +258,19 @@
             ticket = self.at_call[0]
             if ticket.stage is Stage.AT_CALL and not ticket.answered:
                 left = max(ticket.due - self.now, self.machine.tick)
-                allow = min(left, 2 * self.call_times.at(0.99, left))
+                allow = min(left, 2 * self.call_times.at(0.99, left), self._call_longest())
                 if not self._call_fits(allow):
-                    if not ticket.track.skip_share:
-                        return
-                    self.deeds.append(terms.LeaveOut(ticket))
-                    ticket.stage = Stage.RUNNING
-                    self.on_cores += 1
-                else:
-                    ticket.budget -= self.now - ticket.since
-                    ticket.stage, ticket.called = Stage.CALLING, self.now
-                    self.calls[ticket] = allow
-                    self.deeds.append(terms.Call(ticket, allow))
+                    return
+                ticket.budget -= self.now - ticket.since
+                ticket.stage, ticket.called = Stage.CALLING, self.now
+                self.calls[ticket] = allow
+                self.deeds.append(terms.Call(ticket, allow))
             self.at_call.popleft()
 
     def _returned(self, ticket: Ticket, took: float, outcome: Outcome) -> None:
         if ticket not in self.calls:
             return
-        self._close_call(ticket)
+        self._close_call(ticket, outcome in (Outcome.TIMED_OUT, Outcome.CUT_OFF))
         self.call_times.add(took)
         if outcome is Outcome.WORKED:
             ticket.stage = Stage.RUNNING
@@ -264,21 +279,24 @@
         ticket.stage, ticket.since = Stage.AT_CALL, self.now
         if ticket.answered:
             self.deeds.append(terms.Terminate(ticket))
-        elif ticket.track.skip_share:
-            self.deeds.append(terms.LeaveOut(ticket))
-            ticket.stage = Stage.RUNNING
-            self.on_cores += 1
-        elif ticket.track.nature in DONT_RUN_AGAIN and outcome not in NEVER_RAN:
-            self._drop_begun(ticket)
+        elif ticket.track.skip_share or (ticket.track.nature in DONT_RUN_AGAIN and outcome not in NEVER_RAN):
+            self._go_without(ticket)
         else:
             self.at_call.append(ticket)
 
-    def _close_call(self, ticket: Ticket) -> None:
+    def _go_without(self, ticket: Ticket) -> None:
+        """The call is not made: the answer earns its part without, or there is none."""
+        if not ticket.track.skip_share:
+            return self._drop_begun(ticket)
+        self.deeds.append(terms.LeaveOut(ticket))
+        ticket.stage = Stage.RUNNING
+        self.on_cores += 1
+
+    def _close_call(self, ticket: Ticket, abandoned: bool) -> None:
         """A call left the books; one given up may stay in the ledger's hands for a while."""
         self.calls.pop(ticket)
-        ledger = self.machine.ledger
-        linger = ledger.linger if ledger else 0.0
-        self.past_calls.append((self.now, self.now - ticket.called + linger))
+        linger = self.machine.ledger.linger if abandoned and self.machine.ledger else 0.0
+        self.past_calls.append((self.now + linger, self.now - ticket.called + linger))
 
     def _gone(self, ticket: Ticket) -> None:
         """Nobody waits: held work is over, running work is stopped where it would only be wasted."""
@@ -298,7 +316,10 @@
             return
         if ticket.stage is Stage.HELD and not ticket.begun:
             return self._deny(ticket)
-        self._drop_begun(ticket)
+        if self.now >= ticket.due:
+            self._drop_begun(ticket)
+        elif ticket.stage is Stage.AT_CALL and ticket.track.skip_share:
+            self._go_without(ticket)
 
     def _drop_begun(self, ticket: Ticket) -> None:
         """An error for a ticket that has begun; work that no repeat can use is stopped."""
@@ -338,7 +359,7 @@
         if ticket.stage is Stage.OVER:
             return
         if ticket in self.calls:
-            self._close_call(ticket)
+            self._close_call(ticket, True)
         if ticket.stage in (Stage.RUNNING, Stage.JOINED):
             self.on_cores -= 1
         self.kb -= ticket.kb * (1 if ticket.stage is Stage.HELD else self.machine.run_factor)
@@ -385,13 +406,18 @@
         ledger = self.machine.ledger
         if ledger is None or ledger.in_hand is None:
             return True
-        while self.past_calls and self.past_calls[0][0] + ledger.linger <= self.now - ledger.span:
+        while self.past_calls and self.past_calls[0][0] <= self.now - ledger.span:
             self.past_calls.popleft()
         booked = sum(min(took, ledger.span) for _, took in self.past_calls) + sum(
             min(one + ledger.linger, ledger.span) for one in self.calls.values()
         )
         return booked + min(allow + ledger.linger, ledger.span) <= ledger.in_hand * ledger.span
 
+    def _call_longest(self) -> float:
+        """One core's part of the call time that a span's share holds: no call alone may book more."""
+        ledger = self.machine.ledger
+        return inf if not ledger or not ledger.in_hand else ledger.in_hand * ledger.span / self.machine.cores
+
     # -- the credit pool
 
     def _turn(self) -> None:
@@ -447,7 +473,8 @@
         if self.dues:
             need = min(need, self.dues[0][0])
         if self.at_call and self.past_calls:
-            need = min(need, self.now + max(self.machine.tick, 0.01))
+            span = self.machine.ledger.span if self.machine.ledger else 0.0
+            need = min(need, self.past_calls[0][0] + span)
         if need < self.armed:
             self.armed = need
             self.deeds.append(terms.Alarm(max(need - self.now, 0.0)))
