--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -17,7 +17,7 @@
 SLOPE_LEAST = 0.1  # t_e: the least extra output per extra intake that still counts as a gain
 DROPS_MOST = 1.0  # t_d: drops per ticket taken in
 CUT = 0.02  # d
-STEP = 0.001  # a, for each caller session
+STEP = 0.01  # a, for each core: the pool grows only where gains outnumber losses well
 TRIPS = 4  # round trips in an iteration
 SAMPLES = 100  # raw samples kept of each measure: enough for a 99th percentile
 DONT_RUN_AGAIN = (Nature.LABELLED, Nature.IRREVERSIBLE)
@@ -426,7 +426,7 @@
         if self.drops > DROPS_MOST * self.taken:
             self.credit *= 1 - CUT
         elif taken * put > 0 and abs(put) > SLOPE_LEAST * abs(taken):
-            self.credit += STEP * self._sessions()
+            self.credit += STEP * self.machine.cores
         else:
             self.credit *= 1 - CUT
         self.credit = min(max(self.credit, self.machine.cores), self._credit_most())
@@ -434,9 +434,6 @@
         self.taken = self.put = self.drops = 0
         self.turn_at = self.now + max(TRIPS * self.trips.at(0.5, self.machine.said_for), self.machine.tick)
 
-    def _sessions(self) -> int:
-        return max(self.machine.routers, 1)
-
     def _credit_most(self) -> float:
         return min(self._crowd_most(), self._memory_most())
 
