Held tickets within their customer's share start before those beyond it

Order only, since denials made routers cut everybody. Guards also against any lasting excess of one customer; may pass over work in share that routers spread unevenly.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from heapq import heappop, heappush
-from math import inf
+from math import inf, sqrt
 
 from . import terms
 from .terms import Deed, Happening, Machine, Nature, Outcome, Router, Speech, Stage, Ticket
@@ -62,6 +62,8 @@
         self.opened = -1.0
         self.deeds: list[Deed] = []
         self.table = {track: Row() for track in machine.tracks}
+        self.longest = max(track.abandon for track in machine.tracks)
+        self.customers: dict[terms.Customer, deque[float]] = {one: deque() for one in machine.customers}
         self.hold: deque[Ticket] = deque()
         self.running: dict[Ticket, None] = {}  # in order of their starts: a set's order is chance
         self.at_call: deque[Ticket] = deque()
@@ -148,10 +150,10 @@
         ticket.budget, patience = self._budgets(ticket, left)
         if not self.hold and self._may_start(ticket):
             return self._run(ticket)
-        oldest = now - self.hold[0].since if self.hold else 0.0
+        oldest = next((now - one.since for one in self.hold if one.stage is Stage.HELD), 0.0)
         if (self.hold and oldest > ticket.budget) or patience < 0:
             return self._deny(ticket)
-        ticket.since = now
+        ticket.since, ticket.over_share = now, self._over_share(ticket)
         self.hold.append(ticket)
         heappush(self.dues, (now + patience, -self.read, ticket))
 
@@ -173,16 +175,34 @@
         goal = min(track.goal + track.goal_stretch * (ticket.estimate or 0.0), track.abandon)
         return budget - row.service.at(0.99), goal - age - row.service.at(0.5)
 
+    def _over_share(self, ticket: Ticket) -> bool:
+        """Whether this server ran more for its customer lately than an even part of its quota.
+
+        Departure, acts while tickets are held: those within a share start first, since work beyond one earns
+        next to nothing. Guards against one customer's flood and any lasting excess; it may pass over work
+        within a share that the routers spread unevenly. It is not denied for that alone: routers that send
+        less when much is turned away would then cut everybody.
+        """
+        customer, machine = ticket.customer, self.machine
+        if customer is None or machine.over_share_worth >= 1:
+            return False
+        seen = self.customers[customer]
+        while seen and seen[0] < self.now - self.longest:
+            seen.popleft()
+        span = min(self.longest, max(self.now - self.opened, machine.said_for))
+        part = customer.quota * span / machine.servers
+        return len(seen) > part + sqrt(part)
+
     def _start_held(self) -> None:
-        """Held tickets start oldest first."""
-        while self.hold:
-            ticket = self.hold[0]
-            if ticket.stage is Stage.HELD:
-                if not self._may_start(ticket):
-                    return
-                ticket.budget -= self.now - ticket.since
-                self._run(ticket)
-            self.hold.popleft()
+        """Held tickets start oldest first, those within their customer's share before others."""
+        for over in (False, True):
+            for ticket in list(self.hold):
+                if ticket.stage is Stage.HELD and ticket.over_share is over:
+                    if not self._may_start(ticket):
+                        break
+                    ticket.budget -= self.now - ticket.since
+                    self._run(ticket)
+        self.hold = deque(ticket for ticket in self.hold if ticket.stage is Stage.HELD)
 
     def _may_start(self, ticket: Ticket) -> bool:
         """While pressed the credit pool bounds what runs or is at calls; the guards bound it always."""
@@ -198,6 +218,8 @@
         self.on_cores += 1
         self.kb += ticket.kb * (self.machine.run_factor - 1)
         self.taken += 1
+        if ticket.customer is not None:
+            self.customers[ticket.customer].append(self.now)
         self.deeds.append(terms.Run(ticket))
 
     def _join(self, ticket: Ticket, first: Ticket) -> None:
