Random runs that check the four rules; expired labels are no longer released

The runs found: a label released at its expiry cuts off a repeat that came before it and is read after (would run twice); answered work standing at a call was answered again.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -92,8 +92,10 @@
         if self.opened < 0:
             self.opened, self.turn_at = now, now + self.machine.said_for
             self.deeds.append(terms.Health(True, True))
+        # Entries expire by themselves: releasing one would cut off a repeat that came before and is read after.
         while self.labels and self.labels[0][0] <= now:
-            self._release(self.labels[0][1])
+            self.labels.popleft()[1].remembered = False
+            self.kb -= self.machine.label_kb
         for happening in happenings:
             match happening:
                 case terms.Arrived(ticket):
@@ -264,8 +266,7 @@
         ticket.stage, ticket.since = Stage.AT_CALL, self.now
         self.on_cores -= 1
         if ticket.answered:
-            self.deeds.append(terms.Terminate(ticket))
-            return
+            return  # answered work ends by itself where it stands
         # The budget again, against the oldest ticket that waits to call.
         waiting = [one for one in self.at_call if one.stage is Stage.AT_CALL]
         if waiting and self.now - waiting[0].since > ticket.budget:
@@ -300,8 +301,8 @@
             return
         ticket.stage, ticket.since = Stage.AT_CALL, self.now
         if ticket.answered:
-            self.deeds.append(terms.Terminate(ticket))
-        elif ticket.track.skip_share or (ticket.track.nature in DONT_RUN_AGAIN and outcome not in NEVER_RAN):
+            return
+        if ticket.track.skip_share or (ticket.track.nature in DONT_RUN_AGAIN and outcome not in NEVER_RAN):
             self._go_without(ticket)
         else:
             self.at_call.append(ticket)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,208 @@
+"""Seeded random runs through the one entry point keep the four rules; a few plain cases."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from world import CALLING, HELD, JOINED, OVER, RUNNING, STANDING, World
+
+from sablewheel import terms
+from sablewheel.terms import Customer, Halting, Ledger, Machine, Nature, Outcome, Speech, Track
+
+PLAIN = Machine(
+    tracks=(
+        Track(0, Nature.REDOABLE, 1.0, 4.0, calls=True, skip_share=0.5),
+        Track(1, Nature.LABELLED, 1.5, 4.0, 2.0, window=6.0, calls=True),
+        Track(2, Nature.IRREVERSIBLE, 1.0, 3.0, calls=True),
+    ),
+    cores=2,
+    memory_kb=400.0,
+    run_factor=4.0,
+    label_kb=2.0,
+    routers=2,
+    tick=0.005,
+    slack=0.06,
+    drain_grace=1.0,
+    crowd_multiple=3.0,
+    crowd_span=1.0,
+    cold_from=0.2,
+    warm_up=5.0,
+    advice_limit=1.0,
+    said_for=1.0,
+)
+LEDGERS = [None, Ledger(True, 0.4, 2.0, 0.2), Ledger(True, 3.0, 2.0, 0.2), Ledger(False)]
+MACHINES = st.builds(
+    lambda halting, speech, ledger, cold, memory, quota, wait: replace(
+        PLAIN,
+        halting=halting,
+        speech=speech,
+        ledger=ledger,
+        fresh_start=cold,
+        memory_kb=memory,
+        customers=(Customer(quota, 0.5), Customer(quota, 0.5)) if quota else (),
+        over_share_worth=0.05,
+        told_wait=wait,
+    ),
+    st.sampled_from(Halting),
+    st.sampled_from(Speech),
+    st.sampled_from(LEDGERS),
+    st.booleans(),
+    st.sampled_from([60.0, 400.0, 4000.0]),
+    st.sampled_from([0.0, 0.5, 50.0]),
+    st.booleans(),
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive"] * 6 + ["finish"] * 3 + ["need", "need", "back", "back", "gone", "drain"]),
+        st.integers(0, 2),
+        st.integers(0, 7),
+        st.sampled_from([0.0, 0.0, 0.02, 0.1, 0.4, 1.5]),
+        st.booleans(),
+    ),
+    max_size=60,
+)
+
+
+def pick(facts: list[Any], which: int) -> Any:
+    return facts[which % len(facts)] if facts else None
+
+
+def step(world: World, what: str, kind: int, which: int, span: float) -> None:
+    if what == "arrive":
+        wait = [0.05, 0.5, 2.0, 4.0][which % 4] if world.machine.told_wait else None
+        label = which + 1 if kind == 1 else 0
+        again = bool(which % 3 == 0)
+        world.arrive(kind, 5.0 + 3 * which, [0.0, 0.2, 5.0][which % 3], label, wait_left=wait, again=again)
+    elif what == "drain" and world.stop == float("inf") and which > 5:
+        world.drain([0.3, 2.5][kind % 2])
+    elif what == "gone" and (fact := pick([one for one in world.facts.values() if not one.answered], which)):
+        world.give_up(fact)
+    elif what == "need" and (fact := pick(world.at(RUNNING), which)):
+        world.need(fact)
+    elif what == "back" and (fact := pick(world.at(CALLING), which)):
+        outcomes = [Outcome.WORKED, Outcome.ERROR, Outcome.FULL, Outcome.UNREACHED, Outcome.CUT_OFF]
+        world.call_back(fact, outcomes[which % 5])
+    elif what == "finish" and (fact := pick(world.at(RUNNING, JOINED), which)):
+        world.finish(fact, Outcome.ERROR if which == 7 else Outcome.WORKED)
+
+
+@settings(
+    max_examples=300,
+    derandomize=True,
+    deadline=None,
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.generate, Phase.shrink),
+)
+@given(MACHINES, STEPS, st.sampled_from([0.0, 0.03]))
+def test_random_runs_keep_the_four_rules(machine: Machine, steps: list[Any], late: float) -> None:
+    world = World(machine)
+    for what, kind, which, span, together in steps:
+        if world.now >= world.stop:
+            return
+        step(world, what, kind, which, span)
+        if not together:
+            world.batch([])
+        if span and not (together and span < 0.1):
+            world.wait(min(span, world.stop - world.now), late)
+    if world.now < world.stop:
+        world.wait(min(6.0, world.stop - world.now), late)
+    assert all(fact.answered for fact in world.facts.values())
+
+
+def deeds(world: World) -> list[terms.Deed]:
+    return world.batch([])
+
+
+def test_an_idle_server_runs_a_ticket_at_once() -> None:
+    world = World(PLAIN)
+    fact = world.arrive(0)
+    assert terms.Run(fact.ticket) in deeds(world)
+
+
+def test_held_tickets_start_oldest_first_as_running_ones_end() -> None:
+    world = World(PLAIN)
+    facts = [world.arrive(0) for _ in range(4)]
+    deeds(world)
+    assert [fact.place for fact in facts] == [RUNNING, RUNNING, HELD, HELD]
+    world.finish(facts[0], Outcome.WORKED)
+    deeds(world)
+    assert [fact.place for fact in facts[1:]] == [RUNNING, RUNNING, HELD]
+
+
+def test_a_ticket_is_denied_when_the_oldest_waiter_is_older_than_its_budget() -> None:
+    world = World(PLAIN)
+    for _ in range(3):
+        world.arrive(0)
+    deeds(world)
+    world.wait(0.5)
+    fact = world.arrive(0, wait_left=0.8)
+    assert any(isinstance(deed, terms.Deny) and deed.ticket is fact.ticket for deed in deeds(world))
+
+
+def test_a_repeat_of_what_ran_gets_its_result() -> None:
+    world = World(PLAIN)
+    first = world.arrive(1, label=3)
+    deeds(world)
+    world.finish(first, Outcome.WORKED)
+    again = world.arrive(1, label=3)
+    deeds(world)
+    assert again.place == JOINED
+
+
+def test_a_held_ticket_whose_goal_is_out_of_reach_is_denied_at_once() -> None:
+    world = World(PLAIN)
+    facts = [world.arrive(0) for _ in range(3)]
+    deeds(world)
+    world.wait(1.1)
+    assert facts[2].place == OVER and not facts[2].ran
+
+
+def test_calls_go_out_before_spent_budgets_are_looked_at() -> None:
+    """A ticket with no budget left lost its call although the ledger had room."""
+    world = World(replace(PLAIN, ledger=Ledger(True, 3.0, 2.0, 0.2)))
+    fact = world.arrive(0, wait_left=0.01)
+    deeds(world)
+    world.need(fact)
+    deeds(world)
+    assert fact.place == CALLING
+
+
+def test_calls_that_ended_leave_the_books_without_lingering() -> None:
+    """Booking every ended call with the linger of an abandoned one filled the share with nothing."""
+    world = World(replace(PLAIN, ledger=Ledger(True, 0.4, 2.0, 0.2)))
+    for _ in range(5):
+        fact = world.arrive(0)
+        deeds(world)
+        world.need(fact)
+        deeds(world)
+        assert fact.place == CALLING
+        world.call_back(fact, Outcome.WORKED)
+        deeds(world)
+        world.finish(fact, Outcome.WORKED)
+
+
+@pytest.mark.parametrize("halting", Halting)
+def test_work_of_a_caller_gone_is_stopped_where_it_can_be(halting: Halting) -> None:
+    world = World(replace(PLAIN, halting=halting))
+    fact = world.arrive(0)
+    deeds(world)
+    world.give_up(fact)
+    deeds(world)
+    assert fact.place == (RUNNING if halting is Halting.NEVER else OVER)
+    assert STANDING not in {one.place for one in world.facts.values()}
+
+
+def test_a_label_that_expires_is_not_released() -> None:
+    """A repeat that came before the expiry and is read after it would lose its link and run again."""
+    world = World(PLAIN)
+    world.arrive(1, label=3)
+    deeds(world)
+    world.wait(7.0)
+    late = world.arrive(1, label=3, waited=1.5)
+    deeds(world)
+    assert not late.ran
