--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -92,7 +92,7 @@
         if self.opened < 0:
             self.opened, self.turn_at = now, now + self.machine.said_for
             self.deeds.append(terms.Health(True, True))
-        # Entries expire by themselves: releasing one would cut off a repeat that came before and is read after.
+        # Entries expire by themselves: a release would cut off a repeat that came before and is read after.
         while self.labels and self.labels[0][0] <= now:
             self.labels.popleft()[1].remembered = False
             self.kb -= self.machine.label_kb
