Fewer calls in hand while calls take long; calling tickets see the queue at calls

Guards against any slow or crowded ledger; a ledger that is slow without being crowded is used less than it could be.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -20,6 +20,8 @@
 STEP = 0.01  # a, for each core: the pool grows only where gains outnumber losses well
 TRIPS = 4  # round trips in an iteration
 SAMPLES = 100  # raw samples kept of each measure: enough for a 99th percentile
+RECENT = 10  # samples that tell how things are now
+SLOW_CALLS = 3.0  # median of the recent over lower quartile of all: about 2 for times that scatter evenly
 DONT_RUN_AGAIN = (Nature.LABELLED, Nature.IRREVERSIBLE)
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
 
@@ -153,7 +155,9 @@
         if not self.hold and self._may_start(ticket):
             return self._run(ticket)
         oldest = next((now - one.since for one in self.hold if one.stage is Stage.HELD), 0.0)
-        if (self.hold and oldest > ticket.budget) or patience < 0:
+        if track.calls:  # the queue before the ledger is ahead of it as well
+            oldest = max(oldest, self._oldest_at_call())
+        if oldest > max(ticket.budget, 0.0) or patience < 0:
             return self._deny(ticket)
         ticket.since, ticket.over_share = now, self._over_share(ticket)
         self.hold.append(ticket)
@@ -268,13 +272,15 @@
         if ticket.answered:
             return  # answered work ends by itself where it stands
         # The budget again, against the oldest ticket that waits to call.
-        waiting = [one for one in self.at_call if one.stage is Stage.AT_CALL]
-        if waiting and self.now - waiting[0].since > ticket.budget:
+        if self._oldest_at_call() > max(ticket.budget, 0.0):
             return self._go_without(ticket)
         self.at_call.append(ticket)
         self.read += 1
         heappush(self.dues, (self.now + max(ticket.budget, 0.0), self.read, ticket))
 
+    def _oldest_at_call(self) -> float:
+        return next((self.now - one.since for one in self.at_call if one.stage is Stage.AT_CALL), 0.0)
+
     def _make_calls(self) -> None:
         """Calls go out oldest first while this server's share of the ledger has room."""
         while self.at_call:
@@ -429,6 +435,8 @@
         ledger = self.machine.ledger
         if ledger is None or ledger.in_hand is None:
             return True
+        if len(self.calls) >= self._calls_most(ledger.in_hand):
+            return False
         while self.past_calls and self.past_calls[0][0] <= self.now - ledger.span:
             self.past_calls.popleft()
         booked = sum(min(took, ledger.span) for _, took in self.past_calls) + sum(
@@ -436,6 +444,20 @@
         )
         return booked + min(allow + ledger.linger, ledger.span) <= ledger.in_hand * ledger.span
 
+    def _calls_most(self, share: float) -> float:
+        """Calls in hand while they take long: fewer than the share, at least one.
+
+        Departure, acts when the last few calls took several times what they used to: a crowded ledger gets
+        slower with each call more, so the queue is kept here, where the budgets see it. Guards against any
+        slow, crowded or stalled ledger, whoever crowds it; a ledger that is slow but not crowded is used less
+        than it could be.
+        """
+        recent = sorted(list(self.call_times.raw)[-RECENT:])
+        if not recent:
+            return max(share, 1.0)
+        usual, lately = self.call_times.at(0.25), recent[len(recent) // 2]
+        return max(1.0, share * min(1.0, SLOW_CALLS * usual / max(lately, 1e-9)))
+
     def _call_longest(self) -> float:
         """One core's part of the call time that a span's share holds: no call alone may book more."""
         ledger = self.machine.ledger
