Deny what waited unread beyond its goal, even with cores free

Told from a slow machine by the run times (0.3 s there) and from a slow ledger by the call times (0.03 s).

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -152,7 +152,12 @@
             self._remember(ticket, left)
         # The budget for waiting, in the hold and before each call.
         ticket.budget, patience = self._budgets(ticket, left)
-        if not self.hold and self._may_start(ticket):
+        # Departure, acts when reading is behind by more than a run takes: what waited unread beyond its goal
+        # is denied even by idle cores, so that the reading catches up with tickets that can still be in time.
+        # Guards against any backlog before the door (stalls, slow cores, deaf routers); it may deny late work
+        # that would have earned its late share.
+        stale = patience < 0 and now - ticket.arrived > self.table[track].service.at(0.5)
+        if not self.hold and not stale and self._may_start(ticket):
             return self._run(ticket)
         oldest = next((now - one.since for one in self.hold if one.stage is Stage.HELD), 0.0)
         if track.calls:  # the queue before the ledger is ahead of it as well
