--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -71,6 +71,7 @@
         self.at_call: deque[Ticket] = deque()
         self.dues: list[tuple[float, int, Ticket]] = []
         self.read = 0
+        self.unread = 0.0
         self.on_cores = 0
         self.kb = 0.0
         self.labels: deque[tuple[float, Ticket]] = deque()
@@ -134,6 +135,7 @@
         self.kb += ticket.kb
         ticket.router.out += 1
         self.read += 1
+        self.unread = now - ticket.arrived
         heappush(self.dues, (ticket.due, self.read, ticket))
         # A repeat of what ran, or may still run here, gets that one's result.
         first = ticket.repeats
@@ -497,7 +499,7 @@
         machine = self.machine
         if machine.speech is Speech.SILENT:
             return
-        binds = bool(self.hold)
+        binds = bool(self.hold) or self.unread > self.trips.at(0.5)
         pool = max(self.credit, machine.cores)
         if machine.speech is Speech.CREDIT:
             callers: set[Router] = {ticket.router for ticket in self.running if not ticket.answered}
@@ -505,7 +507,7 @@
             most = pool if binds else min(self._memory_most(), 2**31)
             amount = max(most / max(len(callers), 1), 1.0)
         else:
-            share = pool / (len(self.running) + len(self.hold)) if binds else 1.0
+            share = pool / max(len(self.running) + len(self.hold), 1) if binds else 1.0
             amount = min(share, 1.0) if machine.speech is Speech.CHANCE else max(1 - share, 0.0)
         amount = round(amount, 2)
         if amount != self.said:
