--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -70,8 +70,9 @@
         self.running: dict[Ticket, None] = {}  # in order of their starts: a set's order is chance
         self.at_call: deque[Ticket] = deque()
         self.dues: list[tuple[float, int, Ticket]] = []
+        self.routers: dict[Router, None] = {}
         self.read = 0
-        self.unread = 0.0
+        self.unread = 0.0  # how long the last ticket read had waited for that
         self.on_cores = 0
         self.kb = 0.0
         self.labels: deque[tuple[float, Ticket]] = deque()
@@ -134,6 +135,8 @@
         ticket.due = min(max(now, now + left - machine.tick), self.leave_at)
         self.kb += ticket.kb
         ticket.router.out += 1
+        ticket.router.heard = now
+        self.routers[ticket.router] = None
         self.read += 1
         self.unread = now - ticket.arrived
         heappush(self.dues, (ticket.due, self.read, ticket))
@@ -499,13 +502,15 @@
         machine = self.machine
         if machine.speech is Speech.SILENT:
             return
-        binds = bool(self.hold) or self.unread > self.trips.at(0.5)
+        behind = self.unread > self.trips.at(0.5)
+        binds = behind or bool(self.hold)
         pool = max(self.credit, machine.cores)
         if machine.speech is Speech.CREDIT:
-            callers: set[Router] = {ticket.router for ticket in self.running if not ticket.answered}
-            callers.update(ticket.router for ticket in self.hold if ticket.stage is Stage.HELD)
+            # Whose tickets are out here: while reading is behind also those that may lie unread.
+            since = self.now - self.unread
+            callers = sum(router.out > 0 or (behind and router.heard > since) for router in self.routers)
             most = pool if binds else min(self._memory_most(), 2**31)
-            amount = max(most / max(len(callers), 1), 1.0)
+            amount = max(most / max(callers, 1), 1.0)
         else:
             share = pool / max(len(self.running) + len(self.hold), 1) if binds else 1.0
             amount = min(share, 1.0) if machine.speech is Speech.CHANCE else max(1 - share, 0.0)
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -103,9 +103,10 @@
 
 @dataclass(eq=False)
 class Router:
-    """Someone who sends tickets here; `out` counts its tickets not answered yet."""
+    """Someone who sends tickets here; the controller notes its open tickets and when it was last heard."""
 
     out: int = 0
+    heard: float = 0.0
 
 
 @dataclass(frozen=True, eq=False)
