--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -135,7 +135,7 @@
         ticket.due = min(max(now, now + left - machine.tick), self.leave_at)
         self.kb += ticket.kb
         ticket.router.out += 1
-        ticket.router.heard = now
+        ticket.router.heard = ticket.read_at = now
         self.routers[ticket.router] = None
         self.read += 1
         self.unread = now - ticket.arrived
@@ -264,7 +264,7 @@
             self.table[ticket.track].service.add(took)
         if outcome in (Outcome.WORKED, Outcome.ERROR):
             if not ticket.answered:
-                self.trips.add(self.now - ticket.arrived)
+                self.trips.add(self.now - ticket.read_at)
             if not joined:
                 self.put += 1
             self._answer(ticket)
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -170,6 +170,7 @@
     answered: bool = False
     due: float = 0.0
     budget: float = 0.0
+    read_at: float = 0.0
     since: float = 0.0
     called: float = 0.0
     uncalled: bool = False
