Untold waits are learned from callers that went; part of a credit starts nothing

Learned waits. Acts only where waits are not told and a quarter of a router's tickets were seen to be given up. Guards also against any jam of timed-out tries; may deny some that would wait. Whole credits. Found by a test: a pool a little above the cores let one ticket more run on full cores.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -70,7 +70,7 @@
         self.running: dict[Ticket, None] = {}  # in order of their starts: a set's order is chance
         self.at_call: deque[Ticket] = deque()
         self.dues: list[tuple[float, int, Ticket]] = []
-        self.routers: dict[Router, None] = {}
+        self.patience: dict[Router, Samples] = {}  # how long its tickets were waited for, by router
         self.read = 0
         self.unread = 0.0  # how long the last ticket read had waited for that
         self.on_cores = 0
@@ -136,7 +136,7 @@
         self.kb += ticket.kb
         ticket.router.out += 1
         ticket.router.heard = ticket.read_at = now
-        self.routers[ticket.router] = None
+        self.patience.setdefault(ticket.router, Samples())
         self.read += 1
         self.unread = now - ticket.arrived
         heappush(self.dues, (ticket.due, self.read, ticket))
@@ -181,14 +181,19 @@
         the goal; it may deny what a sudden calm would still have saved.
         """
         row, track, waited = self.table[ticket.track], ticket.track, self.now - ticket.arrived
-        age, budget = waited, track.abandon / 2 - waited
-        if ticket.wait_left is not None:
-            budget = left / 2
+        age = waited
+        if ticket.wait_left is None:
+            # Departure, acts where the wait is not told: what callers were seen to wait stands in for it.
+            # Guards against hasty callers and any jam of timed-out tries; may deny some that would wait.
+            wait = min(track.abandon, self.patience[ticket.router].at(0.25, track.abandon))
+            budget = wait / 2 - waited
+        else:
+            wait, budget = track.abandon, left / 2
             if not ticket.again:
                 row.first_wait = left + waited
             elif left + waited > row.first_wait:
                 age = max(age, track.abandon - left)  # a last try is given all that the client has left
-        goal = min(track.goal + track.goal_stretch * (ticket.estimate or 0.0), track.abandon)
+        goal = min(track.goal + track.goal_stretch * (ticket.estimate or 0.0), wait)
         return budget - row.service.at(0.99), goal - age - row.service.at(0.5)
 
     def _over_share(self, ticket: Ticket) -> bool:
@@ -226,7 +231,7 @@
         if self.on_cores + len(self.calls) >= int(self._crowd_most()) or not self._memory_fits(more):
             return False
         pressed = self.on_cores >= self.machine.cores or self.now < self.dropped_at + self.trips.at(0.5)
-        return not pressed or len(self.running) < max(self.credit, self.machine.cores)
+        return not pressed or len(self.running) + 1 <= max(self.credit, self.machine.cores)
 
     def _run(self, ticket: Ticket) -> None:
         ticket.stage, ticket.begun, ticket.since = Stage.RUNNING, True, self.now
@@ -265,6 +270,7 @@
         if outcome in (Outcome.WORKED, Outcome.ERROR):
             if not ticket.answered:
                 self.trips.add(self.now - ticket.read_at)
+                self.patience[ticket.router].add(ticket.track.abandon)
             if not joined:
                 self.put += 1
             self._answer(ticket)
@@ -341,6 +347,8 @@
         """Nobody waits: held work is over, running work is stopped where it would only be wasted."""
         if ticket.stage is Stage.OVER:
             return
+        if not ticket.answered:
+            self.patience[ticket.router].add(self.now - ticket.arrived)
         self._answer(ticket)
         if ticket.stage in (Stage.HELD, Stage.JOINED):
             if ticket.stage is Stage.HELD and not ticket.begun:
@@ -508,7 +516,7 @@
         if machine.speech is Speech.CREDIT:
             # Whose tickets are out here: while reading is behind also those that may lie unread.
             since = self.now - self.unread
-            callers = sum(router.out > 0 or (behind and router.heard > since) for router in self.routers)
+            callers = sum(router.out > 0 or (behind and router.heard > since) for router in self.patience)
             most = pool if binds else min(self._memory_most(), 2**31)
             amount = max(most / max(callers, 1), 1.0)
         else:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -206,3 +206,23 @@
     late = world.arrive(1, label=3, waited=1.5)
     deeds(world)
     assert not late.ran
+
+
+def test_what_callers_were_seen_to_wait_stands_in_for_an_untold_wait() -> None:
+    """Hasty callers timed out in a jam that kept running their tickets (tries unmarked, waits untold)."""
+    world = World(PLAIN)
+    for _ in range(8):
+        fact = world.arrive(0)
+        deeds(world)
+        world.wait(0.2)
+        world.give_up(fact)
+        world.finish(fact, Outcome.WORKED)
+        deeds(world)
+    for _ in range(4):
+        world.arrive(1)
+    late = world.arrive(0, waited=0.25)
+    deeds(world)
+    assert late.place == OVER and not late.ran
+    patient = world.arrive(1, waited=0.25)
+    deeds(world)
+    assert patient.place == HELD
