--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -59,7 +59,7 @@
 
     def __init__(self, machine: Machine, seed: int) -> None:
         self.machine = machine
-        self.chance = seed
+        self.chance = seed  # nothing draws lots yet
         self.now = 0.0
         self.opened = -1.0
         self.deeds: list[Deed] = []
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -42,3 +42,11 @@
     done = adapter(batch(1, START, bad))
     assert done.returncode == 1 and done.stdout == ""
     assert done.stderr.startswith("sablewheel.benchlink: ") and "Traceback" not in done.stderr
+
+
+def test_a_server_that_died_comes_back_knowing_nothing() -> None:
+    back = START.replace("init 3 7", "init 3 8")
+    done = adapter(
+        batch(1, START, TICKET) + batch(2, "destroy 3", back) + batch(3, "work_done 3 41 0.1 S", TICKET)
+    )
+    assert done.returncode == 0 and done.stdout.count("run 3 41\n") == 2
