--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -57,7 +57,9 @@
 )
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["arrive"] * 6 + ["finish"] * 3 + ["need", "need", "back", "back", "gone", "drain"]),
+        st.sampled_from(
+            ["arrive"] * 6 + ["finish"] * 3 + ["need", "need", "back", "back", "gone", "drain", "die"]
+        ),
         st.integers(0, 2),
         st.integers(0, 7),
         st.sampled_from([0.0, 0.0, 0.02, 0.1, 0.4, 1.5]),
@@ -104,6 +106,8 @@
     for what, kind, which, span, together in steps:
         if world.now >= world.stop:
             return
+        if what == "die" and which == 0:  # killed outright: what it held is no longer its duty
+            world = World(replace(machine, fresh_start=True), seed=which)
         step(world, what, kind, which, span)
         if not together:
             world.batch([])
