Fold twin guards and stop conditions in the module; drop dead fields

One check of whether memory and cores bear a run serves starts and joins; the conditions of a stop stand in one place; a stopped ticket is answered through the same function as others.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -58,8 +58,8 @@
     """One server's decisions, from its own events alone."""
 
     def __init__(self, machine: Machine, seed: int) -> None:
+        del seed  # nothing draws lots yet
         self.machine = machine
-        self.chance = seed  # nothing draws lots yet
         self.now = 0.0
         self.opened = -1.0
         self.deeds: list[Deed] = []
@@ -227,8 +227,7 @@
 
     def _may_start(self, ticket: Ticket) -> bool:
         """While pressed the credit pool bounds what runs or is at calls; the guards bound it always."""
-        more = ticket.kb * (self.machine.run_factor - 1)
-        if self.on_cores + len(self.calls) >= int(self._crowd_most()) or not self._memory_fits(more):
+        if not self._survives_run(ticket):
             return False
         pressed = self.on_cores >= self.machine.cores or self.now < self.dropped_at + self.trips.at(0.5)
         return not pressed or len(self.running) + 1 <= max(self.credit, self.machine.cores)
@@ -237,7 +236,7 @@
         ticket.stage, ticket.begun, ticket.since = Stage.RUNNING, True, self.now
         self.running[ticket] = None
         self.on_cores += 1
-        self.kb += ticket.kb * (self.machine.run_factor - 1)
+        self.kb += self._more_kb(ticket)
         self.taken += 1
         if ticket.customer is not None:
             self.customers[ticket.customer].append(self.now)
@@ -246,16 +245,11 @@
     def _join(self, ticket: Ticket, first: Ticket) -> None:
         """A repeat waits for the result of the first; if there can be none, it ends in an error."""
         failed = first.ended not in (None, Outcome.WORKED)
-        more = ticket.kb * (self.machine.run_factor - 1)
-        if (
-            failed
-            or self.on_cores + len(self.calls) >= int(self._crowd_most())
-            or not self._memory_fits(more)
-        ):
+        if failed or not self._survives_run(ticket):
             return self._terminate(ticket)
         ticket.stage = Stage.JOINED
         self.on_cores += 1
-        self.kb += more
+        self.kb += self._more_kb(ticket)
         self.deeds.append(terms.Join(ticket))
 
     # -- what happens to a ticket on its way
@@ -275,9 +269,7 @@
                 self.put += 1
             self._answer(ticket)
         elif not ticket.answered:
-            # Stopped without an answer: a rerun is never needed here, the answer is.
-            self.deeds.append(terms.Terminate(ticket))
-            self._answer(ticket)
+            self._terminate(ticket)  # stopped: a rerun is never needed here, the answer is
         self._leave(ticket)
 
     def _stand(self, ticket: Ticket) -> None:
@@ -354,7 +346,7 @@
             if ticket.stage is Stage.HELD and not ticket.begun:
                 self._release(ticket)
             self._leave(ticket)
-        elif ticket.track.nature is Nature.REDOABLE:
+        else:
             self._stop(ticket)
 
     def _give_up(self, ticket: Ticket) -> None:
@@ -373,11 +365,12 @@
         self.drops += 1
         self.dropped_at = self.now
         self._terminate(ticket)
-        if ticket.stage is Stage.RUNNING and ticket.track.nature is Nature.REDOABLE:
-            self._stop(ticket)
+        self._stop(ticket)
 
     def _stop(self, ticket: Ticket) -> None:
-        if self.machine.halting is not terms.Halting.NEVER and ticket.stage is Stage.RUNNING:
+        """Stop a run that no repeat can use, where the machine can."""
+        can = self.machine.halting is not terms.Halting.NEVER and ticket.stage is Stage.RUNNING
+        if can and ticket.track.nature is Nature.REDOABLE:
             self.deeds.append(terms.Stop(ticket))
 
     def _deny(self, ticket: Ticket) -> None:
@@ -438,6 +431,15 @@
 
     # -- guards
 
+    def _survives_run(self, ticket: Ticket) -> bool:
+        """Whether memory and cores bear one ticket more; calls count, since they come back by themselves."""
+        crowd = self.on_cores + len(self.calls)
+        return crowd < int(self._crowd_most()) and self._memory_fits(self._more_kb(ticket))
+
+    def _more_kb(self, ticket: Ticket) -> float:
+        """What a held ticket takes beyond its memory once it runs."""
+        return ticket.kb * (self.machine.run_factor - 1)
+
     def _memory_fits(self, more: float) -> bool:
         return self.kb + more <= self.machine.memory_kb
 
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -173,7 +173,6 @@
     read_at: float = 0.0
     since: float = 0.0
     called: float = 0.0
-    uncalled: bool = False
     remembered: bool = False
     over_share: bool = False
 
