--- /dev/null
+++ b/sablewheel/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program round the decisions: configuration, log, counters and phases."""
--- /dev/null
+++ b/sablewheel/program/application.py
@@ -0,0 +1,148 @@
+"""The program from start to exit: one object, its phases named states."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+from enum import Enum
+
+from ..protocol import naming
+from ..routing.client import Client
+from ..routing.dispatch import Dispatch
+from ..routing.exchange import Exchange, Standing
+from ..routing.labels import Labels
+from ..routing.server import Server
+from ..terms import Outcome
+from ..transport.datagram import Post
+from ..transport.scheduler import Clock, Scheduler
+from ..transport.stream import Listener
+from .configuration import Posting
+from .counters import Counters
+
+REPORT_EVERY = 0.5
+LAST_INSTANT = 0.03  # before the stop: whoever still has a connection open then is left behind
+KEPT_SHARE = 16  # results kept for repeats get one part in so many of the program's memory
+
+log = logging.getLogger(__name__)
+
+
+class Phase(Enum):
+    """What the program is doing."""
+
+    WAITING = "waiting"  # listening; the interpreter is not up yet
+    SERVING = "serving"
+    DRAINING = "draining"  # told to leave; serves on within the grace
+    PARTING = "parting"  # listens no longer, routers were told farewell, what is open gets its answers
+    ENDED = "ended"
+
+
+class Application:
+    """All parts, and how they start and end."""
+
+    def __init__(self, posting: Posting) -> None:
+        self.phase = Phase.WAITING
+        self._posting = posting
+        self._counters = Counters()
+        self._scheduler = scheduler = Scheduler(Clock())
+        self._standing = Standing()
+        longest = max(track.abandon for track in posting.machine.tracks)
+        labels = Labels(longest, posting.machine.slack, posting.memory_bytes // KEPT_SHARE)
+        self._dispatch = Dispatch(
+            scheduler, posting.machine, posting.seed, posting.gauge_places, self._standing, labels
+        )
+        count = self._counters.count
+        self._server = Server(
+            scheduler, posting.tracks, posting.customers, self._standing, self._dispatch, count
+        )
+        self._listener = Listener(
+            scheduler, posting.listen, posting.connections_most, self._server.accepted, self._server.make_room
+        )
+        self._client = Client(scheduler, posting.interpreter, self, count)
+        self._dispatch.server, self._dispatch.client = self._server, self._client
+        self._post = Post(posting.naming)
+        self._stop_at = 0.0
+
+    def run(self) -> None:
+        """Serve until told to leave, then leave in order."""
+        scheduler = self._scheduler
+        scheduler.on_signal(signal.SIGTERM, self._leave)
+        scheduler.on_signal(signal.SIGINT, self._leave)
+        scheduler.on_signal(signal.SIGUSR1, lambda: self._print("request"))
+        scheduler.after_round.append(self._dispatch.end_round)
+        scheduler.after_round.append(self._look_for_end)
+        self._report()
+        gc.collect()
+        gc.freeze()
+        log.info("listening", extra={"pairs": {"name": self._posting.name, "phase": self.phase.value}})
+        scheduler.run()
+        self._print("exit")
+
+    # -- what the interpreter's side tells
+
+    def greeted(self, cold: bool, age: float) -> None:
+        log.info("interpreter up", extra={"pairs": {"cold": cold, "age": age}})
+        self._dispatch.open(cold, age)
+        if self.phase is Phase.WAITING:
+            self._enter(Phase.SERVING)
+
+    def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
+        self._dispatch.ended(exchange, outcome, took, result)
+
+    # -- the phases
+
+    def _enter(self, phase: Phase) -> None:
+        log.info("phase", extra={"pairs": {"was": self.phase.value, "now": phase.value}})
+        self.phase = phase
+
+    def _leave(self) -> None:
+        """The notice to leave; a second one changes nothing."""
+        if self.phase is Phase.WAITING:
+            self._listener.close()
+            return self._end()
+        if self.phase is not Phase.SERVING:
+            return
+        posting, now = self._posting, self._scheduler.clock.now
+        self._stop_at = now + posting.stop_after
+        self._dispatch.notice(posting.stop_after)
+        self._enter(Phase.DRAINING)
+        self._report()
+        # Past the grace nothing that comes may run: a refused connection says so soonest.
+        grace = min(posting.machine.drain_grace, posting.stop_after - 2 * LAST_INSTANT)
+        self._scheduler.after(max(grace, 0.0), self._part)
+
+    def _part(self) -> None:
+        self._enter(Phase.PARTING)
+        self._listener.close()
+        self._scheduler.spawn(self._server.farewell)
+        self._scheduler.after(max(self._stop_at - LAST_INSTANT - self._scheduler.clock.now, 0.0), self._end)
+
+    def _look_for_end(self) -> None:
+        if self.phase is Phase.PARTING and not self._server.connections and not self._dispatch.open_count:
+            self._end()
+
+    def _end(self) -> None:
+        if self.phase is not Phase.ENDED:
+            self._enter(Phase.ENDED)
+            self._scheduler.stop()
+
+    # -- small duties
+
+    def _report(self) -> None:
+        """To the name service, well within the time after which it takes a silent server off its list."""
+        serving = self.phase is Phase.SERVING
+        self._counters.count("reports_sent" if self._post.send(self._word(serving)) else "reports_failed")
+        if self.phase in (Phase.WAITING, Phase.SERVING, Phase.DRAINING):
+            self._scheduler.after(REPORT_EVERY, self._report)
+
+    def _word(self, serving: bool) -> bytes:
+        return naming.report(self._posting.name, serving)
+
+    def _print(self, occasion: str) -> None:
+        self._counters.print(
+            occasion,
+            phase=self.phase.value,
+            open_tickets=self._dispatch.open_count,
+            open_connections=len(self._server.connections),
+            said=self._standing.said,
+        )
--- /dev/null
+++ b/sablewheel/program/configuration.py
@@ -0,0 +1,241 @@
+"""The one place where the configuration and the settings are read, checked and given defaults.
+
+`posting` reads what an instance is told at its start; `machine` makes the controller's `Machine` of the
+settings, for the program and for the simulator's adapter alike. Every message names the key at fault.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import inf
+from typing import Any, TypeVar
+
+from ..terms import Customer, Halting, Ledger, Location, Machine, Nature, Speech, Track
+
+NATURES = {"safe": Nature.REDOABLE, "keyed": Nature.LABELLED, "unsafe": Nature.IRREVERSIBLE}
+HALTINGS = {"off": Halting.NEVER, "drop": Halting.DROPS, "pause": Halting.PAUSES}
+SPEECHES = {"off": Speech.SILENT, "tokens": Speech.CREDIT, "min_rank": Speech.LEVEL, "bias": Speech.CHANCE}
+LEVELS = {"debug": "DEBUG", "info": "INFO", "warning": "WARNING", "error": "ERROR"}
+RESERVED = 24  # descriptors that routers' connections don't get: standard ones, poll, links, some in hand
+
+Choice = TypeVar("Choice")
+
+
+class FaultyKeyError(ValueError):
+    """A key that is missing, of the wrong kind or out of range; the message starts with its name."""
+
+
+@dataclass(frozen=True)
+class Posting:
+    """Where this server stands and what it has, as told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    interpreter: tuple[str, int]
+    naming: tuple[str, int]
+    seed: int
+    stop_after: float
+    memory_bytes: int
+    connections_most: int
+    machine: Machine
+    tracks: dict[bytes, Track]
+    customers: dict[bytes, Customer]
+    gauge_places: tuple[int | None, int | None]
+    level: str
+
+
+class Section:
+    """One object of the configuration; reads its keys and names them when something is wrong."""
+
+    def __init__(self, values: object, path: str = "") -> None:
+        if not isinstance(values, Mapping):
+            raise FaultyKeyError(f"{path or 'configuration'}: an object is wanted")
+        self._values, self._path = values, path
+
+    def name(self, key: str) -> str:
+        return f"{self._path}.{key}" if self._path else key
+
+    def raw(self, key: str, default: Any = ...) -> Any:
+        value = self._values.get(key)
+        if value is None:
+            if default is ...:
+                raise FaultyKeyError(f"{self.name(key)}: missing")
+            return default
+        return value
+
+    def section(self, key: str, default: Any = ...) -> Section:
+        return Section(self.raw(key, default), self.name(key))
+
+    def sections(self, key: str, default: Any = ...) -> list[Section]:
+        values = self.list(key, default)
+        return [Section(one, f"{self.name(key)}[{place}]") for place, one in enumerate(values)]
+
+    def list(self, key: str, default: Any = ...) -> list[Any]:
+        values = self.raw(key, default)
+        if not isinstance(values, list):
+            raise FaultyKeyError(f"{self.name(key)}: a list is wanted")
+        return values
+
+    def number(self, key: str, default: Any = ..., least: float = 0.0, most: float = inf) -> float:
+        value = self.raw(key, default)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            raise FaultyKeyError(f"{self.name(key)}: a number is wanted, got {value!r:.40}")
+        if not least <= value <= most or value - value != 0:
+            raise FaultyKeyError(f"{self.name(key)}: {value} is not between {least:g} and {most:g}")
+        return float(value)
+
+    def whole(self, key: str, default: Any = ..., least: int = 0, most: int = 1 << 53) -> int:
+        value = self.number(key, default, least, most)
+        if value != int(value):
+            raise FaultyKeyError(f"{self.name(key)}: a whole number is wanted, got {value}")
+        return int(value)
+
+    def flag(self, key: str, default: Any = ...) -> bool:
+        value = self.raw(key, default)
+        if not isinstance(value, bool):
+            raise FaultyKeyError(f"{self.name(key)}: true or false is wanted, got {value!r:.40}")
+        return value
+
+    def text(self, key: str, default: Any = ...) -> str:
+        value = self.raw(key, default)
+        if not isinstance(value, str) or not value:
+            raise FaultyKeyError(f"{self.name(key)}: a text is wanted, got {value!r:.40}")
+        return value
+
+    def choice(self, key: str, choices: Mapping[str, Choice], default: Any = ...) -> Choice:
+        value = self.text(key, default)
+        if value not in choices:
+            raise FaultyKeyError(f"{self.name(key)}: {value!r:.40} is none of {', '.join(choices)}")
+        return choices[value]
+
+    def address(self, key: str) -> tuple[str, int]:
+        value = self.text(key)
+        host, colon, port = value.rpartition(":")
+        if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+            raise FaultyKeyError(f"{self.name(key)}: HOST:PORT is wanted, got {value!r:.60}")
+        return host, int(port)
+
+    def numbers(self, key: str) -> tuple[tuple[str, float], ...]:
+        inner = self.section(key, {})
+        return tuple((name, inner.number(name, least=-inf)) for name in inner._values)
+
+
+def posting(environment: Mapping[str, str] = os.environ) -> Posting:
+    """What this instance is told: the file that RELAY_CONFIG names, and SABLEWHEEL_LOG for the log level."""
+    path = environment.get("RELAY_CONFIG")
+    if not path:
+        raise FaultyKeyError("RELAY_CONFIG: missing")
+    try:
+        with open(path, "rb") as file:
+            told = json.load(file)
+    except OSError as trouble:
+        raise FaultyKeyError(f"RELAY_CONFIG: {path}: {trouble.strerror}") from None
+    except ValueError as trouble:
+        raise FaultyKeyError(f"RELAY_CONFIG: {path} is not JSON: {trouble}") from None
+    top = Section(told)
+    limits, settings = top.section("limits", {}), top.section("settings")
+    try:
+        seed = int(top.text("seed"), 16)
+    except ValueError:
+        raise FaultyKeyError("seed: hexadecimal digits are wanted") from None
+    built = machine(settings)
+    gauges = settings.section("extra").list("gauges", [])
+    names = [one.text("name") for one in settings.sections("classes")]
+    owners = [one.text("name") for one in settings.sections("orgs", [])]
+    return Posting(
+        name=top.text("name"),
+        listen=top.address("listen"),
+        interpreter=top.address("vm"),
+        naming=top.address("naming"),
+        seed=seed,
+        stop_after=top.number("stop_ms", 3000, least=1) / 1000,
+        memory_bytes=int(limits.number("memory_mb", 192, least=32) * 1e6),
+        connections_most=limits.whole("sockets", 1024, least=RESERVED + 8) - RESERVED,
+        machine=built,
+        tracks={name.encode(): track for name, track in zip(names, built.tracks, strict=True)},
+        customers={name.encode(): one for name, one in zip(owners, built.customers, strict=True)},
+        gauge_places=(
+            gauges.index("cpu_busy") if "cpu_busy" in gauges else None,
+            gauges.index("sockets") if "sockets" in gauges else None,
+        ),
+        level=Section(environment).choice("SABLEWHEEL_LOG", LEVELS, "info"),
+    )
+
+
+def machine(settings: Section) -> Machine:
+    """The controller's view of the settings; keys not known here are skipped."""
+    extra, safety = settings.section("extra"), settings.section("safety")
+    limits = settings.section("limits", {})
+    tracks = settings.sections("classes")
+    if not tracks:
+        raise FaultyKeyError(f"{settings.name('classes')}: at least one is wanted")
+    calls, skips = extra.list("class-calls", []), extra.list("class-skip-worth", [])
+    habits = settings.section("client-habits", {})
+    return Machine(
+        tracks=tuple(
+            Track(
+                position=place,
+                nature=one.choice("repeat", NATURES),
+                goal=one.number("on-time-s"),
+                abandon=one.number("deadline-s"),
+                earnings=one.number("worth", 1.0),
+                late_share=one.number("late-worth", 0.0),
+                window=one.number("window-s", 0.0),
+                goal_stretch=one.number("aim-stretch", 0.0),
+                calls=bool(calls[place]) if place < len(calls) else False,
+                skip_share=float(skips[place]) if place < len(skips) else 0.0,
+            )
+            for place, one in enumerate(tracks)
+        ),
+        cores=extra.whole("cores", least=1),
+        memory_kb=extra.number("memory-kb"),
+        run_factor=extra.number("run-factor", 1.0),
+        customers=tuple(
+            Customer(quota=one.number("quota-rps", 0.0), share=one.number("fraction", 0.0))
+            for one in settings.sections("orgs", [])
+        ),
+        location=Location(settings.whole("my-zone", 0)),
+        ledger=_ledger(extra),
+        servers=settings.whole("servers", 1) or 1,
+        routers=extra.whole("callers", 1) or 1,
+        label_kb=extra.number("key-kb", 0.0),
+        halting=extra.choice("halt", HALTINGS, "off"),
+        speech=extra.choice("say", SPEECHES, "off"),
+        said_for=extra.number("said-for-s", 0.0),
+        share_reads_for=extra.number("share-for-s", 0.0),
+        told_wait=extra.flag("passes-deadline", False),
+        told_gone=extra.flag("tells-gone", False),
+        marks_again=habits.flag("marks-retry", False),
+        by_work=settings.raw("value-by", "request") == "work",
+        over_share_worth=settings.number("over-share-worth", 1.0),
+        fresh_start=extra.flag("fresh-start", False),
+        deep_checks=extra.flag("deep-checks", False),
+        readiness=extra.flag("readiness", False),
+        idle=extra.number("idle-s", 0.0),
+        tick=settings.number("tick-s", 0.0),
+        slack=safety.number("answer-slack-s", 0.0),
+        drain_grace=safety.number("drain-grace-s", 0.0),
+        crowd_multiple=safety.number("fall-multiple"),
+        crowd_span=safety.number("fall-s", 0.0),
+        cold_from=safety.number("cold-from", 1.0),
+        warm_up=safety.number("warm-up-s", 0.0),
+        advice_limit=limits.number("max-retry-after-s", 0.0) if limits.flag("retry-after", False) else 0.0,
+        goal_weights=settings.numbers("goal"),
+        charges=settings.numbers("charges"),
+    )
+
+
+def _ledger(extra: Section) -> Ledger | None:
+    below = extra.text("below", "off")
+    if below == "off":
+        return None
+    in_hand = extra.number("calls-out", -1.0, least=-1.0)
+    return Ledger(
+        common=below == "common",
+        in_hand=in_hand if below == "common" and in_hand >= 0 else None,
+        span=extra.number("share-span-s", 0.0),
+        linger=extra.number("lingers-s", 0.0),
+    )
--- /dev/null
+++ b/sablewheel/program/logs.py
@@ -0,0 +1,67 @@
+"""The log: the logging module with a key=value formatter, on standard error, at a bounded rate."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+
+LINES_A_SECOND = 20  # of one logger; what is beyond is counted and told with the next line that passes
+
+
+class KeyValueFormatter(logging.Formatter):
+    """`time=... level=... from=... event="..." key=value ...`; values with spaces or quotes are quoted."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        pairs: dict[str, object] = {
+            "time": f"{record.created:.3f}",
+            "level": record.levelname.lower(),
+            "from": record.name.removeprefix("sablewheel."),
+            "event": record.getMessage(),
+            **getattr(record, "pairs", {}),
+        }
+        if record.exc_info:
+            pairs["trace"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={self._value(value)}" for key, value in pairs.items())
+
+    @staticmethod
+    def _value(value: object) -> str:
+        text = str(value)
+        plain = text.isprintable() and text and not any(mark in text for mark in ' "=')
+        if plain:
+            return text
+        return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+
+
+class RateBound(logging.Filter):
+    """So many lines of one logger pass each second, so that bad input cannot make the log the load."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._second = 0
+        self._lines: dict[str, int] = {}
+        self._left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._lines.clear()
+        self._lines[record.name] = lines = self._lines.get(record.name, 0) + 1
+        if lines > LINES_A_SECOND:
+            self._left_out += 1
+            return False
+        if self._left_out:
+            record.pairs = {**getattr(record, "pairs", {}), "left_out": self._left_out}
+            self._left_out = 0
+        return True
+
+
+def start(level: str) -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(KeyValueFormatter())
+    handler.addFilter(RateBound())
+    root = logging.getLogger("sablewheel")
+    root.handlers[:] = [handler]
+    root.propagate = False
+    root.setLevel(level)
--- /dev/null
+++ b/sablewheel/protocol/interpreter.py
@@ -0,0 +1,145 @@
+"""The interpreter's lines: commands to it, notices from it. The wire's own words stay in this file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+LINE_MOST = 4096
+RESULT_MOST = 1 << 20
+ENDS = frozenset((b"success", b"failure", b"interrupted", b"nothing"))
+
+
+class GarbledError(ValueError):
+    """What came is not of the interpreter's lines."""
+
+
+@dataclass(slots=True)
+class Greeting:
+    """The interpreter is up, since `age` seconds; `cold` if it was only booting then."""
+
+    cold: bool
+    age: float
+
+
+@dataclass(slots=True)
+class RunOver:
+    """A run is over: notice number, the run's id, how it ended, after how many seconds, its result."""
+
+    number: int
+    name: bytes
+    end: bytes
+    took: float
+    result: bytes
+
+
+@dataclass(slots=True)
+class Gauges:
+    """The gauges, in the order of the settings, as asked for under `tag`."""
+
+    tag: bytes
+    values: tuple[float | None, ...]
+
+
+@dataclass(slots=True)
+class Rejected:
+    """A command was not carried out."""
+
+    command: bytes
+    name: bytes
+
+
+@dataclass(slots=True)
+class Remark:
+    """A numbered notice with no meaning."""
+
+    number: int
+
+
+Notice: TypeAlias = Greeting | RunOver | Gauges | Rejected | Remark
+
+
+def connect(last: int) -> bytes:
+    return b"CONNECT %d\r\n" % last
+
+
+def apply(name: bytes, track: bytes, body: bytes) -> bytes:
+    return b"APPLY %b %b %d\r\n%b\r\n" % (name, track, len(body), body)
+
+
+def halt(name: bytes) -> bytes:
+    return b"BREAK %b\r\n" % name
+
+
+def ask_gauges(tag: bytes) -> bytes:
+    return b"TOP %b\r\n" % tag
+
+
+class Parser:
+    """Takes bytes as they come, gives the notices that are complete."""
+
+    def __init__(self) -> None:
+        self._bytes = bytearray()
+        self._head: list[bytes] | None = None  # of a run that is over, its result still to come
+        self._size = 0
+
+    def feed(self, data: bytes) -> list[Notice]:
+        self._bytes += data
+        found: list[Notice] = []
+        while True:
+            if self._head is not None:
+                if len(self._bytes) < self._size + 2:
+                    return found
+                if self._bytes[self._size : self._size + 2] != b"\r\n":
+                    raise GarbledError("a result does not end where its length says")
+                found.append(_run_over(self._head, bytes(self._bytes[: self._size])))
+                del self._bytes[: self._size + 2]
+                self._head = None
+            end = self._bytes.find(b"\r\n")
+            if end < 0:
+                if len(self._bytes) > LINE_MOST:
+                    raise GarbledError("a line without an end")
+                return found
+            words = bytes(self._bytes[:end]).split(b" ")
+            del self._bytes[: end + 2]
+            if words[0] == b"VALUE" and len(words) == 6:
+                self._head, self._size = words, _whole(words[5], RESULT_MOST)
+            else:
+                found.append(_notice(words))
+
+
+def _run_over(words: list[bytes], result: bytes) -> RunOver:
+    if words[3] not in ENDS:
+        raise GarbledError(f"no such end: {words[3]!r}")
+    return RunOver(_whole(words[1]), words[2], words[3], _number(words[4]) / 1000, result)
+
+
+def _notice(words: list[bytes]) -> Notice:
+    match words:
+        case [b"BANNER", (b"booting" | b"steady") as state, age]:
+            return Greeting(state == b"booting", _number(age) / 1000)
+        case [b"VALUE", _, _, _, _]:
+            return _run_over(words, b"")
+        case [b"TOPS", tag, *values]:
+            return Gauges(tag, tuple(None if value == b"-" else _number(value) for value in values))
+        case [b"ERROR", command, name, *_]:
+            return Rejected(command, name)
+        case [b"TRACE", number, *_]:
+            return Remark(_whole(number))
+    raise GarbledError(f"not a notice: {b' '.join(words)[:80]!r}")
+
+
+def _number(word: bytes) -> float:
+    try:
+        value = float(word)
+    except ValueError:
+        raise GarbledError(f"not a number: {word[:40]!r}") from None
+    if value - value != 0 or value < 0:
+        raise GarbledError(f"not a finite number: {word[:40]!r}")
+    return value
+
+
+def _whole(word: bytes, most: int = 1 << 63) -> int:
+    if not word.isdigit() or len(word) > 19 or int(word) > most:
+        raise GarbledError(f"not a whole number in range: {word[:40]!r}")
+    return int(word)
--- /dev/null
+++ b/sablewheel/protocol/resp.py
@@ -0,0 +1,204 @@
+"""The routers' protocol: RESP arrays of bulk strings. The wire's own words stay in this file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+WORDS_MOST = 16
+WORD_MOST = 1 << 16  # what one bulk string may hold before the connection is past saving
+BODY_MOST = 2048
+DIGITS_MOST = 19
+
+
+class GarbledError(ValueError):
+    """The bytes are not frames of this protocol: nothing after them can be read."""
+
+
+class FaultyError(ValueError):
+    """A whole frame that means nothing; `tag` is what an answer would carry, if it could be read."""
+
+    def __init__(self, reason: str, tag: int = 0) -> None:
+        super().__init__(reason)
+        self.tag = tag
+
+
+@dataclass(slots=True)
+class Asked:
+    """A try of a ticket: the fields that decisions need, and the rest as the bytes that came."""
+
+    tag: int
+    name: bytes
+    track: bytes
+    router: bytes
+    customer: bytes
+    since: float
+    kb: float
+    rank: float
+    label: bytes | None
+    subject: str | None
+    body: bytes
+
+
+@dataclass(slots=True)
+class Withdrawn:
+    """Nobody waits for the answer to `tag` any more."""
+
+    tag: int
+
+
+@dataclass(slots=True)
+class Checked:
+    """A health check."""
+
+    tag: int
+
+
+Message: TypeAlias = Asked | Withdrawn | Checked
+
+
+class Parser:
+    """Takes bytes as they come, gives the arrays that are complete."""
+
+    def __init__(self) -> None:
+        self._bytes = bytearray()
+        self._at = 0
+        self._words: list[bytes] = []
+        self._left = 0  # words still to come in the open array
+
+    def feed(self, data: bytes) -> list[list[bytes]]:
+        self._bytes += data
+        self._at = 0
+        found: list[list[bytes]] = []
+        while True:
+            if not self._left:
+                count = self._length(b"*", WORDS_MOST)
+                if count is None:
+                    break
+                if not count:
+                    raise GarbledError("an empty array")
+                self._words, self._left = [], count
+            word = self._word()
+            if word is None:
+                break
+            self._words.append(word)
+            self._left -= 1
+            if not self._left:
+                found.append(self._words)
+        del self._bytes[: self._at]
+        return found
+
+    def _length(self, mark: bytes, most: int) -> int | None:
+        """The number of a header line, or None while its end is missing."""
+        start = self._at
+        if len(self._bytes) > start and self._bytes[start : start + 1] != mark:
+            raise GarbledError(f"expected {mark!r}, got {bytes(self._bytes[start : start + 1])!r}")
+        end = self._bytes.find(b"\r\n", start, start + DIGITS_MOST + 3)
+        digits = bytes(self._bytes[start + 1 : end if end >= 0 else None])
+        if end < 0:
+            if len(digits) > DIGITS_MOST + 1:
+                raise GarbledError("a length without an end")
+            return None
+        if not digits.isdigit() or int(digits) > most:
+            raise GarbledError(f"not a length in range: {digits!r}")
+        self._at = end + 2
+        return int(digits)
+
+    def _word(self) -> bytes | None:
+        back = self._at
+        size = self._length(b"$", WORD_MOST)
+        if size is None:
+            return None
+        start, end = self._at, self._at + size
+        if len(self._bytes) < end + 2:
+            self._at = back
+            return None
+        if self._bytes[end : end + 2] != b"\r\n":
+            raise GarbledError("a bulk string does not end where its length says")
+        self._at = end + 2
+        return bytes(self._bytes[start:end])
+
+
+def message(words: list[bytes]) -> Message:
+    """What a frame means; raises `FaultyError` for one that means nothing."""
+    if len(words) < 2 or not words[1].isdigit() or len(words[1]) > DIGITS_MOST or not int(words[1]):
+        raise FaultyError("no tag that can be read")
+    verb, tag = words[0], int(words[1])
+    match verb, len(words):
+        case b"RPC.CALL", 4 | 5:
+            return _asked(tag, words)
+        case b"RPC.CANCEL", _:
+            return Withdrawn(tag)
+        case b"RPC.HEALTH", _:
+            return Checked(tag)
+    raise FaultyError(f"no such verb, or not with {len(words)} words: {verb[:40]!r}", tag)
+
+
+def _asked(tag: int, words: list[bytes]) -> Asked:
+    body = words[4] if len(words) > 4 else b""
+    if len(body) > BODY_MOST:
+        raise FaultyError(f"a body of {len(body)} bytes", tag)
+    fields: dict[bytes, bytes] = {}
+    for pair in words[3].split(b","):
+        name, mark, value = pair.partition(b"=")
+        if not mark or name in fields:
+            raise FaultyError(f"not a field: {pair[:40]!r}", tag)
+        fields[name] = value
+    try:
+        asked = Asked(
+            tag=tag,
+            name=fields[b"ref"],
+            track=words[2],
+            router=fields[b"sender"],
+            customer=fields.get(b"project", b""),
+            since=int(fields[b"since"]) / 1000,
+            kb=float(fields[b"room"]),
+            rank=float(fields.get(b"class_rank", b"0")),
+            label=fields.get(b"replay"),
+            subject=fields[b"lookup"].decode("ascii") if b"lookup" in fields else None,
+            body=body,
+        )
+    except KeyError as missing:
+        raise FaultyError(f"no field {missing}", tag) from None
+    except ValueError as trouble:
+        raise FaultyError(f"a field that can't be read: {trouble}", tag) from None
+    if not (0 < asked.kb < 1e9 and 0 <= asked.rank <= 1 and 0 < asked.since < 1e12):
+        raise FaultyError("a figure out of range", tag)
+    if not (len(asked.name) <= 64 and asked.name.isalnum() and asked.router.isdigit()):
+        raise FaultyError("a name that can't be read", tag)
+    return asked
+
+
+def completed(tag: int, said: float | None, result: bytes) -> bytes:
+    return _array(b"%d" % tag, b"OK", _fields(said), result)
+
+
+def denied(tag: int, said: float | None, come_back: float, nowhere: bool) -> bytes:
+    return _array(b"%d" % tag, b"BUSY", _fields(said, come_back, nowhere), b"")
+
+
+def terminated(tag: int, said: float | None) -> bytes:
+    return _array(b"%d" % tag, b"FAILED", _fields(said), b"")
+
+
+def checked(tag: int, said: float | None, good: bool) -> bytes:
+    return _array(b"%d" % tag, b"UP" if good else b"DOWN", _fields(said), b"")
+
+
+def farewell() -> bytes:
+    return _array(b"0", b"BYE")
+
+
+def _fields(said: float | None, come_back: float = 0.0, nowhere: bool = False) -> bytes:
+    parts = []
+    if said is not None:
+        parts.append(b"pressure=" + f"{said:.6f}".rstrip("0").rstrip(".").encode())
+    if come_back > 0:
+        parts.append(b"cooldown=%d" % max(round(come_back * 1000), 1))
+    if nowhere:
+        parts.append(b"nowhere=1")
+    return b",".join(parts)
+
+
+def _array(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
--- /dev/null
+++ b/sablewheel/routing/client.py
@@ -0,0 +1,201 @@
+"""The link to the interpreter: runs, stops and gauges. Knows no router and no decision.
+
+The link may break and come back. What ended meanwhile is told again by number; a `TOP` sent behind `CONNECT`
+is the fence behind which all of that is in. Commands given while there is no link wait for that fence.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from ..protocol import interpreter
+from ..terms import Nature, Outcome
+from ..transport.scheduler import Scheduler
+from ..transport.stream import Address, Stream, connect
+from .exchange import Exchange
+
+CONNECT_MOST = 1.0  # one try to connect
+FIRST_REST, LAST_REST = 0.02, 0.5  # between tries, doubling
+GAUGES_EVERY, GAUGES_HOLD = 0.2, 0.5
+
+ENDS = {
+    b"success": Outcome.WORKED,
+    b"failure": Outcome.ERROR,
+    b"interrupted": Outcome.STOPPED,
+    b"nothing": Outcome.MOOT,
+}
+
+log = logging.getLogger(__name__)
+
+
+class Desk(Protocol):
+    """Who is told what the interpreter said."""
+
+    def greeted(self, cold: bool, age: float) -> None: ...
+    def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None: ...
+
+
+class Run:
+    """A run without an end so far: under which fence its command was written, if it was."""
+
+    __slots__ = ("exchange", "fence", "halted")
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        self.fence = 0  # 0: not written; else the TOP behind it proves that it was read
+        self.halted = False
+
+
+class Client:
+    """The one link; `gauges` are those last told, while they hold."""
+
+    def __init__(
+        self, scheduler: Scheduler, address: Address, desk: Desk, count: Callable[[str], None]
+    ) -> None:
+        self._scheduler, self._address, self._desk, self._count = scheduler, address, desk, count
+        self._runs: dict[bytes, Run] = {}
+        self._stream: Stream | None = None
+        self._ready = False  # behind the fence
+        self._last = 0
+        self._fence = self._proven = 0
+        self._commands = bytearray()
+        self._gauges: tuple[float | None, ...] = ()
+        self._told = 0.0
+        scheduler.spawn(self._keep_linked)
+        scheduler.after(GAUGES_EVERY, self._ask_gauges)
+
+    def gauges(self) -> tuple[float | None, ...]:
+        return self._gauges if self._scheduler.clock.now <= self._told + GAUGES_HOLD else ()
+
+    def run(self, exchange: Exchange) -> None:
+        if exchange.name in self._runs:  # a name must be new: a second run could not be told from the first
+            return self._desk.ended(exchange, Outcome.MOOT, 0.0, b"")
+        run = self._runs[exchange.name] = Run(exchange)
+        self._count("runs_sent")
+        if self._ready:
+            self._apply(run)
+
+    def halt(self, exchange: Exchange) -> None:
+        run = self._runs.get(exchange.name)
+        if run is not None and not run.halted:
+            run.halted = True
+            self._count("stops_sent")
+            if self._ready:
+                self._commands += interpreter.halt(exchange.name)
+
+    def flush(self) -> None:
+        """At the end of a round: commands go out, a fence behind them."""
+        if self._commands and self._stream is not None:
+            self._write_fence()
+            self._stream.write(bytes(self._commands))
+            self._stream.flush()
+        self._commands.clear()
+
+    # -- the link
+
+    def _keep_linked(self) -> None:
+        rest = FIRST_REST
+        while True:
+            stream = connect(self._scheduler, self._address, CONNECT_MOST)
+            if stream is None:
+                self._scheduler.sleep(rest)
+                rest = min(2 * rest, LAST_REST)
+                continue
+            self._count("links")
+            try:
+                self._follow(stream)
+                reason: object = "the interpreter closed it"
+            except interpreter.GarbledError as trouble:
+                self._count("notices_garbled")
+                reason = trouble
+            log.warning("link to the interpreter lost", extra={"pairs": {"reason": reason}})
+            self._stream, self._ready = None, False
+            self._commands.clear()
+            stream.close()
+            self._scheduler.sleep(FIRST_REST)
+            rest = FIRST_REST
+
+    def _follow(self, stream: Stream) -> None:
+        """One link from its first message to its end."""
+        parser = interpreter.Parser()
+        proven = self._proven  # by the links before this one
+        self._stream = stream
+        stream.write(interpreter.connect(self._last))
+        self._fence += 1
+        opening = self._fence
+        stream.write(interpreter.ask_gauges(b"%d" % opening))
+        stream.flush()
+        while data := stream.read():
+            for notice in parser.feed(data):
+                match notice:
+                    case interpreter.Greeting(cold, age):
+                        self._desk.greeted(cold, age)
+                    case interpreter.RunOver():
+                        if notice.number > self._last:
+                            self._last = notice.number
+                            self._over(notice)
+                    case interpreter.Remark(number):
+                        self._last = max(self._last, number)
+                    case interpreter.Rejected(command, name):
+                        self._rejected(command, name)
+                    case interpreter.Gauges(tag, values):
+                        self._gauges, self._told = values, self._scheduler.clock.now
+                        self._proven = int(tag) if tag.isdigit() else self._proven
+                        if self._proven == opening and not self._ready:
+                            self._catch_up(proven)
+
+    def _catch_up(self, proven: int) -> None:
+        """All that was missed is in: what has no end yet is applied, unless it may have been before.
+
+        What may not run twice and whose command was under way when the link broke is left as an error: its
+        end could be just crossing a second command. Guards against a second effect at any break of the link;
+        costs at most the tickets of the last instants before it.
+        """
+        self._ready = True
+        for run in list(self._runs.values()):
+            exchange = run.exchange
+            if not run.fence or (run.fence > proven and exchange.ticket.track.nature is Nature.REDOABLE):
+                self._apply(run)
+            elif run.fence > proven:
+                self._count("runs_in_doubt")
+                self._end(exchange.name, Outcome.ERROR, 0.0, b"")
+                continue
+            if run.halted:
+                self._commands += interpreter.halt(exchange.name)
+
+    def _apply(self, run: Run) -> None:
+        run.fence = self._fence + 1
+        exchange = run.exchange
+        self._commands += interpreter.apply(exchange.name, exchange.track, exchange.body)
+
+    def _write_fence(self) -> None:
+        self._fence += 1
+        self._commands += interpreter.ask_gauges(b"%d" % self._fence)
+
+    def _ask_gauges(self) -> None:
+        if self._ready:
+            self._write_fence()
+        self._scheduler.after(GAUGES_EVERY, self._ask_gauges)
+
+    # -- what it tells
+
+    def _over(self, notice: interpreter.RunOver) -> None:
+        if notice.name in self._runs:
+            self._end(notice.name, ENDS[notice.end], notice.took, notice.result)
+        else:
+            self._count("ends_unknown")
+
+    def _rejected(self, command: bytes, name: bytes) -> None:
+        """The command was not carried out: a run that was refused so never started."""
+        self._count("commands_rejected")
+        pairs = {"command": command.decode("ascii", "replace"), "name": name.decode("ascii", "replace")}
+        log.error("interpreter rejected a command", extra={"pairs": pairs})
+        if command == b"APPLY" and name in self._runs:
+            self._end(name, Outcome.MOOT, 0.0, b"")
+
+    def _end(self, name: bytes, outcome: Outcome, took: float, result: bytes) -> None:
+        exchange = self._runs.pop(name).exchange
+        self._count(f"runs_{outcome.name.lower()}")
+        self._desk.ended(exchange, outcome, took, result)
--- /dev/null
+++ b/sablewheel/routing/dispatch.py
@@ -0,0 +1,214 @@
+"""Between the controller and the world: batches of happenings in, deeds carried out. Chooses nothing."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+from math import inf
+
+from .. import terms
+from ..choice import Controller
+from ..terms import Deed, Happening, Machine, Nature, Outcome, Ticket
+from ..transport.scheduler import Scheduler
+from .client import Client
+from .exchange import Exchange, Place, Standing
+from .labels import Labels
+from .server import Server
+
+log = logging.getLogger(__name__)
+
+
+class Dispatch:
+    """All that one round of poll brought is one batch; `end_round` decides it and lets everything out."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        machine: Machine,
+        seed: int,
+        gauge_places: tuple[int | None, int | None],
+        standing: Standing,
+        labels: Labels,
+    ) -> None:
+        self._scheduler, self._clock = scheduler, scheduler.clock
+        self._machine, self._seed = machine, seed
+        self._busy_place, self._connections_place = gauge_places
+        self._standing, self._labels = standing, labels
+        self._controller: Controller | None = None
+        self._happenings: list[Happening] = []
+        self._undecided: set[bytes] = set()  # labels among them
+        self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
+        self.server: Server | None = None
+        self.client: Client | None = None
+
+    @property
+    def ready(self) -> bool:
+        return self._controller is not None
+
+    @property
+    def open_count(self) -> int:
+        return len(self._exchanges)
+
+    def open(self, cold: bool, age: float) -> None:
+        """The interpreter is up, for `age` seconds: the controller opens the server as of then."""
+        if self._controller is None:
+            machine = replace(self._machine, fresh_start=cold)
+            self._controller = Controller(machine, self._seed)
+            self._carry_out(self._controller.decide(self._clock.now - age, []))
+
+    # -- what happens
+
+    def arrived(self, exchange: Exchange) -> None:
+        ticket, label = exchange.ticket, exchange.label
+        self._exchanges[ticket] = exchange
+        if label is not None and ticket.track.nature is Nature.LABELLED:
+            # Another try in this very batch: its fate first, or this one could not be told what it repeats.
+            if label in self._undecided:
+                self.decide()
+            self._undecided.add(label)
+            exchange.first = self._labels.find(label, ticket.arrived)
+            ticket.repeats = exchange.first.ticket if exchange.first is not None else None
+        else:
+            exchange.label = None
+        self._happenings.append(terms.Arrived(ticket))
+
+    def gone(self, exchange: Exchange) -> None:
+        """Nobody waits for its answer any more."""
+        self._happenings.append(terms.CallerGone(exchange.ticket))
+        if exchange.place in (Place.HELD, Place.JOINED):
+            self._over(exchange)
+
+    def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
+        """A run is over: its answer goes out with it, and its repeats have theirs."""
+        self._happenings.append(terms.Ended(exchange.ticket, took, outcome))
+        exchange.ended = outcome
+        if outcome is Outcome.WORKED:
+            exchange.complete(result)
+            if self._labels.holds(exchange):
+                self._labels.keep(exchange, result)
+        elif outcome is Outcome.ERROR:
+            exchange.terminate()
+        elif not exchange.closed:
+            exchange.place = Place.HELD  # stopped: still owed an answer, which is the controller's to choose
+            return
+        self._over(exchange, result if outcome is Outcome.WORKED else None)
+
+    def notice(self, left: float) -> None:
+        self._happenings.append(terms.Notice(left))
+
+    def _ring(self) -> None:
+        told = self.client.gauges() if self.client is not None else ()
+
+        def gauge(place: int | None) -> float:
+            value = told[place] if place is not None and place < len(told) else None
+            return inf if value is None else value
+
+        self._happenings.append(terms.Bell(gauge(self._busy_place), gauge(self._connections_place)))
+
+    # -- the batch
+
+    def end_round(self) -> None:
+        self.decide()
+        self._labels.sweep(self._clock.now)
+        assert self.server is not None and self.client is not None
+        self.client.flush()
+        self.server.flush()
+
+    def decide(self) -> None:
+        """Batches until nothing is left: some deeds are followed by a happening at once."""
+        while self._happenings and self._controller is not None:
+            now = self._clock.read()
+            happenings, self._happenings = self._happenings, []
+            self._undecided.clear()
+            for happening in happenings:
+                if isinstance(happening, terms.Arrived):
+                    # Whole milliseconds of another's reading of the clock may lie slightly ahead of ours.
+                    happening.ticket.arrived = min(happening.ticket.arrived, now)
+            self._carry_out(self._controller.decide(now, happenings))
+
+    def _carry_out(self, deeds: list[Deed]) -> None:
+        for deed in deeds:
+            match deed:
+                case terms.Alarm(after):
+                    self._scheduler.after(after, self._ring)
+                case terms.Say(amount):
+                    self._standing.said = amount
+                case terms.Health(good):
+                    self._standing.good = good
+                case terms.CloseIdle(after):
+                    assert self.server is not None
+                    self.server.close_unused(after or self._machine.idle)
+                case terms.Log(words):
+                    log.info("controller", extra={"pairs": {"says": words}})
+                case _:
+                    exchange = self._exchanges.get(deed.ticket)
+                    if exchange is not None:
+                        self._act(deed, exchange)
+                    elif isinstance(deed, terms.Run):  # its caller left in this very batch
+                        self._happenings.append(terms.Ended(deed.ticket, 0.0, Outcome.MOOT))
+
+    def _act(self, deed: Deed, exchange: Exchange) -> None:
+        """A deed on a ticket that is not over."""
+        assert self.client is not None
+        match deed:
+            case terms.Run():
+                if exchange.place is Place.HELD:
+                    exchange.place, exchange.began = Place.RUNNING, self._clock.now
+                    self.client.run(exchange)
+            case terms.Stop():
+                if exchange.place is Place.RUNNING:
+                    self.client.halt(exchange)
+            case terms.Deny(_, come_back, nowhere):
+                exchange.deny(come_back, nowhere)
+                self._answered(exchange)
+            case terms.Terminate():
+                exchange.terminate()
+                self._answered(exchange)
+            case terms.Remember(_, life):
+                self._labels.remember(exchange, self._clock.now, life)
+            case terms.Release():
+                self._labels.release(exchange)
+            case terms.Join():
+                if exchange.place is Place.HELD:
+                    self._join(exchange)
+            case _:
+                # Calls below are no part of this protocol yet; a ticket never stands at one here.
+                pairs = {"deed": type(deed).__name__}
+                log.error("deed that this protocol does not know", extra={"pairs": pairs})
+
+    def _answered(self, exchange: Exchange) -> None:
+        if exchange.place in (Place.HELD, Place.JOINED):
+            self._over(exchange)
+
+    def _join(self, exchange: Exchange) -> None:
+        """It gets the result of the first when there is one, which may be now."""
+        exchange.place, exchange.began = Place.JOINED, self._clock.now
+        first = exchange.first
+        while first is not None and first.place is Place.JOINED:
+            first = first.first  # of a repeat that waits itself, the one that it waits for
+        if first is None or first.place is Place.OVER:
+            self._end_join(exchange, first.result if first is not None else None)
+        else:
+            first.joined.append(exchange)
+
+    def _end_join(self, exchange: Exchange, result: bytes | None) -> None:
+        if exchange.place is not Place.JOINED:
+            return
+        if result is None:
+            exchange.ended = Outcome.ERROR
+            exchange.terminate()
+        else:
+            exchange.ended = Outcome.WORKED
+            exchange.complete(result)
+        took = self._clock.now - exchange.began
+        self._happenings.append(terms.Ended(exchange.ticket, took, exchange.ended))
+        self._over(exchange, result)
+
+    def _over(self, exchange: Exchange, result: bytes | None = None) -> None:
+        """Off this server, but for what the table of labels keeps; those that wait for it hear."""
+        exchange.place = Place.OVER
+        exchange.body, exchange.first = b"", None
+        self._exchanges.pop(exchange.ticket, None)
+        joined, exchange.joined = exchange.joined, []
+        for one in joined:
+            self._end_join(one, result)
--- /dev/null
+++ b/sablewheel/routing/exchange.py
@@ -0,0 +1,82 @@
+"""One try of a ticket on its way through the server: the one thing that both sides know.
+
+The routers' side makes it, the interpreter's side runs it, the dispatch decides on it. It keeps what goes on
+unchanged as the bytes that came, and takes care that there is one final answer, or none if nobody waits.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Protocol
+
+from ..terms import Outcome, Ticket
+
+
+class Caller(Protocol):
+    """Where a try came from and its answer goes."""
+
+    def completed(self, exchange: Exchange, result: bytes) -> None: ...
+    def denied(self, exchange: Exchange, come_back: float, nowhere: bool) -> None: ...
+    def terminated(self, exchange: Exchange) -> None: ...
+
+
+@dataclass(slots=True)
+class Standing:
+    """What goes with every answer from now on, and what health checks are told."""
+
+    said: float | None = None
+    good: bool = False
+
+
+class Place(Enum):
+    """Where an exchange is, as far as the program must know."""
+
+    HELD = auto()
+    RUNNING = auto()
+    JOINED = auto()
+    OVER = auto()
+
+
+class Exchange:
+    """One try, from its bytes to its answer."""
+
+    def __init__(
+        self,
+        name: bytes,
+        track: bytes,
+        body: bytes,
+        tag: int,
+        label: bytes | None,
+        ticket: Ticket,
+        caller: Caller,
+    ) -> None:
+        self.name, self.track, self.body = name, track, body
+        self.tag, self.label, self.ticket, self.caller = tag, label, ticket, caller
+        self.place = Place.HELD
+        self.closed = False  # answered, or nobody waits
+        self.ended: Outcome | None = None  # how its run or its join ended
+        self.result: bytes | None = None  # as long as it is kept
+        self.joined: list[Exchange] = []  # repeats that wait for its end
+        self.began = 0.0  # when its run or its join was decided
+        self.first: Exchange | None = None  # what it repeats
+
+    def complete(self, result: bytes) -> None:
+        if self._close():
+            self.caller.completed(self, result)
+
+    def deny(self, come_back: float, nowhere: bool) -> None:
+        if self._close():
+            self.caller.denied(self, come_back, nowhere)
+
+    def terminate(self) -> None:
+        if self._close():
+            self.caller.terminated(self)
+
+    def abandon(self) -> bool:
+        """Nobody waits any more; whether that is news."""
+        return self._close()
+
+    def _close(self) -> bool:
+        was_open, self.closed = not self.closed, True
+        return was_open
--- /dev/null
+++ b/sablewheel/routing/labels.py
@@ -0,0 +1,65 @@
+"""The table of labels: which try a repeat repeats, and the results kept for repeats.
+
+An entry lives as long as the decision says. It is looked up by when a repeat reached the machine, not by
+when it is read, so it is kept for as long past its life as a ticket may lie unread.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from .exchange import Exchange
+
+
+class Labels:
+    """Entries by label, each with the try that holds it; kept results have a bound in bytes."""
+
+    def __init__(self, lag: float, slack: float, bytes_most: int) -> None:
+        self._lag, self._slack, self._bytes_most = lag, slack, bytes_most
+        self._entries: dict[bytes, tuple[Exchange, float]] = {}
+        self._lapses: deque[tuple[float, bytes]] = deque()
+        self._kept: deque[Exchange] = deque()
+        self._bytes = 0
+
+    def find(self, label: bytes, reached: float) -> Exchange | None:
+        """The try that one with this label repeats, by when it reached the machine."""
+        first, until = self._entries.get(label, (None, 0.0))
+        return first if reached <= until + self._slack else None
+
+    def remember(self, exchange: Exchange, now: float, life: float) -> None:
+        """The entry is this try's from now on; it is renewed if it was already."""
+        if exchange.label is not None:
+            self._entries[exchange.label] = (exchange, now + life)
+            self._lapses.append((now + life, exchange.label))
+
+    def release(self, exchange: Exchange) -> None:
+        if exchange.label is not None and self.holds(exchange):
+            del self._entries[exchange.label]
+
+    def holds(self, exchange: Exchange) -> bool:
+        return exchange.label is not None and self._entries.get(exchange.label, (None, 0.0))[0] is exchange
+
+    def keep(self, exchange: Exchange, result: bytes) -> None:
+        """Keep a result for repeats; beyond the bound the oldest go, and their repeats end in an error."""
+        exchange.result = result
+        self._kept.append(exchange)
+        self._bytes += len(result)
+        while self._bytes > self._bytes_most:
+            self._drop()
+
+    def sweep(self, now: float) -> None:
+        """Let go of entries that no unread repeat can mean any more, and of their results."""
+        while self._lapses and self._lapses[0][0] + self._lag < now:
+            _, label = self._lapses.popleft()
+            if label in self._entries and self._entries[label][1] + self._lag < now:
+                del self._entries[label]
+        while self._kept and not self.holds(self._kept[0]):
+            self._drop()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _drop(self) -> None:
+        exchange = self._kept.popleft()
+        self._bytes -= len(exchange.result or b"")
+        exchange.result = None
--- /dev/null
+++ b/sablewheel/routing/server.py
@@ -0,0 +1,217 @@
+"""The routers' side: connections, frames to exchanges, answers back. Knows no run and no decision."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from ..protocol import resp
+from ..terms import Customer, Router, Ticket, Track
+from ..transport.scheduler import Scheduler
+from ..transport.stream import Stream
+from .exchange import Exchange, Standing
+
+OPEN_MOST = 32  # tries that the protocol allows on one connection at a time
+SWEEP = 0.25  # how often unused connections are looked for
+PARTING = 1.0  # how long a router has to close a connection after a farewell, with nothing open on it
+ROUTERS_MOST = 4096  # remembered by number; the one heard longest ago goes first
+
+log = logging.getLogger(__name__)
+
+
+class Desk(Protocol):
+    """Who is told what routers sent."""
+
+    def arrived(self, exchange: Exchange) -> None: ...
+    def gone(self, exchange: Exchange) -> None: ...
+
+
+class Connection:
+    """One router's connection; the caller of the exchanges that came over it."""
+
+    def __init__(self, server: Server, stream: Stream) -> None:
+        self.stream = stream
+        self.open: dict[int, Exchange] = {}
+        self.used = server.scheduler.clock.now
+        self.leaving = False
+        self._server = server
+        self._parser = resp.Parser()
+        self._answers: list[Callable[[float | None], bytes]] = []
+
+    # -- what comes
+
+    def serve(self) -> None:
+        """Read until the end. Half a close may leave answers owed, so only a broken stream means gone."""
+        try:
+            while data := self.stream.read():
+                self.used = self._server.scheduler.clock.now
+                for words in self._parser.feed(data):
+                    self._take(words)
+            if self.open and self.stream.open:
+                self._server.count("connections_half_closed")
+                return
+        except resp.GarbledError as trouble:
+            self._server.count("frames_garbled")
+            log.warning("connection closed for what it sent", extra={"pairs": {"reason": trouble}})
+        self.close()
+
+    def close(self) -> None:
+        """Nothing comes or goes any more: who still waited on it is gone."""
+        self.stream.close()
+        self._server.connections.pop(self, None)
+        for exchange in list(self.open.values()):
+            self._withdraw(exchange)
+
+    def _take(self, words: list[bytes]) -> None:
+        try:
+            match resp.message(words):
+                case resp.Asked() as asked:
+                    self._ask(asked)
+                case resp.Withdrawn(tag):
+                    self._server.count("cancels_in")
+                    if tag in self.open:
+                        self._withdraw(self.open[tag])
+                case resp.Checked(tag):
+                    self._server.count("checks_in")
+                    good = self._server.standing.good
+                    self._queue(lambda said: resp.checked(tag, said, good))
+        except resp.FaultyError as trouble:
+            self._server.count("frames_faulty")
+            log.warning("faulty frame", extra={"pairs": {"tag": trouble.tag, "reason": trouble}})
+            if not trouble.tag or trouble.tag in self.open:  # no answer could tell which of two is meant
+                raise resp.GarbledError(str(trouble)) from None
+            tag = trouble.tag
+            self._queue(lambda said: resp.terminated(tag, said))
+
+    def _ask(self, asked: resp.Asked) -> None:
+        server, tag = self._server, asked.tag
+        server.count("tickets_in")
+        if tag in self.open:
+            raise resp.FaultyError("a tag that is still open", tag)
+        if len(self.open) >= OPEN_MOST:
+            raise resp.FaultyError("more open than allowed", tag)
+        ticket = server.ticket(asked)
+        exchange = Exchange(asked.name, asked.track, asked.body, tag, asked.label, ticket, self)
+        self.open[tag] = exchange
+        server.desk.arrived(exchange)
+
+    def _withdraw(self, exchange: Exchange) -> None:
+        self.open.pop(exchange.tag, None)
+        if exchange.abandon():
+            self._server.count("tickets_gone")
+            self._server.desk.gone(exchange)
+
+    # -- what goes
+
+    def completed(self, exchange: Exchange, result: bytes) -> None:
+        tag = exchange.tag
+        self._final(exchange, "completed", lambda said: resp.completed(tag, said, result))
+
+    def denied(self, exchange: Exchange, come_back: float, nowhere: bool) -> None:
+        tag = exchange.tag
+        self._final(exchange, "denied", lambda said: resp.denied(tag, said, come_back, nowhere))
+
+    def terminated(self, exchange: Exchange) -> None:
+        tag = exchange.tag
+        self._final(exchange, "terminated", lambda said: resp.terminated(tag, said))
+
+    def farewell(self) -> None:
+        if not self.leaving:
+            self.leaving = True
+            self._queue(lambda _: resp.farewell())
+
+    def flush(self) -> None:
+        """Write what was queued, each answer with what is said by now."""
+        said = self._server.standing.said
+        for answer in self._answers:
+            self.stream.write(answer(said))
+        self._answers.clear()
+        self.used = self._server.scheduler.clock.now
+        self.stream.flush()
+        if not self.stream.open:
+            self.close()
+
+    def _final(self, exchange: Exchange, kind: str, answer: Callable[[float | None], bytes]) -> None:
+        self.open.pop(exchange.tag, None)
+        self._server.count(f"tickets_{kind}")
+        self._queue(answer)
+
+    def _queue(self, answer: Callable[[float | None], bytes]) -> None:
+        self._answers.append(answer)
+        self._server.dirty[self] = None
+
+
+class Server:
+    """All routers' connections."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        tracks: dict[bytes, Track],
+        customers: dict[bytes, Customer],
+        standing: Standing,
+        desk: Desk,
+        count: Callable[[str], None],
+    ) -> None:
+        self.scheduler, self.standing, self.desk, self.count = scheduler, standing, desk, count
+        self.connections: dict[Connection, None] = {}
+        self.dirty: dict[Connection, None] = {}
+        self._tracks, self._customers = tracks, customers
+        self._routers: dict[bytes, Router] = {}
+        self._unused_most: float | None = None
+        scheduler.after(SWEEP, self._sweep)
+
+    def accepted(self, stream: Stream) -> None:
+        self.count("connections_in")
+        connection = Connection(self, stream)
+        self.connections[connection] = None
+        self.scheduler.spawn(connection.serve)
+
+    def ticket(self, asked: resp.Asked) -> Ticket:
+        """The ticket of a try; names become objects here."""
+        track = self._tracks.get(asked.track)
+        customer = self._customers.get(asked.customer)
+        if track is None:
+            raise resp.FaultyError(f"no such track: {asked.track[:40]!r}", asked.tag)
+        if customer is None and self._customers:
+            raise resp.FaultyError(f"no such customer: {asked.customer[:40]!r}", asked.tag)
+        router = self._routers.pop(asked.router, None) or Router()
+        self._routers[asked.router] = router
+        if len(self._routers) > ROUTERS_MOST:
+            del self._routers[next(iter(self._routers))]
+        return Ticket(track, router, customer, asked.since, asked.kb, rank=asked.rank, subject=asked.subject)
+
+    def flush(self) -> None:
+        """At the end of a round: everything queued goes out, connection by connection."""
+        while self.dirty:
+            dirty, self.dirty = self.dirty, {}
+            for connection in dirty:
+                connection.flush()
+
+    def close_unused(self, after: float) -> None:
+        """Say farewell on connections that carry nothing for so long."""
+        self._unused_most = after
+
+    def make_room(self) -> None:
+        """The table of descriptors is full: part with the connection that is unused for longest."""
+        unused = [one for one in self.connections if not one.open and not one.leaving]
+        if unused:
+            min(unused, key=lambda one: one.used).farewell()
+
+    def farewell(self) -> None:
+        """Nothing new is to come on any connection."""
+        for connection in list(self.connections):
+            connection.farewell()
+
+    def _sweep(self) -> None:
+        now = self.scheduler.clock.now
+        for connection in list(self.connections):
+            if connection.open:
+                continue
+            if connection.leaving:
+                if now > connection.used + PARTING:
+                    connection.close()
+            elif self._unused_most is not None and now > connection.used + self._unused_most:
+                connection.farewell()
+        self.scheduler.after(SWEEP, self._sweep)
--- /dev/null
+++ b/sablewheel/transport/scheduler.py
@@ -0,0 +1,195 @@
+"""Greenlets over `select.poll`: who waits for which descriptor, timers, signals, and the rounds of it all.
+
+One round is one poll. All greenlets that it wakes run first, then the timers that are due, then what was
+asked for at the end of each round. So whatever came in at once is seen at once.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import os
+import select
+import signal
+import time
+from collections import deque
+from collections.abc import Callable
+from math import ceil, inf
+
+from greenlet import getcurrent, greenlet
+
+READABLE, WRITABLE = select.POLLIN, select.POLLOUT
+TROUBLE = select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+log = logging.getLogger(__name__)
+
+
+class Clock:
+    """The system's Unix clock, except that it never goes back."""
+
+    def __init__(self) -> None:
+        self.now = time.time()
+        self._steady = time.monotonic()
+
+    def read(self) -> float:
+        """Read it anew. Set back, it goes on at half its pace until the system's clock has caught up."""
+        unix, steady = time.time(), time.monotonic()
+        self.now = max(unix, self.now + (steady - self._steady) / 2 if unix < self.now else unix)
+        self._steady = steady
+        return self.now
+
+
+class Timer:
+    """Something to do at a time; `cancel` takes it back."""
+
+    __slots__ = ("action",)
+
+    def __init__(self, action: Callable[[], None]) -> None:
+        self.action: Callable[[], None] | None = action
+
+    def cancel(self) -> None:
+        self.action = None
+
+
+class Scheduler:
+    """The loop. Greenlets started by `spawn` may call `wait` and `sleep`; the rest may be called anywhere."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.after_round: list[Callable[[], None]] = []
+        self._poll = select.poll()
+        self._waiting: dict[int, dict[int, greenlet]] = {}
+        self._masks: dict[int, int] = {}
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._order = 0
+        self._ready: deque[tuple[greenlet, int]] = deque()
+        self._hub = getcurrent()
+        self._stopped = False
+        self._on_signal: dict[int, Callable[[], None]] = {}
+        self._wake_up: tuple[int, int] | None = None
+
+    # -- greenlets
+
+    def spawn(self, function: Callable[..., None], *values: object) -> None:
+        """Run `function` in a greenlet of its own, from this round on."""
+
+        def body(_: int) -> None:
+            try:
+                function(*values)
+            except Exception:
+                # A fault in one greenlet must not take the others along; all it held is in its own `finally`.
+                log.exception("greenlet ended by a fault")
+
+        self._ready.append((greenlet(body, parent=self._hub), 0))
+
+    def wait(self, descriptor: int, event: int, most: float = inf) -> bool:
+        """Wait until the descriptor is readable or writable (or broken), `most` seconds; whether it is."""
+        waiting = self._waiting.setdefault(descriptor, {})
+        me = waiting[event] = getcurrent()
+        mask = self._masks.get(descriptor, 0)
+        if not mask & event:
+            self._masks[descriptor] = mask | event
+            self._poll.register(descriptor, mask | event)
+        timer = self.after(most, lambda: self._time_out(descriptor, event, me)) if most < inf else None
+        happened = bool(self._hub.switch())
+        if timer is not None:
+            timer.cancel()
+        return happened
+
+    def sleep(self, span: float) -> None:
+        me = getcurrent()
+        self.after(span, lambda: self._ready.append((me, 0)))
+        self._hub.switch()
+
+    def forget(self, descriptor: int) -> None:
+        """The descriptor is about to be closed; who waits for it is told that it is ready, and will see."""
+        if self._masks.pop(descriptor, 0):
+            self._poll.unregister(descriptor)
+        for waiter in self._waiting.pop(descriptor, {}).values():
+            self._ready.append((waiter, 1))
+
+    # -- timers and signals
+
+    def after(self, span: float, action: Callable[[], None]) -> Timer:
+        """Call `action` in the first round at or after `span` seconds from the clock's last reading."""
+        timer = Timer(action)
+        self._order += 1
+        heapq.heappush(self._timers, (self.clock.now + span, self._order, timer))
+        return timer
+
+    def on_signal(self, number: int, action: Callable[[], None]) -> None:
+        """Call `action` in the loop, never in the middle of anything, after the signal came."""
+        if self._wake_up is None:
+            self._wake_up = os.pipe()
+            for end in self._wake_up:
+                os.set_blocking(end, False)
+            signal.set_wakeup_fd(self._wake_up[1], warn_on_full_buffer=False)
+            self.spawn(self._watch_signals, self._wake_up[0])
+        self._on_signal[number] = action
+        signal.signal(number, lambda *_: None)
+
+    def _watch_signals(self, descriptor: int) -> None:
+        while True:
+            self.wait(descriptor, READABLE)
+            for number in os.read(descriptor, 64):
+                if number in self._on_signal:
+                    self._on_signal[number]()
+
+    # -- the loop
+
+    def run(self) -> None:
+        """Rounds until `stop`; the round in which it is called is the last."""
+        while not self._stopped:
+            for descriptor, events in self._poll.poll(self._timeout()):
+                self._wake(descriptor, events)
+            self._run_ready()
+            now = self.clock.read()
+            while self._timers and self._timers[0][0] <= now:
+                action = heapq.heappop(self._timers)[2].action
+                if action is not None:
+                    action()
+            self._run_ready()
+            for action in self.after_round:
+                action()
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def _run_ready(self) -> None:
+        while self._ready:
+            waiter, happened = self._ready.popleft()
+            waiter.switch(happened)
+
+    def _timeout(self) -> int | None:
+        """Whole milliseconds, rounded up: poll can't do better, and a timer must not ring early."""
+        if self._ready:
+            return 0
+        while self._timers and self._timers[0][2].action is None:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return None
+        return max(ceil((self._timers[0][0] - self.clock.read()) * 1000), 0)
+
+    def _wake(self, descriptor: int, events: int) -> None:
+        waiting = self._waiting.get(descriptor, {})
+        for event in (READABLE, WRITABLE):
+            if events & (event | TROUBLE) and event in waiting:
+                self._ready.append((waiting.pop(event), 1))
+                events &= ~event
+        # What nobody waits for is asked for no longer: level-triggered, it would come again at once.
+        mask = self._masks.get(descriptor, 0) & ~(events & (READABLE | WRITABLE))
+        if events & TROUBLE and not waiting:
+            mask = 0
+        if mask != self._masks.get(descriptor, 0):
+            if mask:
+                self._masks[descriptor] = mask
+                self._poll.modify(descriptor, mask)
+            else:
+                self._masks.pop(descriptor, None)
+                self._poll.unregister(descriptor)
+
+    def _time_out(self, descriptor: int, event: int, waiter: greenlet) -> None:
+        waiting = self._waiting.get(descriptor, {})
+        if waiting.get(event) is waiter:
+            del waiting[event]
+            self._ready.append((waiter, 0))
--- /dev/null
+++ b/sablewheel/transport/stream.py
@@ -0,0 +1,159 @@
+"""TCP: streams with bounded buffers, and a listener that outlasts a full table of descriptors."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+
+from .scheduler import READABLE, WRITABLE, Scheduler
+
+CHUNK = 65536  # the most read at once, so that no peer keeps the others waiting
+HIGH_WATER = 65536  # unsent bytes past which nothing more is read from a peer
+BACKLOG = 1024
+Address = tuple[str, int]
+
+
+class Stream:
+    """One connection. What is written goes out at `flush`, or when the peer takes it."""
+
+    def __init__(self, scheduler: Scheduler, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._scheduler = scheduler
+        self._socket = sock
+        self._unsent = bytearray()
+        self._sending = False
+        self.open = True
+
+    def read(self) -> bytes:
+        """What has come, waiting for it; empty at the end of the stream, however it ended.
+
+        While the peer does not take what was written to it, nothing more is read from it, so that it cannot
+        grow the buffer without bound.
+        """
+        while self.open:
+            if len(self._unsent) > HIGH_WATER:
+                self._scheduler.wait(self._socket.fileno(), WRITABLE)
+                continue
+            self._scheduler.wait(self._socket.fileno(), READABLE)
+            try:
+                return self._socket.recv(CHUNK) if self.open else b""
+            except BlockingIOError:
+                continue
+            except OSError:
+                self.close()
+        return b""
+
+    def write(self, data: bytes) -> None:
+        if self.open:
+            self._unsent += data
+
+    def flush(self) -> None:
+        """Send what can be sent now; the rest goes out as the peer takes it."""
+        if not self._sending:
+            self._send()
+            if self._unsent:
+                self._sending = True
+                self._scheduler.spawn(self._send_rest)
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self._unsent.clear()
+            self._scheduler.forget(self._socket.fileno())
+            self._socket.close()
+
+    def _send(self) -> None:
+        while self.open and self._unsent:
+            try:
+                sent = self._socket.send(self._unsent)
+            except BlockingIOError:
+                return
+            except OSError:
+                return self.close()
+            del self._unsent[:sent]
+
+    def _send_rest(self) -> None:
+        while self.open and self._unsent:
+            self._scheduler.wait(self._socket.fileno(), WRITABLE)
+            self._send()
+        self._sending = False
+
+
+def connect(scheduler: Scheduler, address: Address, most: float) -> Stream | None:
+    """A connection to the address, or None if there is none within `most` seconds."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        return None
+    sock.setblocking(False)
+    code = sock.connect_ex(address)
+    if code == errno.EINPROGRESS:
+        came = scheduler.wait(sock.fileno(), WRITABLE, most)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if came else errno.ETIMEDOUT
+    if code:
+        scheduler.forget(sock.fileno())
+        sock.close()
+        return None
+    return Stream(scheduler, sock)
+
+
+class Listener:
+    """Accepts connections, at most `most` at a time; `accepted` gets each, `crowded` hears of a full one."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        address: Address,
+        most: int,
+        accepted: Callable[[Stream], None],
+        crowded: Callable[[], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._most = most
+        self._accepted, self._crowded = accepted, crowded
+        self._streams: set[Stream] = set()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind(address)
+        self._socket.listen(BACKLOG)
+        self._open = True
+        scheduler.spawn(self._accept)
+
+    def close(self) -> None:
+        """Take what the machine has accepted already, then listen no longer."""
+        if self._open:
+            self._take()
+            self._open = False
+            self._scheduler.forget(self._socket.fileno())
+            self._socket.close()
+
+    def count(self) -> int:
+        self._streams = {one for one in self._streams if one.open}
+        return len(self._streams)
+
+    def _accept(self) -> None:
+        while self._open:
+            self._scheduler.wait(self._socket.fileno(), READABLE)
+            if self._open and not self._take():
+                # The table is full: those who wait stay in the kernel's line. No spin, and no one is cut off.
+                self._crowded()
+                self._scheduler.sleep(0.02)
+
+    def _take(self) -> bool:
+        """Accept all that wait; whether there was room for them."""
+        while self.count() < self._most:
+            try:
+                sock, _ = self._socket.accept()
+            except BlockingIOError:
+                return True
+            except OSError as trouble:
+                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    return False
+                continue  # this one was gone before it was taken
+            stream = Stream(self._scheduler, sock)
+            self._streams.add(stream)
+            self._accepted(stream)
+        return False
