The link's fence goes behind the greeting: a server started before its interpreter serves

Their logs: the interpreter rejected TOP with ERROR before it was up, so the fence in Client._follow, written right behind CONNECT, was never answered and commands waited for ever. Ruled out: drains (both ended by themselves with all answered), the listener, reports.

Now the fence is written when the greeting comes, and a rejected TOP passes as a fence too, for a site without gauges.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -121,17 +121,16 @@
         """One link from its first message to its end."""
         parser = interpreter.Parser()
         proven = self._proven  # by the links before this one
+        opening = 0  # the fence of this link: not before the greeting, as no command is carried out till then
         self._stream = stream
         stream.write(interpreter.connect(self._last))
-        self._fence += 1
-        opening = self._fence
-        stream.write(interpreter.ask_gauges(b"%d" % opening))
         stream.flush()
         while data := stream.read():
             for notice in parser.feed(data):
                 match notice:
                     case interpreter.Greeting(cold, age):
                         self._desk.greeted(cold, age)
+                        opening = self._write_fence()
                     case interpreter.RunOver():
                         if notice.number > self._last:
                             self._last = notice.number
@@ -140,11 +139,16 @@
                         self._last = max(self._last, number)
                     case interpreter.Rejected(command, name):
                         self._rejected(command, name)
+                        if command == b"TOP":  # no gauges here, but a fence all the same
+                            self._pass_fence(name, opening, proven)
                     case interpreter.Gauges(tag, values):
                         self._gauges, self._told = values, self._scheduler.clock.now
-                        self._proven = int(tag) if tag.isdigit() else self._proven
-                        if self._proven == opening and not self._ready:
-                            self._catch_up(proven)
+                        self._pass_fence(tag, opening, proven)
+
+    def _pass_fence(self, tag: bytes, opening: int, proven: int) -> None:
+        self._proven = int(tag) if tag.isdigit() else self._proven
+        if not self._ready and self._proven == opening:
+            self._catch_up(proven)
 
     def _catch_up(self, proven: int) -> None:
         """All that was missed is in: what has no end yet is applied, unless it may have been before.
@@ -170,9 +174,10 @@
         exchange = run.exchange
         self._commands += interpreter.apply(exchange.name, exchange.track, exchange.body)
 
-    def _write_fence(self) -> None:
+    def _write_fence(self) -> int:
         self._fence += 1
         self._commands += interpreter.ask_gauges(b"%d" % self._fence)
+        return self._fence
 
     def _ask_gauges(self) -> None:
         if self._ready:
