Tests of the program: parsers, routing rules on a made clock, the process over loopback

Random interleavings of calls, repeats, cancels, ends, link breaks and drain check the four rules after every step. They found that alarms of the first batch counted from the reading of the clock, while the controller counts from when the interpreter came up: for up to a second a drain or an abandon time had no alarm (dispatch.py, open). Also mended on the way: commands that never went out before a break of the link are not in doubt; a TOP that is rejected is no log line.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -16,11 +16,12 @@
 from ..terms import Outcome
 from ..transport.datagram import Post
 from ..transport.scheduler import Clock, Scheduler
-from ..transport.stream import Listener
+from ..transport.stream import Listener, connect
 from .configuration import Posting
 from .counters import Counters
 
 REPORT_EVERY = 0.5
+CONNECT_MOST = 1.0  # one try to reach the interpreter
 LAST_INSTANT = 0.03  # before the stop: whoever still has a connection open then is left behind
 KEPT_SHARE = 16  # results kept for repeats get one part in so many of the program's memory
 
@@ -58,7 +59,9 @@
         self._listener = Listener(
             scheduler, posting.listen, posting.connections_most, self._server.accepted, self._server.make_room
         )
-        self._client = Client(scheduler, posting.interpreter, self, count)
+        self._client = Client(
+            scheduler, lambda: connect(scheduler, posting.interpreter, CONNECT_MOST), self, count
+        )
         self._dispatch.server, self._dispatch.client = self._server, self._client
         self._post = Post(posting.naming)
         self._stop_at = 0.0
--- a/sablewheel/protocol/interpreter.py
+++ b/sablewheel/protocol/interpreter.py
@@ -103,6 +103,7 @@
             words = bytes(self._bytes[:end]).split(b" ")
             del self._bytes[: end + 2]
             if words[0] == b"VALUE" and len(words) == 6:
+                _whole(words[1])
                 self._head, self._size = words, _whole(words[5], RESULT_MOST)
             else:
                 found.append(_notice(words))
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -13,10 +13,9 @@
 from ..protocol import interpreter
 from ..terms import Nature, Outcome
 from ..transport.scheduler import Scheduler
-from ..transport.stream import Address, Stream, connect
+from ..transport.stream import Stream
 from .exchange import Exchange
 
-CONNECT_MOST = 1.0  # one try to connect
 FIRST_REST, LAST_REST = 0.02, 0.5  # between tries, doubling
 GAUGES_EVERY, GAUGES_HOLD = 0.2, 0.5
 
@@ -52,14 +51,20 @@
     """The one link; `gauges` are those last told, while they hold."""
 
     def __init__(
-        self, scheduler: Scheduler, address: Address, desk: Desk, count: Callable[[str], None]
+        self,
+        scheduler: Scheduler,
+        connect: Callable[[], Stream | None],
+        desk: Desk,
+        count: Callable[[str], None],
     ) -> None:
-        self._scheduler, self._address, self._desk, self._count = scheduler, address, desk, count
+        self._scheduler, self._connect, self._desk, self._count = scheduler, connect, desk, count
         self._runs: dict[bytes, Run] = {}
         self._stream: Stream | None = None
         self._ready = False  # behind the fence
         self._last = 0
-        self._fence = self._proven = 0
+        self._fence = 0  # the last TOP asked for
+        self._written = 0  # the last that went out
+        self._proven = 0  # the last that was answered: all commands before it were read
         self._commands = bytearray()
         self._gauges: tuple[float | None, ...] = ()
         self._told = 0.0
@@ -91,6 +96,7 @@
             self._write_fence()
             self._stream.write(bytes(self._commands))
             self._stream.flush()
+            self._written = self._fence
         self._commands.clear()
 
     # -- the link
@@ -98,7 +104,7 @@
     def _keep_linked(self) -> None:
         rest = FIRST_REST
         while True:
-            stream = connect(self._scheduler, self._address, CONNECT_MOST)
+            stream = self._connect()
             if stream is None:
                 self._scheduler.sleep(rest)
                 rest = min(2 * rest, LAST_REST)
@@ -113,6 +119,9 @@
             log.warning("link to the interpreter lost", extra={"pairs": {"reason": reason}})
             self._stream, self._ready = None, False
             self._commands.clear()
+            for run in self._runs.values():
+                if run.fence > self._written:
+                    run.fence = 0
             stream.close()
             self._scheduler.sleep(FIRST_REST)
             rest = FIRST_REST
@@ -195,6 +204,8 @@
     def _rejected(self, command: bytes, name: bytes) -> None:
         """The command was not carried out: a run that was refused so never started."""
         self._count("commands_rejected")
+        if command == b"TOP":
+            return
         pairs = {"command": command.decode("ascii", "replace"), "name": name.decode("ascii", "replace")}
         log.error("interpreter rejected a command", extra={"pairs": pairs})
         if command == b"APPLY" and name in self._runs:
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -54,7 +54,8 @@
         if self._controller is None:
             machine = replace(self._machine, fresh_start=cold)
             self._controller = Controller(machine, self._seed)
-            self._carry_out(self._controller.decide(self._clock.now - age, []))
+            opened = self._clock.now - age
+            self._carry_out(self._controller.decide(opened, []), opened)
 
     # -- what happens
 
@@ -124,13 +125,13 @@
                 if isinstance(happening, terms.Arrived):
                     # Whole milliseconds of another's reading of the clock may lie slightly ahead of ours.
                     happening.ticket.arrived = min(happening.ticket.arrived, now)
-            self._carry_out(self._controller.decide(now, happenings))
+            self._carry_out(self._controller.decide(now, happenings), now)
 
-    def _carry_out(self, deeds: list[Deed]) -> None:
+    def _carry_out(self, deeds: list[Deed], decided: float) -> None:
         for deed in deeds:
             match deed:
                 case terms.Alarm(after):
-                    self._scheduler.after(after, self._ring)
+                    self._scheduler.after(decided + after - self._clock.now, self._ring)
                 case terms.Say(amount):
                     self._standing.said = amount
                 case terms.Health(good):
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,332 @@
+"""The program as a process, over loopback, against stand-ins of our own; every wait is bounded."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from world import Interpreter, call, frame
+
+from sablewheel.program import configuration
+from sablewheel.protocol.resp import Parser
+
+PATIENCE = 20.0
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {"name": "lookup", "on-time-s": 3.0, "deadline-s": 9.0, "repeat": "safe"},
+        {"name": "record", "on-time-s": 3.0, "deadline-s": 9.0, "repeat": "keyed", "window-s": 20.0},
+    ],
+    "orgs": [{"name": "acme", "quota-rps": 50.0, "fraction": 1.0}],
+    "extra": {
+        "cores": 6,
+        "memory-kb": 20000.0,
+        "run-factor": 4.0,
+        "halt": "drop",
+        "tells-gone": True,
+        "say": "tokens",
+        "said-for-s": 1.0,
+        "idle-s": 30.0,
+        "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+        "callers": 2,
+    },
+    "safety": {"fall-multiple": 6.0, "answer-slack-s": 0.08, "drain-grace-s": 0.4},
+    "tick-s": 0.002,
+}
+
+
+class Engine:
+    """The interpreter's stand-in behind a socket: ends each run at once, or when told."""
+
+    def __init__(self) -> None:
+        self.core, self.at_once = Interpreter(), True
+        self.door = socket.create_server(("127.0.0.1", 0))
+        self.door.settimeout(PATIENCE)
+        self.link: socket.socket | None = None
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                self.link = self.door.accept()[0]
+                self.core.bytes = b""
+                while data := self.link.recv(65536):
+                    self.link.sendall(self.core.feed(data))
+                    while self.at_once and self.core.running:
+                        self.end(next(iter(self.core.running)))
+            except OSError:
+                if self.door.fileno() < 0:
+                    return
+
+    def end(self, name: bytes) -> None:
+        notice = self.core.end(name)
+        if self.link is not None:
+            self.link.sendall(notice)
+
+    def cut(self) -> None:
+        if self.link is not None:
+            with contextlib.suppress(OSError):  # it may be cut already
+                self.link.shutdown(socket.SHUT_RDWR)
+
+
+class Place:
+    """One server's surroundings and its process."""
+
+    def __init__(self, folder: Path, **changes: Any) -> None:
+        self.engine = Engine()
+        self.names = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.names.bind(("127.0.0.1", 0))
+        self.names.settimeout(PATIENCE)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        self.file = folder / "configuration.json"
+        self.told: dict[str, Any] = {
+            "name": "n3",
+            "listen": f"127.0.0.1:{self.address[1]}",
+            "vm": f"127.0.0.1:{self.engine.door.getsockname()[1]}",
+            "naming": f"127.0.0.1:{self.names.getsockname()[1]}",
+            "seed": "8c1f30d27a5be964",
+            "stop_ms": 1500,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": SETTINGS,
+            **changes,
+        }
+        self.processes: list[subprocess.Popen[str]] = []
+
+    def start(self) -> subprocess.Popen[str]:
+        self.file.write_text(json.dumps(self.told))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "sablewheel"],
+            env={**os.environ, "RELAY_CONFIG": str(self.file)},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.processes.append(process)
+        return process
+
+    def router(self) -> Peer:
+        until = time.monotonic() + PATIENCE
+        while True:
+            try:
+                return Peer(socket.create_connection(self.address, timeout=PATIENCE))
+            except OSError:
+                assert time.monotonic() < until, "the server does not listen"
+                time.sleep(0.01)
+
+    def ready(self) -> Peer:
+        """A connection of a server that has said that it is up."""
+        peer = self.router()
+        until = time.monotonic() + PATIENCE
+        tag = 1_000_000
+        while peer.ask(tag, frame(b"RPC.HEALTH", b"%d" % tag, b""))[1] != b"UP":
+            assert time.monotonic() < until, "the server does not come up"
+            tag += 1
+            time.sleep(0.01)
+        return peer
+
+    def end(self) -> None:
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+            process.communicate()
+        self.engine.door.close()
+        self.engine.cut()
+        self.names.close()
+
+
+class Peer:
+    """A router's connection."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.parser = sock, Parser()
+        self.frames: list[list[bytes]] = []
+        self.names = 0
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def call(self, tag: int, track: bytes = b"lookup", label: bytes = b"") -> bytes:
+        name = b"%08x%08x" % (id(self) % 2**32, tag)
+        return call(tag, name, track, time.time(), b"body%d" % tag, label)
+
+    def read(self, tag: int) -> list[bytes]:
+        while True:
+            for one in self.frames:
+                if one[0] == b"%d" % tag:
+                    self.frames.remove(one)
+                    return one
+            data = self.sock.recv(65536)
+            assert data, f"the connection ended without an answer to {tag}"
+            self.frames += self.parser.feed(data)
+
+    def ask(self, tag: int, data: bytes) -> list[bytes]:
+        self.send(data)
+        return self.read(tag)
+
+    def ended(self) -> bool:
+        with contextlib.suppress(ConnectionResetError):
+            while self.sock.recv(65536):
+                pass
+        return True
+
+
+@pytest.fixture
+def place(tmp_path: Path) -> Iterator[Place]:
+    place = Place(tmp_path)
+    yield place
+    place.end()
+
+
+def leave(process: subprocess.Popen[str], number: int = signal.SIGTERM) -> str:
+    process.send_signal(number)
+    _, text = process.communicate(timeout=PATIENCE)
+    assert process.returncode == 0 and "Traceback" not in text and "fault" not in text
+    return text
+
+
+def test_serves_reports_counts_and_leaves_in_order(place: Place) -> None:
+    process = place.start()
+    peer = place.ready()
+    reports = {place.names.recv(64) for _ in range(4)}
+    assert b"renew n3 yes" in reports <= {b"renew n3 yes", b"renew n3 no"}
+    done = peer.ask(1, peer.call(1))
+    assert done[1] == b"OK" and done[2].startswith(b"pressure=") and done[3] == b"made of body1"
+    first, again = peer.ask(2, peer.call(2, b"record", b"aa")), peer.ask(3, peer.call(3, b"record", b"aa"))
+    assert first[3] == again[3] == b"made of body2" and len(place.engine.core.applied) == 2
+    process.send_signal(signal.SIGUSR1)
+    place.engine.at_once = False
+    peer.send(peer.call(4))
+    process.send_signal(signal.SIGTERM)
+    process.send_signal(signal.SIGTERM)
+    assert peer.read(4)[1] == b"FAILED" and peer.read(0)[1] == b"BYE"
+    peer.sock.close()
+    text = leave(process, signal.SIGUSR1)
+    assert "occasion=request" in text and "occasion=exit" in text and "tickets_completed=3" in text
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_told_to_leave_before_the_interpreter_is_up_it_ends_at_once(place: Place, number: int) -> None:
+    place.engine.core.up = False
+    process = place.start()
+    assert place.router().ask(1, frame(b"RPC.HEALTH", b"1", b""))[1] == b"DOWN"
+    leave(process, number)
+
+
+def test_killed_and_started_again_under_its_address_it_serves(place: Place) -> None:
+    for _ in range(2):
+        process = place.start()
+        peer = place.ready()
+        assert peer.ask(1, peer.call(1))[1] == b"OK"
+        process.kill()
+        process.wait(PATIENCE)
+
+
+def test_a_broken_link_comes_back_and_the_end_is_not_lost(place: Place) -> None:
+    place.start()
+    peer = place.ready()
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    until = time.monotonic() + PATIENCE
+    while not place.engine.core.running and time.monotonic() < until:
+        time.sleep(0.005)
+    place.engine.cut()
+    place.engine.core.end(next(iter(place.engine.core.running)))
+    assert peer.read(1)[1] == b"OK"
+
+
+def test_bad_input_harms_only_its_own_connection(place: Place) -> None:
+    place.start()
+    good, bad = place.ready(), place.router()
+    assert bad.ask(1, frame(b"RPC.CALL", b"1", b"novel", b"", b""))[1] == b"FAILED"
+    bad.send(b"GET / HTTP/1.1\r\n\r\n")
+    assert bad.ended()
+    gone = place.router()
+    gone.send(gone.call(1)[:-9])
+    gone.sock.close()
+    assert good.ask(1, good.call(1))[1] == b"OK"
+
+
+def test_a_router_that_does_not_read_stalls_nobody(place: Place) -> None:
+    place.start()
+    good, deaf = place.ready(), place.router()
+    deaf.sock.settimeout(0.2)
+    with contextlib.suppress(TimeoutError):
+        for tag in range(1, 200_000):
+            deaf.send(frame(b"RPC.HEALTH", b"%d" % tag, b""))
+    assert good.ask(1, good.call(1))[1] == b"OK"
+
+
+def test_a_full_table_parts_with_unused_connections(tmp_path: Path) -> None:
+    place = Place(tmp_path, limits={"sockets": 40, "memory_mb": 64})
+    try:
+        place.start()
+        place.ready()
+        peers = [place.router() for _ in range(30)]
+        place.engine.at_once = False
+        peers[0].send(peers[0].call(1))
+        last = peers[-1]
+        last.send(last.call(1))
+        for peer in peers[1:12]:
+            assert peer.read(0)[1] == b"BYE"
+            peer.sock.close()
+        until = time.monotonic() + PATIENCE
+        while len(place.engine.core.running) < 2 and time.monotonic() < until:
+            time.sleep(0.005)
+        for name in list(place.engine.core.running):
+            place.engine.end(name)
+        assert peers[0].read(1)[1] == last.read(1)[1] == b"OK"
+    finally:
+        place.end()
+
+
+@pytest.mark.parametrize(
+    ("key", "changes"),
+    [
+        ("limits.sockets", {"limits": {"sockets": "many"}}),
+        ("limits.memory_mb", {"limits": {"memory_mb": 1}}),
+        ("listen", {"listen": "nowhere"}),
+        ("vm", {"vm": None}),
+        ("seed", {"seed": "xyz"}),
+        ("settings.extra.cores", {"settings": {**SETTINGS, "extra": {"memory-kb": 1}}}),
+        (
+            "settings.classes[0].repeat",
+            {"settings": {**SETTINGS, "classes": [{"name": "a", "repeat": "odd"}]}},
+        ),
+    ],
+)
+def test_a_faulty_key_is_named(tmp_path: Path, key: str, changes: dict[str, Any]) -> None:
+    place = Place(tmp_path, **changes)
+    process = place.start()
+    _, text = process.communicate(timeout=PATIENCE)
+    place.end()
+    assert process.returncode == 2 and text.startswith(f"sablewheel: {key}: ") and text.count("\n") == 1
+
+
+def test_no_file_no_json_and_an_address_in_use_are_told_in_a_line(place: Place) -> None:
+    for text, said in ((None, "RELAY_CONFIG: "), ("{", "RELAY_CONFIG: ")):
+        environment = {"RELAY_CONFIG": str(place.file)}
+        if text is not None:
+            place.file.write_text(text)
+        with pytest.raises(configuration.FaultyKeyError) as fault:
+            configuration.posting(environment)
+        assert str(fault.value).startswith(said)
+    place.start()
+    place.ready()
+    second = place.start()
+    _, text = second.communicate(timeout=PATIENCE)
+    assert second.returncode == 1 and text.startswith("sablewheel: listen: ") and text.count("\n") == 1
+
+
+def test_the_adapter_needs_no_greenlet() -> None:
+    program = "import sys, sablewheel.benchlink.__main__; sys.exit('greenlet' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", program], timeout=PATIENCE).returncode == 0
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,124 @@
+"""Parsers fed split at every byte and fed noise; what they make of whole frames."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import call, frame
+
+from sablewheel.protocol import interpreter, naming, resp
+
+CALLS = call(7, b"9b1f03aa5c7e2d41", b"lookup", 1764576000.123, b"a\r\n$1\r\n") + frame(b"RPC.CANCEL", b"7")
+NOTICES = (
+    b"BANNER booting 1500\r\nVALUE 1 ab success 12.5 7\r\na\r\nbTOP\r\nTRACE 2 what ever it says\r\n"
+    b"TOPS 3 0.25 4 - 17\r\nVALUE 3 cd failure 8 0\r\n\r\nERROR APPLY ef\r\n"
+)
+Feed = Callable[[bytes], list[object]]
+
+
+def feeds() -> list[tuple[Callable[[], Feed], bytes]]:
+    return [(lambda: resp.Parser().feed, CALLS), (lambda: interpreter.Parser().feed, NOTICES)]  # type: ignore[list-item, return-value]
+
+
+@pytest.mark.parametrize("which", [0, 1])
+def test_frames_are_the_same_however_they_are_split(which: int) -> None:
+    new, data = feeds()[which]
+    whole = new()(data)
+    for cut in range(len(data) + 1):
+        feed = new()
+        assert feed(data[:cut]) + feed(data[cut:]) == whole
+    feed = new()
+    assert [one for place in range(len(data)) for one in feed(data[place : place + 1])] == whole
+
+
+@pytest.mark.parametrize("which", [0, 1])
+@settings(max_examples=300, derandomize=True, database=None, deadline=None)
+@given(
+    st.lists(
+        st.sampled_from([b"*2\r\n", b"$1\r\n", b"7", b"\r\n", b"VALUE 1 a success 1 2", b" ", b"\0", b"-1"])
+    ),
+    st.binary(max_size=60),
+)
+def test_noise_is_refused_or_waited_for(which: int, pieces: list[bytes], tail: bytes) -> None:
+    new, _ = feeds()[which]
+    with contextlib.suppress(resp.GarbledError, interpreter.GarbledError):
+        new()(b"".join(pieces) + tail)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"PING\r\n",
+        b"*0\r\n",
+        b"*17\r\n",
+        b"*-1\r\n",
+        b"*2\r\n+OK\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*1\r\n$" + b"1" * 30,
+        b"*1\r\n$2\r\nabc\r\n",
+        b"*x\r\n",
+    ],
+)
+def test_what_is_no_array_of_bulk_strings_ends_the_connection(data: bytes) -> None:
+    with pytest.raises(resp.GarbledError):
+        resp.Parser().feed(data)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HELLO\r\n",
+        b"VALUE x a success 1 0\r\n",
+        b"VALUE 1 a done 1 0\r\n\r\n",
+        b"VALUE 1 a success nan 0\r\n\r\n",
+        b"VALUE 1 a success 1 9999999\r\n",
+        b"VALUE 1 a success 1 1\r\nabc",
+        b"BANNER up 1\r\n",
+        b"x" * 5000,
+    ],
+)
+def test_what_is_no_notice_ends_the_link(data: bytes) -> None:
+    with pytest.raises(interpreter.GarbledError):
+        interpreter.Parser().feed(data)
+
+
+def test_a_call_gives_what_decisions_need_and_leaves_the_rest_as_it_came() -> None:
+    words = frame(b"RPC.CALL", b"9", b"record", b"ref=0a,since=1764576000123,sender=4,project=acme,room=24.5"
+                  b",class_rank=0.6250,replay=5c0f,novel=x", b"\0body")  # fmt: skip
+    asked = resp.message(resp.Parser().feed(words)[0])
+    assert asked == resp.Asked(
+        9, b"0a", b"record", b"4", b"acme", 1764576000.123, 24.5, 0.625, b"5c0f", None, b"\0body"
+    )
+
+
+@pytest.mark.parametrize(
+    ("fields", "tag"),
+    [
+        (b"ref=0a,sender=4,room=1", 9),
+        (b"ref=0a,since=x,sender=4,room=1", 9),
+        (b"ref=0a,since=1,sender=4,room=nan", 9),
+        (b"ref=0 a,since=1,sender=4,room=1", 9),
+        (b"ref", 9),
+        (b"ref=0a,since=1,sender=4,room=1", 0),
+    ],
+)
+def test_faulty_calls_name_the_tag_where_it_can_be_read(fields: bytes, tag: int) -> None:
+    with pytest.raises(resp.FaultyError) as fault:
+        resp.message([b"RPC.CALL", b"%d" % tag if tag else b"nine", b"lookup", fields, b""])
+    assert fault.value.tag == tag
+
+
+def test_answers_and_commands_are_written_as_published() -> None:
+    assert resp.completed(7, 12.5, b"r") == frame(b"7", b"OK", b"pressure=12.5", b"r")
+    assert resp.denied(8, None, 0.2504, True) == frame(b"8", b"BUSY", b"cooldown=250,nowhere=1", b"")
+    assert resp.denied(8, 0.0, 0.0, False) == frame(b"8", b"BUSY", b"pressure=0", b"")
+    assert resp.terminated(9, 3.0) == frame(b"9", b"FAILED", b"pressure=3", b"")
+    assert resp.checked(1, None, False) == frame(b"1", b"DOWN", b"", b"")
+    assert resp.farewell() == frame(b"0", b"BYE")
+    assert interpreter.apply(b"0a", b"record", b"b\r\n") == b"APPLY 0a record 3\r\nb\r\n\r\n"
+    assert interpreter.connect(4) + interpreter.halt(b"0a") == b"CONNECT 4\r\nBREAK 0a\r\n"
+    assert naming.report("n3", True) == b"renew n3 yes"
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,303 @@
+"""The rules over random interleavings on the routing layer, with a made clock; a few plain cases."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from world import Town, call, frame
+
+from sablewheel.terms import Customer, Halting, Machine, Nature, Track
+
+MACHINE = Machine(
+    tracks=(Track(0, Nature.REDOABLE, 1.0, 4.0), Track(1, Nature.LABELLED, 1.5, 4.0, 2.0, window=6.0)),
+    cores=2,
+    memory_kb=2000.0,
+    run_factor=4.0,
+    customers=(Customer(50.0, 0.5),),
+    label_kb=0.2,
+    halting=Halting.DROPS,
+    told_gone=True,
+    tick=0.002,
+    slack=0.08,
+    drain_grace=1.0,
+    crowd_multiple=3.0,
+    crowd_span=1.0,
+    advice_limit=1.0,
+    said_for=1.0,
+    idle=30.0,
+)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                "read",
+                "read",
+                "write",
+                "write",
+                "write",
+                "cancel",
+                "end",
+                "end",
+                "end",
+                "fail",
+                "wait",
+                "long",
+                "cut",
+                "lose",
+                "gap",
+                "drain",
+                "rush",
+            ]
+        ),
+        st.integers(0, 3),
+    ),
+    max_size=40,
+)
+
+
+@settings(
+    max_examples=150,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=[Phase.generate, Phase.shrink],
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(STEPS)
+def test_rules_hold_over_any_interleaving(steps: list[tuple[str, int]]) -> None:
+    town = Town(MACHINE)
+    for step, which in steps:
+        deliver = True
+        running, tries = list(town.interpreter.running), town.tries
+        match step:
+            case "read":
+                town.call(b"lookup", ago=0.4 * which)
+            case "write":
+                town.call(b"record", b"label%d" % which)
+            case "rush":  # two tries of one label and a cancel in one read
+                first = town.call(b"record", b"label%d" % which)
+                town.call(b"record", b"label%d" % which)
+                town.cancel(first)
+                town.call(b"record", b"label%d" % which)
+            case "cancel" if tries:
+                town.cancel(tries[-1 - which % len(tries)])
+            case "end" | "fail" if running:
+                town.end(running[which % len(running)], b"success" if step == "end" else b"failure")
+            case "wait":
+                town.wait(0.1 * which)
+            case "long":
+                town.wait(2.0 * which)
+            case "cut":
+                town.cut(lost=False)
+            case "lose":
+                town.call(b"record", b"label%d" % which)
+                town.settle(deliver=False)
+                town.cut(lost=True)
+            case "gap":
+                town.linked = which > 0
+                town.cut(lost=which > 1)
+            case "drain":
+                town.drain(1.0 + which)
+            case _:
+                deliver = False
+        town.settle(deliver)
+    if town.notice == float("inf"):
+        town.drain(2.0)
+        town.settle()
+    town.wait(town.stop - town.now - 0.01 if town.stop > town.now else 0.0)
+    town.check()
+    assert all(one.answers or one.cancelled for one in town.tries), "not answered before the stop"
+
+
+def test_a_run_ends_with_its_result_and_what_is_said() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+    assert town.interpreter.running[one.name] == (b"lookup", one.body)
+    town.end(one.name)
+    town.settle()
+    assert one.answers == [[b"1", b"OK", b"", b"made of " + one.body]]
+
+
+def test_repeats_get_the_result_of_the_first_whether_they_come_before_or_after_its_end() -> None:
+    town = Town(MACHINE)
+    first, during = town.call(b"record", b"a"), town.call(b"record", b"a")
+    town.settle()
+    town.cancel(first)
+    town.end(first.name)
+    town.settle()
+    late = town.call(b"record", b"a")
+    town.settle()
+    assert not first.answers and during.answers[0][1] == late.answers[0][1] == b"OK"
+    assert len(town.interpreter.applied) == 1
+
+
+def test_repeats_of_what_failed_or_whose_result_is_gone_end_in_an_error() -> None:
+    town = Town(MACHINE)
+    first, during = town.call(b"record", b"a"), town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name, b"failure")
+    town.settle()
+    after = town.call(b"record", b"a")
+    town.settle()
+    assert [one.answers[0][1] for one in (first, during, after)] == [b"FAILED"] * 3
+
+
+def test_a_repeat_counts_by_when_it_came_not_by_when_it_is_read() -> None:
+    town = Town(MACHINE)
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.wait(MACHINE.tracks[1].window + 1.0)
+    late = town.call(b"record", b"a", ago=1.5)
+    town.settle()
+    assert late.answers[0][1] == b"OK" and len(town.interpreter.applied) == 1
+    town.wait(4.0)
+    town.call(b"record", b"a")
+    town.settle()
+    assert len(town.interpreter.applied) == 2
+
+
+def test_kept_results_have_a_bound_in_bytes() -> None:
+    town = Town(MACHINE)
+    town.labels._bytes_most = 100
+    tries = [town.call(b"record", b"label%d" % which) for which in range(10)]
+    for one in tries:
+        town.settle()
+        if one.name in town.interpreter.running:
+            town.end(one.name)
+    town.settle()
+    assert town.labels._bytes <= 100
+    late = [town.call(b"record", one.label) for one in (tries[0], tries[-1])]
+    town.settle()
+    assert [one.answers[0][1] for one in late] == [b"FAILED", b"OK"]
+    assert len(town.interpreter.applied) == 10
+
+
+def test_a_link_opened_before_the_interpreter_is_up_serves_once_it_is() -> None:
+    town = Town(MACHINE)
+    town.interpreter.up = False
+    town.cut(lost=False)
+    town.wait(1.0)
+    town.interpreter.up = True
+    assert town.link is not None
+    town.link.feed(b"BANNER booting 0\r\n")
+    one = town.call(b"lookup")
+    town.settle()
+    assert one.name in town.interpreter.running
+
+
+def test_a_broken_link_loses_no_end_and_applies_nothing_labelled_twice() -> None:
+    town = Town(MACHINE)
+    done, doubt = town.call(b"lookup"), town.call(b"record", b"b")
+    town.settle()
+    town.linked = False
+    town.cut(lost=False)
+    town.wait(0.1)
+    town.end(done.name)
+    held = town.call(b"lookup")
+    town.wait(0.3)
+    assert not done.answers and len(town.interpreter.applied) == 2
+    town.linked = True
+    town.wait(1.0)
+    assert done.answers[0][1] == b"OK" and held.name in town.interpreter.running
+    town.end(doubt.name)
+    town.end(held.name)
+    town.settle()
+    assert doubt.answers[0][1] == b"OK"
+    # Written just before the break, never arrived: run again only what may run twice.
+    redoable, labelled = town.call(b"lookup"), town.call(b"record", b"c")
+    town.settle(deliver=False)
+    town.cut(lost=True)
+    town.wait(0.5)
+    assert redoable.name in town.interpreter.running and labelled.answers[0][1] == b"FAILED"
+
+
+def test_an_unreadable_notice_opens_the_link_anew() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+    assert town.link is not None
+    town.link.feed(b"VALUE x y z\r\n")
+    town.wait(0.5)
+    town.end(one.name)
+    town.settle()
+    assert one.answers[0][1] == b"OK" and town.counts.count("links") == 2
+
+
+def test_rejected_and_empty_runs_end_their_tickets() -> None:
+    town = Town(MACHINE)
+    one, two = town.call(b"lookup"), town.call(b"lookup")
+    town.settle()
+    assert town.link is not None
+    town.link.feed(b"ERROR APPLY %b\r\n" % one.name)
+    town.end(two.name, b"nothing")
+    town.settle()
+    assert [each.answers[0][1] for each in (one, two)] == [b"FAILED", b"FAILED"]
+
+
+def test_faulty_frames_with_a_tag_are_terminated_and_others_unharmed() -> None:
+    town = Town(MACHINE)
+    good = town.call(b"lookup")
+    town.settle()
+    since, bad = town.now, [call(tag, b"00ff", b"lookup", town.now, b"") for tag in range(60, 70)]
+    bad[0] = call(60, b"00ff", b"novel", since, b"")
+    bad[1] = bad[1].replace(b"acme", b"ecma")
+    bad[2] = bad[2].replace(b"room=10.0", b"room=none")
+    bad[3] = call(63, b"00ff", b"lookup", since, b"x" * 2049)
+    bad[4] = frame(b"RPC.NOVEL", b"64", b"")
+    bad[5] = bad[5].replace(b"sender=4", b"render=4")
+    town.server.connections.clear()
+    words = []
+    for data in bad[:6]:
+        town.router.feed(data)
+        town.scheduler.run_ready()
+        town.dispatch.end_round()
+        words += town.answers.feed(town.router.taken())
+    assert [(one[0], one[1]) for one in words] == [(b"%d" % tag, b"FAILED") for tag in range(60, 66)]
+    town.end(good.name)
+    town.settle()
+    assert good.answers[0][1] == b"OK" and town.counts.count("frames_faulty") == 6
+
+
+def test_more_than_32_open_are_terminated_and_a_tag_used_twice_ends_its_connection() -> None:
+    town = Town(MACHINE)
+    tries = [town.call(b"lookup") for _ in range(33)]
+    town.settle()
+    assert sum(bool(one.answers) and one.answers[0][1] == b"FAILED" for one in tries) == 1
+    town.router.feed(call(1, b"00ff", b"lookup", town.now, b""))
+    town.scheduler.run_ready()
+    assert not town.router.open and town.dispatch.open_count <= 33
+
+
+def test_unused_connections_get_a_farewell() -> None:
+    town = Town(MACHINE)
+    town.server.close_unused(1.0)
+    one = town.call(b"lookup")
+    town.wait(2.0)
+    assert town.server.connections and one.name in town.interpreter.running
+    connection = next(iter(town.server.connections))
+    town.end(one.name)
+    town.wait(2.0)
+    assert connection.leaving
+    town.wait(2.0)
+    assert not town.router.open
+
+
+def test_alarms_count_from_the_opening_even_if_that_is_long_past() -> None:
+    town = Town(MACHINE)  # its interpreter has been up for five seconds
+    one = town.call(b"lookup")
+    town.settle()
+    town.drain(0.5)
+    town.wait(0.45)
+    assert one.answers[0][1] == b"FAILED"
+
+
+def test_a_ticket_whose_caller_leaves_in_the_same_read_takes_no_core() -> None:
+    town = Town(MACHINE)
+    for which in range(20):
+        town.cancel(town.call(b"record", b"label%d" % which))
+        town.settle()
+    one = town.call(b"lookup")
+    town.settle()
+    assert [name for name, *_ in town.interpreter.applied] == [one.name]
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,10 +3,22 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
+from collections.abc import Callable
+
+from greenlet import getcurrent, greenlet
 
 from sablewheel import terms
 from sablewheel.choice import Controller
+from sablewheel.protocol.resp import Parser
+from sablewheel.routing.client import Client
+from sablewheel.routing.dispatch import Dispatch
+from sablewheel.routing.exchange import Exchange, Standing
+from sablewheel.routing.labels import Labels
+from sablewheel.routing.server import Server
 from sablewheel.terms import Halting, Machine, Nature, Outcome, Router, Ticket
+from sablewheel.transport.scheduler import Clock, Scheduler, Timer
+from sablewheel.transport.stream import Stream
 
 HELD, RUNNING, STANDING, CALLING = "held", "running", "standing", "calling"
 JOINED, PAUSED, OVER = "joined", "paused", "over"
@@ -224,3 +236,277 @@
         since = self.now - span
         pieces[:] = [piece for piece in pieces if piece[1] > since]
         return sum((end - max(start, since)) * count for start, end, count in pieces) / span if span else 0.0
+
+
+# -- stand-ins for what the program talks to, after the published protocols
+
+
+class Interpreter:
+    """Keeps the runs it was told of, numbers its notices, and tells again what a broken link missed."""
+
+    def __init__(self) -> None:
+        self.up = True
+        self.running: dict[bytes, tuple[bytes, bytes]] = {}
+        self.applied: list[tuple[bytes, bytes, bytes]] = []
+        self.notices: list[bytes] = []
+        self.bytes = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """What it answers at once."""
+        self.bytes += data
+        said = b""
+        while (end := self.bytes.find(b"\r\n")) >= 0:
+            words = self.bytes[:end].split(b" ")
+            size = int(words[3]) + 2 if words[0] == b"APPLY" else 0
+            if len(self.bytes) < end + 2 + size:
+                break
+            body, self.bytes = self.bytes[end + 2 : end + 2 + size], self.bytes[end + 2 + size :]
+            said += self._obey(words, body[:-2])
+        return said
+
+    def _obey(self, words: list[bytes], body: bytes) -> bytes:
+        match words:
+            case [b"CONNECT", last]:
+                return b"BANNER steady 5000\r\n" + b"".join(self.notices[int(last) :]) if self.up else b""
+            case [verb, name, *_] if not self.up:
+                return b"ERROR %b %b\r\n" % (verb, name)
+            case [b"APPLY", name, track, _]:
+                if name not in self.running:
+                    self.running[name] = (track, body)
+                    self.applied.append((name, track, body))
+            case [b"BREAK", name]:
+                return self.end(name, b"interrupted") if name in self.running else b""
+            case [b"TOP", tag]:
+                return b"TOPS %b 0.5 3 0.1 7\r\n" % tag
+            case _:
+                raise AssertionError(f"no command: {words}")
+        return b""
+
+    def end(self, name: bytes, how: bytes = b"success") -> bytes:
+        """A run is over; the notice, for whoever is linked."""
+        _, body = self.running.pop(name)
+        result = b"made of " + body if how == b"success" else b""
+        number = len(self.notices) + 1
+        self.notices.append(b"VALUE %d %b %b 250 %d\r\n%b\r\n" % (number, name, how, len(result), result))
+        return self.notices[-1]
+
+
+def frame(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+
+
+def call(
+    tag: int, name: bytes, track: bytes, since: float, body: bytes, label: bytes = b"", kb: float = 10
+) -> bytes:
+    fields = b"ref=%b,since=%d,sender=4,project=acme,room=%.1f,class_rank=0.5" % (name, since * 1000, kb)
+    return frame(b"RPC.CALL", b"%d" % tag, track, fields + (b",replay=" + label if label else b""), body)
+
+
+class MadeScheduler(Scheduler):
+    """The scheduler with a made clock and no descriptors."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.clock.now = 1_764_576_000.0
+        self.clock.read = lambda: self.clock.now  # type: ignore[method-assign]
+        self.hub = getcurrent()
+        self.ready: deque[greenlet] = deque()
+        self.timers: list[tuple[float, int, Timer]] = []
+
+    def spawn(self, function: Callable[..., None], *values: object) -> None:
+        self.ready.append(greenlet(lambda: function(*values), parent=self.hub))
+
+    def sleep(self, span: float) -> None:
+        me = getcurrent()
+        self.after(span, lambda: self.ready.append(me))
+        self.hub.switch()
+
+    def after(self, span: float, action: Callable[[], None]) -> Timer:
+        timer = Timer(action)
+        heapq.heappush(self.timers, (self.clock.now + span, id(timer), timer))
+        return timer
+
+    def run_ready(self) -> bool:
+        some = bool(self.ready)
+        while self.ready:
+            self.ready.popleft().switch()
+        return some
+
+
+class MadeStream(Stream):
+    """A stream whose other end is the test."""
+
+    def __init__(self, scheduler: MadeScheduler) -> None:
+        self.made, self.open = scheduler, True
+        self.fed: deque[bytes] = deque()
+        self.written = bytearray()
+        self.reader: greenlet | None = None
+
+    def read(self) -> bytes:
+        while self.open and not self.fed:
+            self.reader = getcurrent()
+            self.made.hub.switch()
+        return self.fed.popleft() if self.open else b""
+
+    def write(self, data: bytes) -> None:
+        if self.open:
+            self.written += data
+
+    def flush(self) -> None:
+        pass
+
+    def close(self) -> None:
+        self.open = False
+        self.wake()
+
+    def feed(self, data: bytes) -> None:
+        self.fed.append(data)
+        self.wake()
+
+    def wake(self) -> None:
+        if self.reader is not None:
+            self.made.ready.append(self.reader)
+            self.reader = None
+
+    def taken(self) -> bytes:
+        data = bytes(self.written)
+        self.written.clear()
+        return data
+
+
+class Try:
+    """One try as its router knows it."""
+
+    def __init__(self, tag: int, name: bytes, track: bytes, label: bytes, since: float) -> None:
+        self.tag, self.name, self.track, self.label, self.since = tag, name, track, label, since
+        self.body = (label or name) + b"\r\n$3"
+        self.answers: list[list[bytes]] = []
+        self.cancelled = False
+
+
+class Town:
+    """The routing layer between stand-ins, on a made clock; the four rules are checked after every step."""
+
+    def __init__(self, machine: Machine) -> None:
+        self.scheduler = MadeScheduler()
+        self.machine = machine
+        self.counts: list[str] = []
+        self.standing = Standing()
+        self.labels = Labels(4.0, machine.slack, 1 << 16)
+        self.dispatch = Dispatch(self.scheduler, machine, 7, (0, 3), self.standing, self.labels)
+        names = (b"lookup", b"record")
+        self.server = Server(
+            self.scheduler,
+            dict(zip(names, machine.tracks, strict=True)),
+            {b"acme": machine.customers[0]},
+            self.standing,
+            self.dispatch,
+            self.counts.append,
+        )
+        self.linked = True
+        self.link: MadeStream | None = None
+        self.interpreter = Interpreter()
+        self.client = Client(self.scheduler, self._connect, self, self.counts.append)
+        self.dispatch.server, self.dispatch.client = self.server, self.client
+        self.router, self.answers = MadeStream(self.scheduler), Parser()
+        self.server.accepted(self.router)
+        self.tries: list[Try] = []
+        self.notice = self.stop = float("inf")
+        self.settle()
+
+    def _connect(self) -> Stream | None:
+        self.link = MadeStream(self.scheduler) if self.linked else None
+        self.interpreter.bytes = b""
+        return self.link
+
+    def greeted(self, cold: bool, age: float) -> None:
+        self.dispatch.open(cold, age)
+
+    def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
+        self.dispatch.ended(exchange, outcome, took, result)
+
+    @property
+    def now(self) -> float:
+        return self.scheduler.clock.now
+
+    def call(self, track: bytes, label: bytes = b"", ago: float = 0.0) -> Try:
+        tag = len(self.tries) + 1
+        one = Try(tag, b"%016x" % tag, track, label, self.now - ago)
+        self.tries.append(one)
+        self.router.feed(call(tag, one.name, track, one.since, one.body, label))
+        return one
+
+    def cancel(self, one: Try) -> None:
+        one.cancelled = one.cancelled or not one.answers
+        self.router.feed(frame(b"RPC.CANCEL", b"%d" % one.tag))
+
+    def end(self, name: bytes, how: bytes = b"success") -> None:
+        notice = self.interpreter.end(name, how)
+        if self.link is not None and self.link.open:
+            self.link.feed(notice)
+
+    def cut(self, lost: bool) -> None:
+        """The link breaks; `lost`: what was just written never arrives."""
+        if self.link is not None and self.link.open:
+            data = self.link.taken()
+            if not lost:
+                self.interpreter.feed(data)
+            self.link.feed(b"")
+
+    def drain(self, left: float) -> None:
+        if self.notice > self.now:
+            self.notice, self.stop = self.now, self.now + left
+            self.dispatch.notice(left)
+
+    def settle(self, deliver: bool = True) -> None:
+        """Rounds until nothing moves; without `deliver` what goes to the interpreter is still under way."""
+        for _ in range(50):
+            moved = self.scheduler.run_ready()
+            self.dispatch.end_round()
+            if deliver and self.link is not None and self.link.open and (data := self.link.taken()):
+                said = self.interpreter.feed(data)
+                moved = True
+                if said:
+                    self.link.feed(said)
+            for words in self.answers.feed(self.router.taken()):
+                if words[0] != b"0":
+                    self.tries[int(words[0]) - 1].answers.append(words)
+            if not moved:
+                break
+        self.check()
+
+    def wait(self, span: float) -> None:
+        until, timers = self.now + span, self.scheduler.timers
+        while timers and timers[0][0] <= until:
+            when, _, timer = heapq.heappop(timers)
+            self.scheduler.clock.now = max(when, self.now)
+            if timer.action is not None:
+                timer.action()
+            self.settle()
+        self.scheduler.clock.now = until
+        self.settle()
+
+    def check(self) -> None:
+        slack, grace = self.machine.slack + 0.05 + 1e-6, self.machine.drain_grace + 0.05
+        applied = {name: (track, body) for name, track, body in self.interpreter.applied}
+        assert len(applied) == len(self.interpreter.applied), "one try was run twice"
+        made = {b"made of " + body for _, body in applied.values()}
+        ran: dict[bytes, float] = {}
+        for one in self.tries:
+            due = one.since + self.machine.tracks[one.track == b"record"].abandon
+            assert one.cancelled or one.answers or self.now <= min(due + slack, self.stop), "lost"
+            assert len(one.answers) <= 1, "answered twice"
+            word = one.answers[0][1] if one.answers else b""
+            if word == b"OK":
+                assert one.answers[0][3] == b"made of " + one.body and one.answers[0][3] in made, (
+                    "result changed"
+                )
+            if one.name not in applied:
+                continue
+            assert applied[one.name] == (one.track, one.body), "changed on the way"
+            assert one.since <= self.notice + grace, "run after the drain's grace"
+            if one.label:
+                assert word != b"BUSY", "denied what has run"
+                window = self.machine.tracks[1].window
+                assert one.since - ran.get(one.label, -window) >= window, "one label ran twice"
+                ran[one.label] = one.since
