A router that does not read for a while no longer leaves its connection dead

Found by reading: past the high-water mark Stream.read waited for the descriptor to be writable beside _send_rest; the scheduler keeps one waiter an event, so the sender was forgotten, nothing went out any more and the reader spun. Now the reader is parked and the sender wakes it. Guards against peers that never read; its cancels lie unread too.

--- a/sablewheel/program/configuration.py
+++ b/sablewheel/program/configuration.py
@@ -19,7 +19,7 @@
 HALTINGS = {"off": Halting.NEVER, "drop": Halting.DROPS, "pause": Halting.PAUSES}
 SPEECHES = {"off": Speech.SILENT, "tokens": Speech.CREDIT, "min_rank": Speech.LEVEL, "bias": Speech.CHANCE}
 LEVELS = {"debug": "DEBUG", "info": "INFO", "warning": "WARNING", "error": "ERROR"}
-RESERVED = 24  # descriptors that routers' connections don't get: standard ones, poll, links, some in hand
+RESERVED = 12  # descriptors that routers' connections don't get: standard ones, links, some in hand
 
 Choice = TypeVar("Choice")
 
@@ -152,8 +152,8 @@
         naming=top.address("naming"),
         seed=seed,
         stop_after=top.number("stop_ms", 3000, least=1) / 1000,
-        memory_bytes=int(limits.number("memory_mb", 192, least=32) * 1e6),
-        connections_most=limits.whole("sockets", 1024, least=RESERVED + 8) - RESERVED,
+        memory_bytes=int(limits.number("memory_mb", 192, least=8) * 1e6),
+        connections_most=limits.whole("sockets", 1024, least=RESERVED + 4) - RESERVED,
         machine=built,
         tracks={name.encode(): track for name, track in zip(names, built.tracks, strict=True)},
         customers={name.encode(): one for name, one in zip(owners, built.customers, strict=True)},
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -34,7 +34,8 @@
         self.stream = stream
         self.open: dict[int, Exchange] = {}
         self.used = server.scheduler.clock.now
-        self.leaving = False
+        self.leaving = False  # a farewell was said, or nothing more will come
+        self.finished = False  # nothing more will come; answers may be owed
         self._server = server
         self._parser = resp.Parser()
         self._answers: list[Callable[[float | None], bytes]] = []
@@ -48,8 +49,9 @@
                 self.used = self._server.scheduler.clock.now
                 for words in self._parser.feed(data):
                     self._take(words)
-            if self.open and self.stream.open:
+            if self.stream.open and (self.open or not self.stream.all_sent):
                 self._server.count("connections_half_closed")
+                self.leaving = self.finished = True
                 return
         except resp.GarbledError as trouble:
             self._server.count("frames_garbled")
@@ -210,7 +212,7 @@
             if connection.open:
                 continue
             if connection.leaving:
-                if now > connection.used + PARTING:
+                if now > connection.used + PARTING or (connection.finished and connection.stream.all_sent):
                     connection.close()
             elif self._unused_most is not None and now > connection.used + self._unused_most:
                 connection.farewell()
--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -98,9 +98,16 @@
 
     def sleep(self, span: float) -> None:
         me = getcurrent()
-        self.after(span, lambda: self._ready.append((me, 0)))
+        self.after(span, lambda: self.resume(me))
         self._hub.switch()
 
+    def park(self) -> None:
+        """Stand still until somebody calls `resume` with this greenlet."""
+        self._hub.switch()
+
+    def resume(self, waiter: greenlet) -> None:
+        self._ready.append((waiter, 1))
+
     def forget(self, descriptor: int) -> None:
         """The descriptor is about to be closed; who waits for it is told that it is ready, and will see."""
         if self._masks.pop(descriptor, 0):
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -5,10 +5,13 @@
 import errno
 import socket
 from collections.abc import Callable
+from math import inf
+
+from greenlet import getcurrent, greenlet
 
 from .scheduler import READABLE, WRITABLE, Scheduler
 
-CHUNK = 65536  # the most read at once, so that no peer keeps the others waiting
+CHUNK = 131072  # the most read at once, so that no peer keeps the others waiting
 HIGH_WATER = 65536  # unsent bytes past which nothing more is read from a peer
 BACKLOG = 1024
 Address = tuple[str, int]
@@ -17,24 +20,27 @@
 class Stream:
     """One connection. What is written goes out at `flush`, or when the peer takes it."""
 
-    def __init__(self, scheduler: Scheduler, sock: socket.socket) -> None:
+    def __init__(self, scheduler: Scheduler, sock: socket.socket, unsent_most: float = inf) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._scheduler = scheduler
         self._socket = sock
         self._unsent = bytearray()
+        self._unsent_most = unsent_most
+        self._paused: greenlet | None = None  # the reader, while too much is unsent
         self._sending = False
         self.open = True
 
     def read(self) -> bytes:
         """What has come, waiting for it; empty at the end of the stream, however it ended.
 
-        While the peer does not take what was written to it, nothing more is read from it, so that it cannot
-        grow the buffer without bound.
+        While a peer does not take what was written to it, nothing more is read from it. Guards against one
+        that never reads and would grow the buffer without bound; its cancels lie unread as well.
         """
         while self.open:
-            if len(self._unsent) > HIGH_WATER:
-                self._scheduler.wait(self._socket.fileno(), WRITABLE)
+            if len(self._unsent) > self._unsent_most:
+                self._paused = getcurrent()
+                self._scheduler.park()
                 continue
             self._scheduler.wait(self._socket.fileno(), READABLE)
             try:
@@ -57,10 +63,15 @@
                 self._sending = True
                 self._scheduler.spawn(self._send_rest)
 
+    @property
+    def all_sent(self) -> bool:
+        return not self._unsent
+
     def close(self) -> None:
         if self.open:
             self.open = False
             self._unsent.clear()
+            self._go_on_reading()
             self._scheduler.forget(self._socket.fileno())
             self._socket.close()
 
@@ -78,8 +89,15 @@
         while self.open and self._unsent:
             self._scheduler.wait(self._socket.fileno(), WRITABLE)
             self._send()
+            if len(self._unsent) <= self._unsent_most:
+                self._go_on_reading()
         self._sending = False
 
+    def _go_on_reading(self) -> None:
+        if self._paused is not None:
+            self._scheduler.resume(self._paused)
+            self._paused = None
+
 
 def connect(scheduler: Scheduler, address: Address, most: float) -> Stream | None:
     """A connection to the address, or None if there is none within `most` seconds."""
@@ -153,7 +171,7 @@
                 if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     return False
                 continue  # this one was gone before it was taken
-            stream = Stream(self._scheduler, sock)
+            stream = Stream(self._scheduler, sock, HIGH_WATER)
             self._streams.add(stream)
             self._accepted(stream)
         return False
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -264,10 +264,25 @@
         for tag in range(1, 200_000):
             deaf.send(frame(b"RPC.HEALTH", b"%d" % tag, b""))
     assert good.ask(1, good.call(1))[1] == b"OK"
+    deaf.sock.settimeout(PATIENCE)
+    for told in range(1, tag):  # once it reads, it gets all that it is owed
+        assert deaf.read(told)[1] == b"UP"
+
+
+def test_half_a_close_still_gets_its_answer_and_leaves_no_connection(place: Place) -> None:
+    process = place.start()
+    good, half = place.ready(), place.router()
+    half.send(half.call(1))
+    half.sock.shutdown(socket.SHUT_WR)
+    assert half.read(1)[1] == b"OK" and half.ended()
+    process.send_signal(signal.SIGUSR1)
+    assert good.ask(1, good.call(1))[1] == b"OK"
+    good.sock.close()
+    assert "open_connections=1" in leave(process)
 
 
 def test_a_full_table_parts_with_unused_connections(tmp_path: Path) -> None:
-    place = Place(tmp_path, limits={"sockets": 40, "memory_mb": 64})
+    place = Place(tmp_path, limits={"sockets": 28, "memory_mb": 64})
     try:
         place.start()
         place.ready()
