--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -2,26 +2,32 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from .program import configuration, logs
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
 
 
 def main() -> int:
+    """The program as a process; signals that come while it is put together wait until it can take them."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    from .program import configuration, logs
+    from .program.application import Application
+
     try:
         posting = configuration.posting()
     except configuration.FaultyKeyError as trouble:
         print(f"sablewheel: {trouble}", file=sys.stderr)
         return 2
     logs.start(posting.level)
-    from .program.application import Application
-
     try:
         application = Application(posting)
     except OSError as trouble:
         host, port = posting.listen
         print(f"sablewheel: listen: {host}:{port}: {trouble.strerror}", file=sys.stderr)
         return 1
+    application.prepare()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     application.run()
     return 0
 
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -66,19 +66,22 @@
         self._post = Post(posting.naming)
         self._stop_at = 0.0
 
-    def run(self) -> None:
-        """Serve until told to leave, then leave in order."""
+    def prepare(self) -> None:
+        """From here on signals are taken; what they ask for is done in `run`."""
         scheduler = self._scheduler
         scheduler.on_signal(signal.SIGTERM, self._leave)
         scheduler.on_signal(signal.SIGINT, self._leave)
         scheduler.on_signal(signal.SIGUSR1, lambda: self._print("request"))
         scheduler.after_round.append(self._dispatch.end_round)
         scheduler.after_round.append(self._look_for_end)
+
+    def run(self) -> None:
+        """Serve until told to leave, then leave in order."""
         self._report()
         gc.collect()
         gc.freeze()
         log.info("listening", extra={"pairs": {"name": self._posting.name, "phase": self.phase.value}})
-        scheduler.run()
+        self._scheduler.run()
         self._print("exit")
 
     # -- what the interpreter's side tells
