Faults of our own close their connection or renew the link; accepting rests on any error

Read once more: a fault while a connection was read left it open and unread, one in the link's reading left the server without its interpreter, and an accept error that stays would have spun. Also out: state that nothing read.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -116,6 +116,9 @@
             except interpreter.GarbledError as trouble:
                 self._count("notices_garbled")
                 reason = trouble
+            except Exception as trouble:  # a fault of ours must not leave the server without its interpreter
+                log.exception("link broken by a fault")
+                reason = trouble
             log.warning("link to the interpreter lost", extra={"pairs": {"reason": reason}})
             self._stream, self._ready = None, False
             self._commands.clear()
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -41,10 +41,6 @@
         self.server: Server | None = None
         self.client: Client | None = None
 
-    @property
-    def ready(self) -> bool:
-        return self._controller is not None
-
     @property
     def open_count(self) -> int:
         return len(self._exchanges)
@@ -82,7 +78,6 @@
     def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
         """A run is over: its answer goes out with it, and its repeats have theirs."""
         self._happenings.append(terms.Ended(exchange.ticket, took, outcome))
-        exchange.ended = outcome
         if outcome is Outcome.WORKED:
             exchange.complete(result)
             if self._labels.holds(exchange):
@@ -154,7 +149,7 @@
         match deed:
             case terms.Run():
                 if exchange.place is Place.HELD:
-                    exchange.place, exchange.began = Place.RUNNING, self._clock.now
+                    exchange.place = Place.RUNNING
                     self.client.run(exchange)
             case terms.Stop():
                 if exchange.place is Place.RUNNING:
@@ -196,13 +191,11 @@
         if exchange.place is not Place.JOINED:
             return
         if result is None:
-            exchange.ended = Outcome.ERROR
             exchange.terminate()
         else:
-            exchange.ended = Outcome.WORKED
             exchange.complete(result)
-        took = self._clock.now - exchange.began
-        self._happenings.append(terms.Ended(exchange.ticket, took, exchange.ended))
+        outcome = Outcome.ERROR if result is None else Outcome.WORKED
+        self._happenings.append(terms.Ended(exchange.ticket, self._clock.now - exchange.began, outcome))
         self._over(exchange, result)
 
     def _over(self, exchange: Exchange, result: bytes | None = None) -> None:
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -10,7 +10,7 @@
 from enum import Enum, auto
 from typing import Protocol
 
-from ..terms import Outcome, Ticket
+from ..terms import Ticket
 
 
 class Caller(Protocol):
@@ -55,10 +55,9 @@
         self.tag, self.label, self.ticket, self.caller = tag, label, ticket, caller
         self.place = Place.HELD
         self.closed = False  # answered, or nobody waits
-        self.ended: Outcome | None = None  # how its run or its join ended
         self.result: bytes | None = None  # as long as it is kept
         self.joined: list[Exchange] = []  # repeats that wait for its end
-        self.began = 0.0  # when its run or its join was decided
+        self.began = 0.0  # when its join was decided
         self.first: Exchange | None = None  # what it repeats
 
     def complete(self, result: bytes) -> None:
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -56,6 +56,9 @@
         except resp.GarbledError as trouble:
             self._server.count("frames_garbled")
             log.warning("connection closed for what it sent", extra={"pairs": {"reason": trouble}})
+        except Exception:
+            # A fault of ours: what is still to be read here would be lost unread on an open connection.
+            log.exception("connection closed by a fault")
         self.close()
 
     def close(self) -> None:
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -165,13 +165,13 @@
         while self.count() < self._most:
             try:
                 sock, _ = self._socket.accept()
+                stream = Stream(self._scheduler, sock, HIGH_WATER)
             except BlockingIOError:
                 return True
-            except OSError as trouble:
-                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    return False
+            except ConnectionAbortedError:
                 continue  # this one was gone before it was taken
-            stream = Stream(self._scheduler, sock, HIGH_WATER)
+            except OSError:
+                return False  # no descriptor or no memory for it now
             self._streams.add(stream)
             self._accepted(stream)
         return False
