One fence a write; labelled calls without a label are terminated

A call on a labelled track that carries no label is terminated: it could not be told from its repeats. Some names that nothing used are out.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -62,7 +62,7 @@
         self._client = Client(
             scheduler, lambda: connect(scheduler, posting.interpreter, CONNECT_MOST), self, count
         )
-        self._dispatch.server, self._dispatch.client = self._server, self._client
+        self._dispatch.attach(self._server, self._client)
         self._post = Post(posting.naming)
         self._stop_at = 0.0
 
--- a/sablewheel/program/counters.py
+++ b/sablewheel/program/counters.py
@@ -13,8 +13,8 @@
     def __init__(self) -> None:
         self.counts: dict[str, int] = {}
 
-    def count(self, name: str, more: int = 1) -> None:
-        self.counts[name] = self.counts.get(name, 0) + more
+    def count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
 
     def print(self, occasion: str, **gauges: object) -> None:
         """One log line with all of them, and what else is worth knowing at the time."""
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -62,8 +62,8 @@
         self._stream: Stream | None = None
         self._ready = False  # behind the fence
         self._last = 0
-        self._fence = 0  # the last TOP asked for
-        self._written = 0  # the last that went out
+        self._fence = 0  # the last TOP that went out
+        self._asking = False  # one goes out at the end of this round
         self._proven = 0  # the last that was answered: all commands before it were read
         self._commands = bytearray()
         self._gauges: tuple[float | None, ...] = ()
@@ -92,11 +92,11 @@
 
     def flush(self) -> None:
         """At the end of a round: commands go out, a fence behind them."""
-        if self._commands and self._stream is not None:
-            self._write_fence()
-            self._stream.write(bytes(self._commands))
+        if self._stream is not None and (self._commands or self._asking):
+            self._fence += 1
+            self._stream.write(bytes(self._commands) + interpreter.ask_gauges(b"%d" % self._fence))
             self._stream.flush()
-            self._written = self._fence
+        self._asking = False
         self._commands.clear()
 
     # -- the link
@@ -123,7 +123,7 @@
             self._stream, self._ready = None, False
             self._commands.clear()
             for run in self._runs.values():
-                if run.fence > self._written:
+                if run.fence > self._fence:  # never went out
                     run.fence = 0
             stream.close()
             self._scheduler.sleep(FIRST_REST)
@@ -142,7 +142,7 @@
                 match notice:
                     case interpreter.Greeting(cold, age):
                         self._desk.greeted(cold, age)
-                        opening = self._write_fence()
+                        opening, self._asking = self._fence + 1, True
                     case interpreter.RunOver():
                         if notice.number > self._last:
                             self._last = notice.number
@@ -186,14 +186,8 @@
         exchange = run.exchange
         self._commands += interpreter.apply(exchange.name, exchange.track, exchange.body)
 
-    def _write_fence(self) -> int:
-        self._fence += 1
-        self._commands += interpreter.ask_gauges(b"%d" % self._fence)
-        return self._fence
-
     def _ask_gauges(self) -> None:
-        if self._ready:
-            self._write_fence()
+        self._asking = self._asking or self._ready
         self._scheduler.after(GAUGES_EVERY, self._ask_gauges)
 
     # -- what it tells
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -38,8 +38,12 @@
         self._happenings: list[Happening] = []
         self._undecided: set[bytes] = set()  # labels among them
         self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
-        self.server: Server | None = None
-        self.client: Client | None = None
+        self._server: Server
+        self._client: Client
+
+    def attach(self, server: Server, client: Client) -> None:
+        """The two sides, which were given this as their desk."""
+        self._server, self._client = server, client
 
     @property
     def open_count(self) -> int:
@@ -93,7 +97,7 @@
         self._happenings.append(terms.Notice(left))
 
     def _ring(self) -> None:
-        told = self.client.gauges() if self.client is not None else ()
+        told = self._client.gauges()
 
         def gauge(place: int | None) -> float:
             value = told[place] if place is not None and place < len(told) else None
@@ -106,9 +110,8 @@
     def end_round(self) -> None:
         self.decide()
         self._labels.sweep(self._clock.now)
-        assert self.server is not None and self.client is not None
-        self.client.flush()
-        self.server.flush()
+        self._client.flush()
+        self._server.flush()
 
     def decide(self) -> None:
         """Batches until nothing is left: some deeds are followed by a happening at once."""
@@ -132,8 +135,7 @@
                 case terms.Health(good):
                     self._standing.good = good
                 case terms.CloseIdle(after):
-                    assert self.server is not None
-                    self.server.close_unused(after or self._machine.idle)
+                    self._server.close_unused(after or self._machine.idle)
                 case terms.Log(words):
                     log.info("controller", extra={"pairs": {"says": words}})
                 case _:
@@ -145,15 +147,14 @@
 
     def _act(self, deed: Deed, exchange: Exchange) -> None:
         """A deed on a ticket that is not over."""
-        assert self.client is not None
         match deed:
             case terms.Run():
                 if exchange.place is Place.HELD:
                     exchange.place = Place.RUNNING
-                    self.client.run(exchange)
+                    self._client.run(exchange)
             case terms.Stop():
                 if exchange.place is Place.RUNNING:
-                    self.client.halt(exchange)
+                    self._client.halt(exchange)
             case terms.Deny(_, come_back, nowhere):
                 exchange.deny(come_back, nowhere)
                 self._answered(exchange)
--- a/sablewheel/routing/labels.py
+++ b/sablewheel/routing/labels.py
@@ -56,9 +56,6 @@
         while self._kept and not self.holds(self._kept[0]):
             self._drop()
 
-    def __len__(self) -> int:
-        return len(self._entries)
-
     def _drop(self) -> None:
         exchange = self._kept.popleft()
         self._bytes -= len(exchange.result or b"")
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from ..protocol import resp
-from ..terms import Customer, Router, Ticket, Track
+from ..terms import Customer, Nature, Router, Ticket, Track
 from ..transport.scheduler import Scheduler
 from ..transport.stream import Stream
 from .exchange import Exchange, Standing
@@ -181,6 +181,8 @@
             raise resp.FaultyError(f"no such track: {asked.track[:40]!r}", asked.tag)
         if customer is None and self._customers:
             raise resp.FaultyError(f"no such customer: {asked.customer[:40]!r}", asked.tag)
+        if track.nature is Nature.LABELLED and not asked.label:
+            raise resp.FaultyError("no label on a track that needs one", asked.tag)
         router = self._routers.pop(asked.router, None) or Router()
         self._routers[asked.router] = router
         if len(self._routers) > ROUTERS_MOST:
@@ -212,10 +214,10 @@
     def _sweep(self) -> None:
         now = self.scheduler.clock.now
         for connection in list(self.connections):
-            if connection.open:
+            if connection.open or not connection.stream.all_sent:
                 continue
             if connection.leaving:
-                if now > connection.used + PARTING or (connection.finished and connection.stream.all_sent):
+                if connection.finished or now > connection.used + PARTING:
                     connection.close()
             elif self._unused_most is not None and now > connection.used + self._unused_most:
                 connection.farewell()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -247,17 +247,18 @@
     bad[3] = call(63, b"00ff", b"lookup", since, b"x" * 2049)
     bad[4] = frame(b"RPC.NOVEL", b"64", b"")
     bad[5] = bad[5].replace(b"sender=4", b"render=4")
+    bad[6] = call(66, b"00ff", b"record", since, b"")
     town.server.connections.clear()
     words = []
-    for data in bad[:6]:
+    for data in bad[:7]:
         town.router.feed(data)
         town.scheduler.run_ready()
         town.dispatch.end_round()
         words += town.answers.feed(town.router.taken())
-    assert [(one[0], one[1]) for one in words] == [(b"%d" % tag, b"FAILED") for tag in range(60, 66)]
+    assert [(one[0], one[1]) for one in words] == [(b"%d" % tag, b"FAILED") for tag in range(60, 67)]
     town.end(good.name)
     town.settle()
-    assert good.answers[0][1] == b"OK" and town.counts.count("frames_faulty") == 6
+    assert good.answers[0][1] == b"OK" and town.counts.count("frames_faulty") == 7
 
 
 def test_more_than_32_open_are_terminated_and_a_tag_used_twice_ends_its_connection() -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -338,6 +338,7 @@
 
     def __init__(self, scheduler: MadeScheduler) -> None:
         self.made, self.open = scheduler, True
+        self._unsent = bytearray()
         self.fed: deque[bytes] = deque()
         self.written = bytearray()
         self.reader: greenlet | None = None
@@ -407,7 +408,7 @@
         self.link: MadeStream | None = None
         self.interpreter = Interpreter()
         self.client = Client(self.scheduler, self._connect, self, self.counts.append)
-        self.dispatch.server, self.dispatch.client = self.server, self.client
+        self.dispatch.attach(self.server, self.client)
         self.router, self.answers = MadeStream(self.scheduler), Parser()
         self.server.accepted(self.router)
         self.tries: list[Try] = []
