Configuration: any odd value is named; tests for faults of ours

Every key of a whole configuration was set to fifteen odd values in turn: a list item of the wrong kind ended in a traceback, and a host name that nobody resolves would have ended the link's greenlet for good. A missing seed was told as one that is not hexadecimal.

--- a/sablewheel/program/configuration.py
+++ b/sablewheel/program/configuration.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from math import inf
@@ -70,15 +71,20 @@
         return Section(self.raw(key, default), self.name(key))
 
     def sections(self, key: str, default: Any = ...) -> list[Section]:
-        values = self.list(key, default)
+        values = self.items(key, default)
         return [Section(one, f"{self.name(key)}[{place}]") for place, one in enumerate(values)]
 
-    def list(self, key: str, default: Any = ...) -> list[Any]:
+    def items(self, key: str, default: Any = ...) -> list[Any]:
         values = self.raw(key, default)
         if not isinstance(values, list):
             raise FaultyKeyError(f"{self.name(key)}: a list is wanted")
         return values
 
+    def places(self, key: str) -> Section:
+        """A list whose items are read one by one, by place."""
+        items = enumerate(self.items(key, []))
+        return Section({str(place): item for place, item in items}, self.name(key))
+
     def number(self, key: str, default: Any = ..., least: float = 0.0, most: float = inf) -> float:
         value = self.raw(key, default)
         if isinstance(value, bool) or not isinstance(value, (int, float)):
@@ -114,10 +120,23 @@
     def address(self, key: str) -> tuple[str, int]:
         value = self.text(key)
         host, colon, port = value.rpartition(":")
-        if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-            raise FaultyKeyError(f"{self.name(key)}: HOST:PORT is wanted, got {value!r:.60}")
+        try:
+            socket.inet_pton(socket.AF_INET, host)  # no names: there may be nobody to resolve them
+        except (OSError, ValueError):
+            colon = ""
+        if not (colon and port.isascii() and port.isdigit() and len(port) < 6 and 0 < int(port) < 65536):
+            raise FaultyKeyError(
+                f"{self.name(key)}: an IPv4 address and a port are wanted, got {value!r:.40}"
+            )
         return host, int(port)
 
+    def names(self, key: str) -> list[bytes]:
+        """The names of a list's items, as they stand on the wire; each must be its own."""
+        names = [one.text("name").encode("utf-8", "replace") for one in self.sections(key, [])]
+        if len(set(names)) < len(names):
+            raise FaultyKeyError(f"{self.name(key)}: a name is there twice")
+        return names
+
     def numbers(self, key: str) -> tuple[tuple[str, float], ...]:
         inner = self.section(key, {})
         return tuple((name, inner.number(name, least=-inf)) for name in inner._values)
@@ -137,14 +156,14 @@
         raise FaultyKeyError(f"RELAY_CONFIG: {path} is not JSON: {trouble}") from None
     top = Section(told)
     limits, settings = top.section("limits", {}), top.section("settings")
+    digits = top.text("seed")
     try:
-        seed = int(top.text("seed"), 16)
+        seed = int(digits, 16)
     except ValueError:
         raise FaultyKeyError("seed: hexadecimal digits are wanted") from None
     built = machine(settings)
-    gauges = settings.section("extra").list("gauges", [])
-    names = [one.text("name") for one in settings.sections("classes")]
-    owners = [one.text("name") for one in settings.sections("orgs", [])]
+    gauges = settings.section("extra").items("gauges", [])
+    names, owners = settings.names("classes"), settings.names("orgs")
     return Posting(
         name=top.text("name"),
         listen=top.address("listen"),
@@ -155,8 +174,8 @@
         memory_bytes=int(limits.number("memory_mb", 192, least=8) * 1e6),
         connections_most=limits.whole("sockets", 1024, least=RESERVED + 4) - RESERVED,
         machine=built,
-        tracks={name.encode(): track for name, track in zip(names, built.tracks, strict=True)},
-        customers={name.encode(): one for name, one in zip(owners, built.customers, strict=True)},
+        tracks=dict(zip(names, built.tracks, strict=True)),
+        customers=dict(zip(owners, built.customers, strict=True)),
         gauge_places=(
             gauges.index("cpu_busy") if "cpu_busy" in gauges else None,
             gauges.index("sockets") if "sockets" in gauges else None,
@@ -172,7 +191,7 @@
     tracks = settings.sections("classes")
     if not tracks:
         raise FaultyKeyError(f"{settings.name('classes')}: at least one is wanted")
-    calls, skips = extra.list("class-calls", []), extra.list("class-skip-worth", [])
+    calls, skips = extra.places("class-calls"), extra.places("class-skip-worth")
     habits = settings.section("client-habits", {})
     return Machine(
         tracks=tuple(
@@ -185,8 +204,8 @@
                 late_share=one.number("late-worth", 0.0),
                 window=one.number("window-s", 0.0),
                 goal_stretch=one.number("aim-stretch", 0.0),
-                calls=bool(calls[place]) if place < len(calls) else False,
-                skip_share=float(skips[place]) if place < len(skips) else 0.0,
+                calls=calls.flag(str(place), False),
+                skip_share=skips.number(str(place), 0.0),
             )
             for place, one in enumerate(tracks)
         ),
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -104,7 +104,7 @@
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError:
-        return None
+        return None  # no descriptor for it now
     sock.setblocking(False)
     code = sock.connect_ex(address)
     if code == errno.EINPROGRESS:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -98,7 +98,7 @@
             "seed": "8c1f30d27a5be964",
             "stop_ms": 1500,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "settings": SETTINGS,
+            "settings": json.loads(json.dumps(SETTINGS)),
             **changes,
         }
         self.processes: list[subprocess.Popen[str]] = []
@@ -327,6 +327,31 @@
     assert process.returncode == 2 and text.startswith(f"sablewheel: {key}: ") and text.count("\n") == 1
 
 
+def paths(value: Any, at: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    for key, inner in value.items() if isinstance(value, dict) else enumerate(value):
+        yield (*at, key)
+        if isinstance(inner, dict | list):
+            yield from paths(inner, (*at, key))
+
+
+ODD: list[Any] = [None, "", "x", "x:1", -1, 0.5, 1e400, 10**30, True, [], [[]], [{}], ["x"], {}, {"x": []}]
+
+
+def test_any_odd_value_anywhere_is_taken_or_named(place: Place) -> None:
+    place.told["settings"]["extra"] |= {"class-calls": [False, False], "class-skip-worth": [0.5]}
+    place.told["settings"]["goal"] = {"whole": 1.0}
+    for path in list(paths(place.told)):
+        for odd in ODD:
+            told = json.loads(json.dumps(place.told))
+            inner = told
+            for key in path[:-1]:
+                inner = inner[key]
+            inner[path[-1]] = odd
+            place.file.write_text(json.dumps(told))
+            with contextlib.suppress(configuration.FaultyKeyError):
+                configuration.posting({"RELAY_CONFIG": str(place.file)})
+
+
 def test_no_file_no_json_and_an_address_in_use_are_told_in_a_line(place: Place) -> None:
     for text, said in ((None, "RELAY_CONFIG: "), ("{", "RELAY_CONFIG: ")):
         environment = {"RELAY_CONFIG": str(place.file)}
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -302,3 +302,33 @@
     one = town.call(b"lookup")
     town.settle()
     assert [name for name, *_ in town.interpreter.applied] == [one.name]
+
+
+def test_a_fault_of_ours_costs_one_connection_or_one_link() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+
+    def fault(*_: object) -> None:
+        raise RuntimeError("a fault of ours")
+
+    town.ended = fault  # type: ignore[method-assign, assignment]
+    town.end(one.name)
+    town.wait(1.0)
+    assert town.counts.count("links") == 2 and town.link is not None and town.link.open
+    del town.ended
+    town.server.desk = type("Faulty", (), {"arrived": fault, "gone": lambda *_: None})()
+    town.router.feed(call(99, b"00ff", b"lookup", town.now, b""))
+    town.scheduler.run_ready()
+    assert not town.router.open and not town.server.connections
+
+
+def test_unused_connections_with_answers_to_take_are_not_cut_off() -> None:
+    town = Town(MACHINE)
+    town.server.farewell()
+    town.router._unsent += b"an answer that the router has not taken yet"
+    town.wait(3.0)
+    assert town.router.open
+    town.router._unsent.clear()
+    town.wait(1.0)
+    assert not town.router.open
