--- a/sablewheel/benchlink/host.py
+++ b/sablewheel/benchlink/host.py
@@ -66,7 +66,6 @@
             kb=number(parts[11], 0.0),
             wait_left=wait_left if self.machine.told_wait and parts[7] != "-" else None,
             estimate=number(parts[6]) if marks & HINTED and parts[6] != "-" else None,
-            rank=number(parts[1], 0.0),
             again=bool(marks & AGAIN),
             writes=bool(marks & WRITES),
             subject=parts[8] if parts[8] != "-" else None,
--- a/sablewheel/program/configuration.py
+++ b/sablewheel/program/configuration.py
@@ -14,7 +14,7 @@
 from math import inf
 from typing import Any, TypeVar
 
-from ..terms import Customer, Halting, Ledger, Location, Machine, Nature, Speech, Track
+from ..terms import Customer, Halting, Ledger, Machine, Nature, Speech, Track
 
 NATURES = {"safe": Nature.REDOABLE, "keyed": Nature.LABELLED, "unsafe": Nature.IRREVERSIBLE}
 HALTINGS = {"off": Halting.NEVER, "drop": Halting.DROPS, "pause": Halting.PAUSES}
@@ -137,10 +137,6 @@
             raise FaultyKeyError(f"{self.name(key)}: a name is there twice")
         return names
 
-    def numbers(self, key: str) -> tuple[tuple[str, float], ...]:
-        inner = self.section(key, {})
-        return tuple((name, inner.number(name, least=-inf)) for name in inner._values)
-
 
 def posting(environment: Mapping[str, str] = os.environ) -> Posting:
     """What this instance is told: the file that RELAY_CONFIG names, and SABLEWHEEL_LOG for the log level."""
@@ -196,12 +192,9 @@
     return Machine(
         tracks=tuple(
             Track(
-                position=place,
                 nature=one.choice("repeat", NATURES),
                 goal=one.number("on-time-s"),
                 abandon=one.number("deadline-s"),
-                earnings=one.number("worth", 1.0),
-                late_share=one.number("late-worth", 0.0),
                 window=one.number("window-s", 0.0),
                 goal_stretch=one.number("aim-stretch", 0.0),
                 calls=calls.flag(str(place), False),
@@ -213,10 +206,8 @@
         memory_kb=extra.number("memory-kb"),
         run_factor=extra.number("run-factor", 1.0),
         customers=tuple(
-            Customer(quota=one.number("quota-rps", 0.0), share=one.number("fraction", 0.0))
-            for one in settings.sections("orgs", [])
+            Customer(quota=one.number("quota-rps", 0.0)) for one in settings.sections("orgs", [])
         ),
-        location=Location(settings.whole("my-zone", 0)),
         ledger=_ledger(extra),
         servers=settings.whole("servers", 1) or 1,
         routers=extra.whole("callers", 1) or 1,
@@ -226,13 +217,9 @@
         said_for=extra.number("said-for-s", 0.0),
         share_reads_for=extra.number("share-for-s", 0.0),
         told_wait=extra.flag("passes-deadline", False),
-        told_gone=extra.flag("tells-gone", False),
         marks_again=habits.flag("marks-retry", False),
-        by_work=settings.raw("value-by", "request") == "work",
         over_share_worth=settings.number("over-share-worth", 1.0),
         fresh_start=extra.flag("fresh-start", False),
-        deep_checks=extra.flag("deep-checks", False),
-        readiness=extra.flag("readiness", False),
         idle=extra.number("idle-s", 0.0),
         tick=settings.number("tick-s", 0.0),
         slack=safety.number("answer-slack-s", 0.0),
@@ -242,8 +229,6 @@
         cold_from=safety.number("cold-from", 1.0),
         warm_up=safety.number("warm-up-s", 0.0),
         advice_limit=limits.number("max-retry-after-s", 0.0) if limits.flag("retry-after", False) else 0.0,
-        goal_weights=settings.numbers("goal"),
-        charges=settings.numbers("charges"),
     )
 
 
@@ -253,7 +238,6 @@
         return None
     in_hand = extra.number("calls-out", -1.0, least=-1.0)
     return Ledger(
-        common=below == "common",
         in_hand=in_hand if below == "common" and in_hand >= 0 else None,
         span=extra.number("share-span-s", 0.0),
         linger=extra.number("lingers-s", 0.0),
--- a/sablewheel/protocol/resp.py
+++ b/sablewheel/protocol/resp.py
@@ -34,7 +34,6 @@
     customer: bytes
     since: float
     kb: float
-    rank: float
     label: bytes | None
     subject: str | None
     body: bytes
@@ -153,7 +152,6 @@
             customer=fields.get(b"project", b""),
             since=int(fields[b"since"]) / 1000,
             kb=float(fields[b"room"]),
-            rank=float(fields.get(b"class_rank", b"0")),
             label=fields.get(b"replay"),
             subject=fields[b"lookup"].decode("ascii") if b"lookup" in fields else None,
             body=body,
@@ -162,7 +160,7 @@
         raise FaultyError(f"no field {missing}", tag) from None
     except ValueError as trouble:
         raise FaultyError(f"a field that can't be read: {trouble}", tag) from None
-    if not (0 < asked.kb < 1e9 and 0 <= asked.rank <= 1 and 0 < asked.since < 1e12):
+    if not (0 < asked.kb < 1e9 and 0 < asked.since < 1e12):
         raise FaultyError("a figure out of range", tag)
     if not (len(asked.name) <= 64 and asked.name.isalnum() and asked.router.isdigit()):
         raise FaultyError("a name that can't be read", tag)
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -187,7 +187,7 @@
         self._routers[asked.router] = router
         if len(self._routers) > ROUTERS_MOST:
             del self._routers[next(iter(self._routers))]
-        return Ticket(track, router, customer, asked.since, asked.kb, rank=asked.rank, subject=asked.subject)
+        return Ticket(track, router, customer, asked.since, asked.kb, subject=asked.subject)
 
     def flush(self) -> None:
         """At the end of a round: everything queued goes out, connection by connection."""
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -63,14 +63,11 @@
 
 @dataclass(frozen=True, eq=False)
 class Track:
-    """A class of tickets; `position` is its place in the settings' list."""
+    """A class of tickets."""
 
-    position: int
     nature: Nature
     goal: float
     abandon: float
-    earnings: float = 1.0
-    late_share: float = 0.0
     window: float = 0.0
     goal_stretch: float = 0.0
     calls: bool = False
@@ -82,21 +79,12 @@
     """Whose tickets they are; `quota` is tickets a second over the whole fleet."""
 
     quota: float
-    share: float
-
-
-@dataclass(frozen=True, eq=False)
-class Location:
-    """A zone of the site."""
-
-    position: int
 
 
 @dataclass(frozen=True, eq=False)
 class Ledger:
     """What tickets call; `in_hand` is this server's share of what it survives, None if not told."""
 
-    common: bool
     in_hand: float | None = None
     span: float = 0.0
     linger: float = 0.0
@@ -119,7 +107,6 @@
     memory_kb: float
     run_factor: float
     customers: tuple[Customer, ...] = ()
-    location: Location | None = None
     ledger: Ledger | None = None
     servers: int = 1
     routers: int = 1
@@ -129,13 +116,9 @@
     said_for: float = 0.0
     share_reads_for: float = 0.0
     told_wait: bool = False
-    told_gone: bool = False
     marks_again: bool = False
-    by_work: bool = False
     over_share_worth: float = 1.0
     fresh_start: bool = False
-    deep_checks: bool = False
-    readiness: bool = False
     idle: float = 0.0
     tick: float = 0.0
     slack: float = 0.0
@@ -145,8 +128,6 @@
     cold_from: float = 1.0
     warm_up: float = 0.0
     advice_limit: float = 0.0
-    goal_weights: tuple[tuple[str, float], ...] = ()
-    charges: tuple[tuple[str, float], ...] = ()
 
 
 @dataclass(eq=False, slots=True, weakref_slot=True)
@@ -160,7 +141,6 @@
     kb: float
     wait_left: float | None = None
     estimate: float | None = None
-    rank: float = 0.0
     again: bool = False
     writes: bool = False
     subject: str | None = None
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -339,7 +339,6 @@
 
 def test_any_odd_value_anywhere_is_taken_or_named(place: Place) -> None:
     place.told["settings"]["extra"] |= {"class-calls": [False, False], "class-skip-worth": [0.5]}
-    place.told["settings"]["goal"] = {"whole": 1.0}
     for path in list(paths(place.told)):
         for odd in ODD:
             told = json.loads(json.dumps(place.told))
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -91,7 +91,7 @@
                   b",class_rank=0.6250,replay=5c0f,novel=x", b"\0body")  # fmt: skip
     asked = resp.message(resp.Parser().feed(words)[0])
     assert asked == resp.Asked(
-        9, b"0a", b"record", b"4", b"acme", 1764576000.123, 24.5, 0.625, b"5c0f", None, b"\0body"
+        9, b"0a", b"record", b"4", b"acme", 1764576000.123, 24.5, b"5c0f", None, b"\0body"
     )
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,14 +9,13 @@
 from sablewheel.terms import Customer, Halting, Machine, Nature, Track
 
 MACHINE = Machine(
-    tracks=(Track(0, Nature.REDOABLE, 1.0, 4.0), Track(1, Nature.LABELLED, 1.5, 4.0, 2.0, window=6.0)),
+    tracks=(Track(Nature.REDOABLE, 1.0, 4.0), Track(Nature.LABELLED, 1.5, 4.0, window=6.0)),
     cores=2,
     memory_kb=2000.0,
     run_factor=4.0,
-    customers=(Customer(50.0, 0.5),),
+    customers=(Customer(50.0),),
     label_kb=0.2,
     halting=Halting.DROPS,
-    told_gone=True,
     tick=0.002,
     slack=0.08,
     drain_grace=1.0,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,9 +16,9 @@
 
 PLAIN = Machine(
     tracks=(
-        Track(0, Nature.REDOABLE, 1.0, 4.0, calls=True, skip_share=0.5),
-        Track(1, Nature.LABELLED, 1.5, 4.0, 2.0, window=6.0, calls=True),
-        Track(2, Nature.IRREVERSIBLE, 1.0, 3.0, calls=True),
+        Track(Nature.REDOABLE, 1.0, 4.0, calls=True, skip_share=0.5),
+        Track(Nature.LABELLED, 1.5, 4.0, window=6.0, calls=True),
+        Track(Nature.IRREVERSIBLE, 1.0, 3.0, calls=True),
     ),
     cores=2,
     memory_kb=400.0,
@@ -35,7 +35,7 @@
     advice_limit=1.0,
     said_for=1.0,
 )
-LEDGERS = [None, Ledger(True, 0.4, 2.0, 0.2), Ledger(True, 3.0, 2.0, 0.2), Ledger(False)]
+LEDGERS = [None, Ledger(0.4, 2.0, 0.2), Ledger(3.0, 2.0, 0.2), Ledger()]
 MACHINES = st.builds(
     lambda halting, speech, ledger, cold, memory, quota, wait, routers: replace(
         PLAIN,
@@ -44,7 +44,7 @@
         ledger=ledger,
         fresh_start=cold,
         memory_kb=memory,
-        customers=(Customer(quota, 0.5), Customer(quota, 0.5)) if quota else (),
+        customers=(Customer(quota), Customer(quota)) if quota else (),
         over_share_worth=0.05,
         told_wait=wait,
         routers=routers,
@@ -160,7 +160,7 @@
 
 def test_calls_go_out_before_spent_budgets_are_looked_at() -> None:
     """A ticket with no budget left lost its call although the ledger had room."""
-    world = World(replace(PLAIN, ledger=Ledger(True, 3.0, 2.0, 0.2)))
+    world = World(replace(PLAIN, ledger=Ledger(3.0, 2.0, 0.2)))
     fact = taken(world, 0, wait_left=0.01)
     world.need(fact)
     deeds(world)
@@ -169,7 +169,7 @@
 
 def test_calls_that_ended_leave_the_books_without_lingering() -> None:
     """Booking every ended call with the linger of an abandoned one filled the share with nothing."""
-    world = World(replace(PLAIN, ledger=Ledger(True, 0.4, 2.0, 0.2)))
+    world = World(replace(PLAIN, ledger=Ledger(0.4, 2.0, 0.2)))
     for _ in range(5):
         fact = taken(world, 0)
         world.need(fact)
@@ -231,7 +231,7 @@
 
 def test_a_ticket_within_its_share_is_not_denied_for_waiters_beyond_theirs() -> None:
     """What started last grew old in the hold, and its age denied everybody who would start before it."""
-    machine = replace(PLAIN, customers=(Customer(0.1, 0.5), Customer(50.0, 0.5)), over_share_worth=0.05)
+    machine = replace(PLAIN, customers=(Customer(0.1), Customer(50.0)), over_share_worth=0.05)
     world = World(machine)
     flood = [world.arrive(0) for _ in range(4)]
     deeds(world)
@@ -256,7 +256,7 @@
 
 def test_a_bad_spell_in_the_samples_leaves_room_in_the_hold() -> None:
     """After a flood the p99 of a few slow runs denied all that had to wait, beside idle cores."""
-    world = World(replace(PLAIN, tracks=(Track(0, Nature.REDOABLE, 1.0, 4.0), *PLAIN.tracks[1:])))
+    world = World(replace(PLAIN, tracks=(Track(Nature.REDOABLE, 1.0, 4.0), *PLAIN.tracks[1:])))
     for took in [0.2] * 9 + [6.0]:
         fact = taken(world, 0)
         fact.place = OVER
@@ -273,7 +273,7 @@
 
 def test_tickets_at_calls_leave_their_cores_to_others() -> None:
     """Two tickets at a slow ledger filled the pool of a 2-core server, and its cores stood idle."""
-    world = World(replace(PLAIN, ledger=Ledger(True, 3.0, 2.0, 0.2)))
+    world = World(replace(PLAIN, ledger=Ledger(3.0, 2.0, 0.2)))
     facts = [world.arrive(0) for _ in range(2)]
     deeds(world)
     world.arrive(0, kb=5000.0)  # denied for its memory: the server counts as pressed
@@ -288,8 +288,8 @@
 @pytest.mark.parametrize("skip", [0.0, 0.5])
 def test_no_ticket_is_run_up_to_a_call_that_cannot_be_made_in_time(skip: float) -> None:
     """While the ledger was slow a quarter of the tickets ran and then failed where they stood."""
-    tracks = (Track(0, Nature.REDOABLE, 2.0, 4.0, calls=True, skip_share=skip), *PLAIN.tracks[1:])
-    world = World(replace(PLAIN, tracks=tracks, cores=1, ledger=Ledger(True, 0.2, 2.0, 0.0)))
+    tracks = (Track(Nature.REDOABLE, 2.0, 4.0, calls=True, skip_share=skip), *PLAIN.tracks[1:])
+    world = World(replace(PLAIN, tracks=tracks, cores=1, ledger=Ledger(0.2, 2.0, 0.0)))
     fact = taken(world, 0)
     world.need(fact)
     deeds(world)
@@ -322,8 +322,8 @@
 
 def test_a_ticket_stands_at_a_call_no_longer_than_its_budget() -> None:
     """Tickets long past their goals stood first in the queue to a slow ledger and failed all behind them."""
-    tracks = (Track(0, Nature.REDOABLE, 1.0, 8.0, calls=True), *PLAIN.tracks[1:])
-    world = World(replace(PLAIN, tracks=tracks, ledger=Ledger(True, 0.1, 2.0, 0.2)))
+    tracks = (Track(Nature.REDOABLE, 1.0, 8.0, calls=True), *PLAIN.tracks[1:])
+    world = World(replace(PLAIN, tracks=tracks, ledger=Ledger(0.1, 2.0, 0.2)))
     fact = taken(world, 0)
     world.need(fact)
     world.wait(4.2)
