--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,7 +4,9 @@
 
 import contextlib
 import json
+import logging
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,7 +20,7 @@
 import pytest
 from world import Interpreter, call, frame
 
-from sablewheel.program import configuration
+from sablewheel.program import configuration, logs
 from sablewheel.protocol.resp import Parser
 
 PATIENCE = 20.0
@@ -150,7 +152,6 @@
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.parser = sock, Parser()
         self.frames: list[list[bytes]] = []
-        self.names = 0
 
     def send(self, data: bytes) -> None:
         self.sock.sendall(data)
@@ -256,6 +257,27 @@
     assert good.ask(1, good.call(1))[1] == b"OK"
 
 
+def test_noise_from_routers_and_interpreter_leaves_the_server_serving(place: Place) -> None:
+    process = place.start()
+    good, lots = place.ready(), random.Random(7)
+    whole = good.call(1)
+    for _ in range(60):
+        noise = place.router()
+        start = lots.randrange(len(whole))
+        with contextlib.suppress(OSError):  # it may be closed half-way through
+            noise.send(whole[:start] + lots.randbytes(lots.randrange(40)) + whole[start:])
+            noise.send(lots.randbytes(200))
+        noise.sock.close()
+    assert place.engine.link is not None
+    for _ in range(3):
+        with contextlib.suppress(OSError):
+            place.engine.link.sendall(b"\0 VALUE\r\n")
+        time.sleep(0.05)
+    assert good.ask(9, good.call(9))[1] == b"OK"
+    good.sock.close()
+    assert "Traceback" not in leave(process)
+
+
 def test_a_router_that_does_not_read_stalls_nobody(place: Place) -> None:
     place.start()
     good, deaf = place.ready(), place.router()
@@ -369,3 +391,18 @@
 def test_the_adapter_needs_no_greenlet() -> None:
     program = "import sys, sablewheel.benchlink.__main__; sys.exit('greenlet' in sys.modules)"
     assert subprocess.run([sys.executable, "-c", program], timeout=PATIENCE).returncode == 0
+
+
+def test_the_log_is_key_value_and_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    second, bound, form = 5.0, logs.RateBound(), logs.KeyValueFormatter()
+    monkeypatch.setattr(time, "monotonic", lambda: second)
+    record = logging.LogRecord(
+        "sablewheel.routing.server", logging.WARNING, "", 0, "faulty frame", None, None
+    )
+    record.pairs = {"tag": 7, "reason": 'a "b"\nc', "empty": ""}
+    passed = sum(bound.filter(record) is True for _ in range(logs.LINES_A_SECOND + 30))
+    assert passed == logs.LINES_A_SECOND
+    second = 6.0
+    assert bound.filter(record)
+    said = 'from=routing.server event="faulty frame" tag=7 reason="a \\"b\\"\\nc" empty="" left_out=30'
+    assert form.format(record).endswith(said)
