--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -71,7 +71,7 @@
         scheduler = self._scheduler
         scheduler.on_signal(signal.SIGTERM, self._leave)
         scheduler.on_signal(signal.SIGINT, self._leave)
-        scheduler.on_signal(signal.SIGUSR1, lambda: self._print("request"))
+        scheduler.on_signal(signal.SIGUSR1, lambda: self._print("asked"))
         scheduler.after_round.append(self._dispatch.end_round)
         scheduler.after_round.append(self._look_for_end)
 
@@ -113,7 +113,7 @@
         self._dispatch.notice(posting.stop_after)
         self._enter(Phase.DRAINING)
         self._report()
-        # Past the grace nothing that comes may run: a refused connection says so soonest.
+        # Past the grace nothing that comes may run: a closed door says so soonest.
         grace = min(posting.machine.drain_grace, posting.stop_after - 2 * LAST_INSTANT)
         self._scheduler.after(max(grace, 0.0), self._part)
 
--- a/sablewheel/program/counters.py
+++ b/sablewheel/program/counters.py
@@ -1,4 +1,4 @@
-"""What came in, was sent and answered: plain counts, printed on request and at exit."""
+"""What came in, was sent and answered: plain counts, printed when asked for and at exit."""
 
 from __future__ import annotations
 
--- a/sablewheel/protocol/interpreter.py
+++ b/sablewheel/protocol/interpreter.py
@@ -3,11 +3,31 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import TypeAlias
 
+from ..terms import Outcome
+
 LINE_MOST = 4096
 RESULT_MOST = 1 << 20
-ENDS = frozenset((b"success", b"failure", b"interrupted", b"nothing"))
+ENDS = {
+    b"success": Outcome.WORKED,
+    b"failure": Outcome.ERROR,
+    b"interrupted": Outcome.STOPPED,
+    b"nothing": Outcome.MOOT,
+}
+
+
+class Command(Enum):
+    """What a command was for."""
+
+    START = auto()
+    HALT = auto()
+    GAUGES = auto()
+    OTHER = auto()
+
+
+COMMANDS = {b"APPLY": Command.START, b"BREAK": Command.HALT, b"TOP": Command.GAUGES}
 
 
 class GarbledError(ValueError):
@@ -28,7 +48,7 @@
 
     number: int
     name: bytes
-    end: bytes
+    outcome: Outcome
     took: float
     result: bytes
 
@@ -45,7 +65,7 @@
 class Rejected:
     """A command was not carried out."""
 
-    command: bytes
+    command: Command
     name: bytes
 
 
@@ -112,7 +132,7 @@
 def _run_over(words: list[bytes], result: bytes) -> RunOver:
     if words[3] not in ENDS:
         raise GarbledError(f"no such end: {words[3]!r}")
-    return RunOver(_whole(words[1]), words[2], words[3], _number(words[4]) / 1000, result)
+    return RunOver(_whole(words[1]), words[2], ENDS[words[3]], _number(words[4]) / 1000, result)
 
 
 def _notice(words: list[bytes]) -> Notice:
@@ -124,7 +144,7 @@
         case [b"TOPS", tag, *values]:
             return Gauges(tag, tuple(None if value == b"-" else _number(value) for value in values))
         case [b"ERROR", command, name, *_]:
-            return Rejected(command, name)
+            return Rejected(COMMANDS.get(command, Command.OTHER), name)
         case [b"TRACE", number, *_]:
             return Remark(_whole(number))
     raise GarbledError(f"not a notice: {b' '.join(words)[:80]!r}")
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -1,7 +1,8 @@
 """The link to the interpreter: runs, stops and gauges. Knows no router and no decision.
 
-The link may break and come back. What ended meanwhile is told again by number; a `TOP` sent behind `CONNECT`
-is the fence behind which all of that is in. Commands given while there is no link wait for that fence.
+The link may break and come back. What ended meanwhile is told again by number; a question for gauges, asked
+when the greeting has come, is the fence: its answer says that all of that is in. Commands given while there is
+no link wait for it.
 """
 
 from __future__ import annotations
@@ -19,13 +20,6 @@
 FIRST_REST, LAST_REST = 0.02, 0.5  # between tries, doubling
 GAUGES_EVERY, GAUGES_HOLD = 0.2, 0.5
 
-ENDS = {
-    b"success": Outcome.WORKED,
-    b"failure": Outcome.ERROR,
-    b"interrupted": Outcome.STOPPED,
-    b"nothing": Outcome.MOOT,
-}
-
 log = logging.getLogger(__name__)
 
 
@@ -43,7 +37,7 @@
 
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
-        self.fence = 0  # 0: not written; else the TOP behind it proves that it was read
+        self.fence = 0  # 0: not written; else the question behind it, whose answer proves that it was read
         self.halted = False
 
 
@@ -62,7 +56,7 @@
         self._stream: Stream | None = None
         self._ready = False  # behind the fence
         self._last = 0
-        self._fence = 0  # the last TOP that went out
+        self._fence = 0  # the last question for gauges that went out
         self._asking = False  # one goes out at the end of this round
         self._proven = 0  # the last that was answered: all commands before it were read
         self._commands = bytearray()
@@ -151,7 +145,7 @@
                         self._last = max(self._last, number)
                     case interpreter.Rejected(command, name):
                         self._rejected(command, name)
-                        if command == b"TOP":  # no gauges here, but a fence all the same
+                        if command is interpreter.Command.GAUGES:  # none here, but a fence all the same
                             self._pass_fence(name, opening, proven)
                     case interpreter.Gauges(tag, values):
                         self._gauges, self._told = values, self._scheduler.clock.now
@@ -194,18 +188,18 @@
 
     def _over(self, notice: interpreter.RunOver) -> None:
         if notice.name in self._runs:
-            self._end(notice.name, ENDS[notice.end], notice.took, notice.result)
+            self._end(notice.name, notice.outcome, notice.took, notice.result)
         else:
             self._count("ends_unknown")
 
-    def _rejected(self, command: bytes, name: bytes) -> None:
-        """The command was not carried out: a run that was refused so never started."""
+    def _rejected(self, command: interpreter.Command, name: bytes) -> None:
+        """The command was not carried out: so its run never started."""
         self._count("commands_rejected")
-        if command == b"TOP":
+        if command is interpreter.Command.GAUGES:
             return
-        pairs = {"command": command.decode("ascii", "replace"), "name": name.decode("ascii", "replace")}
+        pairs = {"command": command.name.lower(), "name": name.decode("ascii", "replace")}
         log.error("interpreter rejected a command", extra={"pairs": pairs})
-        if command == b"APPLY" and name in self._runs:
+        if command is interpreter.Command.START and name in self._runs:
             self._end(name, Outcome.MOOT, 0.0, b"")
 
     def _end(self, name: bytes, outcome: Outcome, took: float, result: bytes) -> None:
