--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -1,8 +1,8 @@
 """The link to the interpreter: runs, stops and gauges. Knows no router and no decision.
 
 The link may break and come back. What ended meanwhile is told again by number. The fence, a question for
-gauges asked once the greeting has come, has its answer when all of that is in. Commands given while there is no
-link wait for it.
+gauges asked once the greeting has come, has its answer when all of that is in. Commands given while there is
+no link wait for it.
 """
 
 from __future__ import annotations
