--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,157 @@
+"""The scheduler on real descriptors: who is woken, when timers ring, and that nothing spins."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from sablewheel.transport.scheduler import READABLE, WRITABLE, Clock, Scheduler
+from sablewheel.transport.stream import Listener, Stream, connect
+
+
+@pytest.fixture
+def pair() -> Iterator[tuple[socket.socket, socket.socket]]:
+    ends = socket.socketpair()
+    for end in ends:
+        end.setblocking(False)
+    yield ends
+    for end in ends:
+        end.close()
+
+
+def play(scheduler: Scheduler, *actors: Callable[[], None], most: float = 0.3) -> int:
+    """Run the actors for a while; how many rounds that took."""
+    rounds: list[int] = []
+    scheduler.after_round.append(lambda: rounds.append(1))
+    for actor in actors:
+        scheduler.spawn(actor)
+    scheduler.after(most, scheduler.stop)
+    scheduler.run()
+    return len(rounds)
+
+
+def test_the_clock_never_goes_back_and_never_stands(monkeypatch: pytest.MonkeyPatch) -> None:
+    unix, steady = (
+        iter([1000.0, 1001.0, 991.0, 992.0, 1000.0, 1030.0]),
+        iter([50.0, 51.0, 52.0, 53.0, 54.0, 55.0]),
+    )
+    monkeypatch.setattr(time, "time", lambda: next(unix))
+    monkeypatch.setattr(time, "monotonic", lambda: next(steady))
+    clock = Clock()
+    assert [clock.read() for _ in range(5)] == [1001.0, 1001.5, 1002.0, 1002.5, 1030.0]
+
+
+def test_timers_ring_in_order_never_early_and_not_once_cancelled() -> None:
+    scheduler, rung = Scheduler(Clock()), []
+    started = scheduler.clock.now
+    for span in (0.05, 0.01, 0.03):
+        scheduler.after(span, lambda span=span: rung.append((span, scheduler.clock.now)))  # type: ignore[misc]
+    scheduler.after(0.02, lambda: rung.append((0.02, 0.0))).cancel()
+    play(scheduler, most=0.1)
+    assert [span for span, _ in rung] == [0.01, 0.03, 0.05]
+    assert all(now >= started + span for span, now in rung)
+
+
+def test_both_directions_of_a_descriptor_have_a_waiter_each(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    scheduler, (one, two), seen = Scheduler(Clock()), pair, []
+
+    def reader() -> None:
+        seen.append(("read", scheduler.wait(one.fileno(), READABLE)))
+
+    def writer() -> None:
+        seen.append(("write", scheduler.wait(one.fileno(), WRITABLE)))
+        two.send(b"x")
+
+    play(scheduler, reader, writer)
+    assert seen == [("write", True), ("read", True)]
+
+
+def test_a_wait_ends_by_its_time_or_when_the_descriptor_goes(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    scheduler, (one, two), seen = Scheduler(Clock()), pair, []
+
+    def patient() -> None:
+        seen.append(scheduler.wait(one.fileno(), READABLE, 0.02))
+
+    def left() -> None:
+        seen.append(scheduler.wait(two.fileno(), READABLE))
+
+    scheduler.after(0.05, lambda: scheduler.forget(two.fileno()))
+    play(scheduler, patient, left)
+    assert seen == [False, True]
+
+
+def test_what_nobody_waits_for_does_not_spin(pair: tuple[socket.socket, socket.socket]) -> None:
+    scheduler, (one, two) = Scheduler(Clock()), pair
+
+    def once() -> None:
+        scheduler.wait(one.fileno(), READABLE)
+
+    two.send(b"never read")
+    two.shutdown(socket.SHUT_WR)
+    assert play(scheduler, once) < 20
+
+
+def test_a_fault_ends_its_own_greenlet_only() -> None:
+    scheduler, seen = Scheduler(Clock()), []
+
+    def faulty() -> None:
+        raise RuntimeError("a fault of ours")
+
+    play(scheduler, faulty, lambda: seen.append(1), most=0.02)
+    assert seen == [1]
+
+
+def test_signals_are_taken_in_the_loop() -> None:
+    scheduler, seen = Scheduler(Clock()), []
+    before = signal.getsignal(signal.SIGUSR1)
+    try:
+        scheduler.on_signal(signal.SIGUSR1, lambda: seen.append(1))
+        play(scheduler, lambda: os.kill(os.getpid(), signal.SIGUSR1))
+        assert seen == [1]
+    finally:
+        signal.set_wakeup_fd(-1)
+        signal.signal(signal.SIGUSR1, before)
+
+
+def test_a_stream_keeps_all_bytes_while_its_peer_does_not_read() -> None:
+    scheduler, ends, got = Scheduler(Clock()), [], bytearray()
+    data = bytes(range(256)) * 40_000
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = free.getsockname()
+
+    def accepted(stream: Stream) -> None:
+        ends.append(stream)
+        stream.write(data)
+        stream.flush()
+
+    listener = Listener(scheduler, address, 4, accepted, lambda: None)
+
+    def peer() -> None:
+        stream = connect(scheduler, address, 1.0)
+        assert stream is not None
+        scheduler.sleep(0.1)
+        while len(got) < len(data) and (more := stream.read()):
+            got.extend(more)
+        stream.close()
+        listener.close()
+        scheduler.stop()
+
+    play(scheduler, peer, most=20.0)
+    assert bytes(got) == data and ends[0].all_sent
+
+
+def test_nobody_there_is_no_connection() -> None:
+    scheduler, seen = Scheduler(Clock()), []
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = free.getsockname()
+    play(scheduler, lambda: seen.append(connect(scheduler, address, 0.2)))
+    assert seen == [None]
