One chain of reports while draining; a broken connect cannot end the link

Read once more: _leave started a second chain of reports beside the first; an error while the new link's stream is set up would have ended the greenlet that keeps the link.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -112,7 +112,6 @@
         self._stop_at = now + posting.stop_after
         self._dispatch.notice(posting.stop_after)
         self._enter(Phase.DRAINING)
-        self._report()
         # Past the grace nothing that comes may run: a closed door says so soonest.
         grace = min(posting.machine.drain_grace, posting.stop_after - 2 * LAST_INSTANT)
         self._scheduler.after(max(grace, 0.0), self._part)
@@ -136,14 +135,11 @@
 
     def _report(self) -> None:
         """To the name service, well within the time after which it takes a silent server off its list."""
-        serving = self.phase is Phase.SERVING
-        self._counters.count("reports_sent" if self._post.send(self._word(serving)) else "reports_failed")
-        if self.phase in (Phase.WAITING, Phase.SERVING, Phase.DRAINING):
+        word = naming.report(self._posting.name, self.phase is Phase.SERVING)
+        self._counters.count("reports_sent" if self._post.send(word) else "reports_failed")
+        if self.phase is not Phase.PARTING:
             self._scheduler.after(REPORT_EVERY, self._report)
 
-    def _word(self, serving: bool) -> bytes:
-        return naming.report(self._posting.name, serving)
-
     def _print(self, occasion: str) -> None:
         self._counters.print(
             occasion,
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -105,16 +105,19 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError:
         return None  # no descriptor for it now
-    sock.setblocking(False)
-    code = sock.connect_ex(address)
-    if code == errno.EINPROGRESS:
-        came = scheduler.wait(sock.fileno(), WRITABLE, most)
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if came else errno.ETIMEDOUT
-    if code:
-        scheduler.forget(sock.fileno())
-        sock.close()
-        return None
-    return Stream(scheduler, sock)
+    try:
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        if code == errno.EINPROGRESS:
+            came = scheduler.wait(sock.fileno(), WRITABLE, most)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if came else errno.ETIMEDOUT
+        if not code:
+            return Stream(scheduler, sock)
+    except OSError:
+        pass  # gone again already
+    scheduler.forget(sock.fileno())
+    sock.close()
+    return None
 
 
 class Listener:
