Four more cases of link and batch, found by breaking the code; a dead loop is out

Six lines were broken one at a time and the tests passed: what never went out before a break, a question due in the round of the greeting, a stop while there is no link, an arrival ahead of the clock, and a rejected run that stays on the books now have a case each and fail.

--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -181,8 +181,6 @@
         """It gets the result of the first when there is one, which may be now."""
         exchange.place, exchange.began = Place.JOINED, self._clock.now
         first = exchange.first
-        while first is not None and first.place is Place.JOINED:
-            first = first.first  # of a repeat that waits itself, the one that it waits for
         if first is None or first.place is Place.OVER:
             self._end_join(exchange, first.result if first is not None else None)
         else:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -233,6 +233,7 @@
     town.end(two.name, b"nothing")
     town.settle()
     assert [each.answers[0][1] for each in (one, two)] == [b"FAILED", b"FAILED"]
+    assert town.dispatch.open_count == 0
 
 
 def test_faulty_frames_with_a_tag_are_terminated_and_others_unharmed() -> None:
@@ -331,3 +332,50 @@
     town.router._unsent.clear()
     town.wait(1.0)
     assert not town.router.open
+
+
+def test_commands_that_never_went_out_are_not_in_doubt() -> None:
+    town = Town(MACHINE)
+    first = town.call(b"record", b"a")
+    town.call(b"record", b"a")  # the first is decided in the middle of the round
+    assert town.link is not None
+    town.link.feed(b"")  # and the link breaks in the same round
+    town.wait(0.5)
+    assert first.name in town.interpreter.running and town.counts.count("runs_in_doubt") == 0
+
+
+def test_a_question_due_in_the_round_of_the_greeting_does_not_take_the_fence_away() -> None:
+    town = Town(MACHINE)
+    town.interpreter.up = False
+    town.cut(lost=False)
+    town.wait(0.5)
+    assert town.link is not None
+    town.interpreter.up = True
+    town.link.feed(b"BANNER steady 10\r\n")
+    town.scheduler.run_ready()
+    town.client._ask_gauges()
+    one = town.call(b"lookup")
+    town.settle()
+    assert one.name in town.interpreter.running
+
+
+def test_a_stop_asked_for_while_there_is_no_link_goes_out_with_the_next() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+    town.linked = False
+    town.cut(lost=False)
+    town.wait(0.3)
+    town.cancel(one)
+    town.settle()
+    assert one.name in town.interpreter.running
+    town.linked = True
+    town.wait(1.0)
+    assert not town.interpreter.running and town.dispatch.open_count == 0
+
+
+def test_nothing_arrives_later_than_it_is_decided() -> None:
+    town = Town(MACHINE)
+    town.call(b"lookup", ago=-0.004)
+    town.settle()
+    assert [ticket.arrived for ticket in town.dispatch._exchanges] == [town.now]
