--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -223,6 +223,29 @@
     leave(process, number)
 
 
+EARLY = """
+import os, signal, sys
+from sablewheel import __main__ as start
+from sablewheel.program import configuration
+read = configuration.posting
+def posting():
+    os.kill(os.getpid(), signal.SIGUSR1)
+    os.kill(os.getpid(), signal.SIGTERM)
+    return read()
+configuration.posting = posting
+sys.exit(start.main())
+"""
+
+
+def test_signals_that_come_while_it_is_put_together_wait(place: Place) -> None:
+    place.file.write_text(json.dumps(place.told))
+    environment = {**os.environ, "RELAY_CONFIG": str(place.file)}
+    done = subprocess.run(
+        [sys.executable, "-c", EARLY], env=environment, capture_output=True, text=True, timeout=PATIENCE
+    )
+    assert done.returncode == 0 and "occasion=asked" in done.stderr and "occasion=exit" in done.stderr
+
+
 def test_killed_and_started_again_under_its_address_it_serves(place: Place) -> None:
     for _ in range(2):
         process = place.start()
@@ -333,6 +356,7 @@
         ("limits.memory_mb", {"limits": {"memory_mb": 1}}),
         ("listen", {"listen": "nowhere"}),
         ("vm", {"vm": None}),
+        ("naming", {"naming": "localhost:2379"}),
         ("seed", {"seed": "xyz"}),
         ("settings.extra.cores", {"settings": {**SETTINGS, "extra": {"memory-kb": 1}}}),
         (
