--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -368,8 +368,10 @@
 def test_a_faulty_key_is_named(tmp_path: Path, key: str, changes: dict[str, Any]) -> None:
     place = Place(tmp_path, **changes)
     process = place.start()
-    _, text = process.communicate(timeout=PATIENCE)
-    place.end()
+    try:
+        _, text = process.communicate(timeout=PATIENCE)
+    finally:
+        place.end()
     assert process.returncode == 2 and text.startswith(f"sablewheel: {key}: ") and text.count("\n") == 1
 
 
