One list of connections, one desk, one scheduler's logic; made timers keep their order

Read once more, behaviour as it was. The listener kept a second set of streams and rebuilt it at each accept; it asks whether there is room now, from the server's own list. The client's desk is the dispatch itself, as its docstring said, not the application that passed two calls on. The tests' scheduler wrote spawn, sleep and after again, and broke ties of timers by id(), which is chance; it uses the real ones now. Clock.read had a max that could not matter.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -10,10 +10,9 @@
 from ..protocol import naming
 from ..routing.client import Client
 from ..routing.dispatch import Dispatch
-from ..routing.exchange import Exchange, Standing
+from ..routing.exchange import Standing
 from ..routing.labels import Labels
 from ..routing.server import Server
-from ..terms import Outcome
 from ..transport.datagram import Post
 from ..transport.scheduler import Clock, Scheduler
 from ..transport.stream import Listener, connect
@@ -50,17 +49,27 @@
         longest = max(track.abandon for track in posting.machine.tracks)
         labels = Labels(longest, posting.machine.slack, posting.memory_bytes // KEPT_SHARE)
         self._dispatch = Dispatch(
-            scheduler, posting.machine, posting.seed, posting.gauge_places, self._standing, labels
+            scheduler,
+            posting.machine,
+            posting.seed,
+            posting.gauge_places,
+            self._standing,
+            labels,
+            self._opened,
         )
         count = self._counters.count
         self._server = Server(
             scheduler, posting.tracks, posting.customers, self._standing, self._dispatch, count
         )
         self._listener = Listener(
-            scheduler, posting.listen, posting.connections_most, self._server.accepted, self._server.make_room
+            scheduler,
+            posting.listen,
+            lambda: len(self._server.connections) < posting.connections_most,
+            self._server.accepted,
+            self._server.make_room,
         )
         self._client = Client(
-            scheduler, lambda: connect(scheduler, posting.interpreter, CONNECT_MOST), self, count
+            scheduler, lambda: connect(scheduler, posting.interpreter, CONNECT_MOST), self._dispatch, count
         )
         self._dispatch.attach(self._server, self._client)
         self._post = Post(posting.naming)
@@ -84,23 +93,16 @@
         self._scheduler.run()
         self._print("exit")
 
-    # -- what the interpreter's side tells
-
-    def greeted(self, cold: bool, age: float) -> None:
-        log.info("interpreter up", extra={"pairs": {"cold": cold, "age": age}})
-        self._dispatch.open(cold, age)
-        if self.phase is Phase.WAITING:
-            self._enter(Phase.SERVING)
-
-    def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
-        self._dispatch.ended(exchange, outcome, took, result)
-
     # -- the phases
 
     def _enter(self, phase: Phase) -> None:
         log.info("phase", extra={"pairs": {"was": self.phase.value, "now": phase.value}})
         self.phase = phase
 
+    def _opened(self) -> None:
+        if self.phase is Phase.WAITING:
+            self._enter(Phase.SERVING)
+
     def _leave(self) -> None:
         """The notice to leave; a second one changes nothing."""
         if self.phase is Phase.WAITING:
@@ -119,7 +121,7 @@
     def _part(self) -> None:
         self._enter(Phase.PARTING)
         self._listener.close()
-        self._scheduler.spawn(self._server.farewell)
+        self._scheduler.spawn(self._server.farewell)  # behind the first reading of those just taken
         self._scheduler.after(max(self._stop_at - LAST_INSTANT - self._scheduler.clock.now, 0.0), self._end)
 
     def _look_for_end(self) -> None:
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 from math import inf
 
@@ -29,11 +30,12 @@
         gauge_places: tuple[int | None, int | None],
         standing: Standing,
         labels: Labels,
+        opened: Callable[[], None],
     ) -> None:
         self._scheduler, self._clock = scheduler, scheduler.clock
         self._machine, self._seed = machine, seed
         self._busy_place, self._connections_place = gauge_places
-        self._standing, self._labels = standing, labels
+        self._standing, self._labels, self._opened = standing, labels, opened
         self._controller: Controller | None = None
         self._happenings: list[Happening] = []
         self._undecided: set[bytes] = set()  # labels among them
@@ -49,13 +51,15 @@
     def open_count(self) -> int:
         return len(self._exchanges)
 
-    def open(self, cold: bool, age: float) -> None:
+    def greeted(self, cold: bool, age: float) -> None:
         """The interpreter is up, for `age` seconds: the controller opens the server as of then."""
+        log.info("interpreter up", extra={"pairs": {"cold": cold, "age": age}})
         if self._controller is None:
             machine = replace(self._machine, fresh_start=cold)
             self._controller = Controller(machine, self._seed)
-            opened = self._clock.now - age
-            self._carry_out(self._controller.decide(opened, []), opened)
+            since = self._clock.now - age
+            self._carry_out(self._controller.decide(since, []), since)
+            self._opened()
 
     # -- what happens
 
--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -34,7 +34,7 @@
     def read(self) -> float:
         """Read it anew. Set back, it goes on at half its pace until the system's clock has caught up."""
         unix, steady = time.time(), time.monotonic()
-        self.now = max(unix, self.now + (steady - self._steady) / 2 if unix < self.now else unix)
+        self.now = unix if unix >= self.now else self.now + (steady - self._steady) / 2
         self._steady = steady
         return self.now
 
@@ -77,7 +77,7 @@
             try:
                 function(*values)
             except Exception:
-                # A fault in one greenlet must not take the others along; all it held is in its own `finally`.
+                # A fault in one greenlet must not take the others along; who must go on catches its own.
                 log.exception("greenlet ended by a fault")
 
         self._ready.append((greenlet(body, parent=self._hub), 0))
@@ -99,7 +99,7 @@
     def sleep(self, span: float) -> None:
         me = getcurrent()
         self.after(span, lambda: self.resume(me))
-        self._hub.switch()
+        self.park()
 
     def park(self) -> None:
         """Stand still until somebody calls `resume` with this greenlet."""
@@ -113,7 +113,7 @@
         if self._masks.pop(descriptor, 0):
             self._poll.unregister(descriptor)
         for waiter in self._waiting.pop(descriptor, {}).values():
-            self._ready.append((waiter, 1))
+            self.resume(waiter)
 
     # -- timers and signals
 
@@ -181,7 +181,7 @@
         waiting = self._waiting.get(descriptor, {})
         for event in (READABLE, WRITABLE):
             if events & (event | TROUBLE) and event in waiting:
-                self._ready.append((waiting.pop(event), 1))
+                self.resume(waiting.pop(event))
                 events &= ~event
         # What nobody waits for is asked for no longer: level-triggered, it would come again at once.
         mask = self._masks.get(descriptor, 0) & ~(events & (READABLE | WRITABLE))
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -121,20 +121,18 @@
 
 
 class Listener:
-    """Accepts connections, at most `most` at a time; `accepted` gets each, `crowded` hears of a full one."""
+    """Accepts connections while there is `room`; `accepted` gets each, `crowded` hears that there is none."""
 
     def __init__(
         self,
         scheduler: Scheduler,
         address: Address,
-        most: int,
+        room: Callable[[], bool],
         accepted: Callable[[Stream], None],
         crowded: Callable[[], None],
     ) -> None:
         self._scheduler = scheduler
-        self._most = most
-        self._accepted, self._crowded = accepted, crowded
-        self._streams: set[Stream] = set()
+        self._room, self._accepted, self._crowded = room, accepted, crowded
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.setblocking(False)
@@ -151,10 +149,6 @@
             self._scheduler.forget(self._socket.fileno())
             self._socket.close()
 
-    def count(self) -> int:
-        self._streams = {one for one in self._streams if one.open}
-        return len(self._streams)
-
     def _accept(self) -> None:
         while self._open:
             self._scheduler.wait(self._socket.fileno(), READABLE)
@@ -165,7 +159,7 @@
 
     def _take(self) -> bool:
         """Accept all that wait; whether there was room for them."""
-        while self.count() < self._most:
+        while self._room():
             try:
                 sock, _ = self._socket.accept()
                 stream = Stream(self._scheduler, sock, HIGH_WATER)
@@ -175,6 +169,5 @@
                 continue  # this one was gone before it was taken
             except OSError:
                 return False  # no descriptor or no memory for it now
-            self._streams.add(stream)
             self._accepted(stream)
         return False
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -312,11 +312,11 @@
     def fault(*_: object) -> None:
         raise RuntimeError("a fault of ours")
 
-    town.ended = fault  # type: ignore[method-assign, assignment]
+    town.dispatch.ended = fault  # type: ignore[method-assign, assignment]
     town.end(one.name)
     town.wait(1.0)
     assert town.counts.count("links") == 2 and town.link is not None and town.link.open
-    del town.ended
+    del town.dispatch.ended
     town.server.desk = type("Faulty", (), {"arrived": fault, "gone": lambda *_: None})()
     town.router.feed(call(99, b"00ff", b"lookup", town.now, b""))
     town.scheduler.run_ready()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -133,7 +133,7 @@
         stream.write(data)
         stream.flush()
 
-    listener = Listener(scheduler, address, 4, accepted, lambda: None)
+    listener = Listener(scheduler, address, lambda: len(ends) < 4, accepted, lambda: None)
 
     def peer() -> None:
         stream = connect(scheduler, address, 1.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,11 +13,11 @@
 from sablewheel.protocol.resp import Parser
 from sablewheel.routing.client import Client
 from sablewheel.routing.dispatch import Dispatch
-from sablewheel.routing.exchange import Exchange, Standing
+from sablewheel.routing.exchange import Standing
 from sablewheel.routing.labels import Labels
 from sablewheel.routing.server import Server
 from sablewheel.terms import Halting, Machine, Nature, Outcome, Router, Ticket
-from sablewheel.transport.scheduler import Clock, Scheduler, Timer
+from sablewheel.transport.scheduler import Clock, Scheduler
 from sablewheel.transport.stream import Stream
 
 HELD, RUNNING, STANDING, CALLING = "held", "running", "standing", "calling"
@@ -303,33 +303,19 @@
 
 
 class MadeScheduler(Scheduler):
-    """The scheduler with a made clock and no descriptors."""
+    """The scheduler with a made clock and no descriptors; a fault in a greenlet reaches the test."""
 
     def __init__(self) -> None:
-        self.clock = Clock()
+        super().__init__(Clock())
         self.clock.now = 1_764_576_000.0
         self.clock.read = lambda: self.clock.now  # type: ignore[method-assign]
-        self.hub = getcurrent()
-        self.ready: deque[greenlet] = deque()
-        self.timers: list[tuple[float, int, Timer]] = []
 
     def spawn(self, function: Callable[..., None], *values: object) -> None:
-        self.ready.append(greenlet(lambda: function(*values), parent=self.hub))
-
-    def sleep(self, span: float) -> None:
-        me = getcurrent()
-        self.after(span, lambda: self.ready.append(me))
-        self.hub.switch()
-
-    def after(self, span: float, action: Callable[[], None]) -> Timer:
-        timer = Timer(action)
-        heapq.heappush(self.timers, (self.clock.now + span, id(timer), timer))
-        return timer
+        self.resume(greenlet(lambda _: function(*values), parent=self._hub))
 
     def run_ready(self) -> bool:
-        some = bool(self.ready)
-        while self.ready:
-            self.ready.popleft().switch()
+        some = bool(self._ready)
+        self._run_ready()
         return some
 
 
@@ -346,7 +332,7 @@
     def read(self) -> bytes:
         while self.open and not self.fed:
             self.reader = getcurrent()
-            self.made.hub.switch()
+            self.made.park()
         return self.fed.popleft() if self.open else b""
 
     def write(self, data: bytes) -> None:
@@ -366,7 +352,7 @@
 
     def wake(self) -> None:
         if self.reader is not None:
-            self.made.ready.append(self.reader)
+            self.made.resume(self.reader)
             self.reader = None
 
     def taken(self) -> bytes:
@@ -394,7 +380,7 @@
         self.counts: list[str] = []
         self.standing = Standing()
         self.labels = Labels(4.0, machine.slack, 1 << 16)
-        self.dispatch = Dispatch(self.scheduler, machine, 7, (0, 3), self.standing, self.labels)
+        self.dispatch = Dispatch(self.scheduler, machine, 7, (0, 3), self.standing, self.labels, lambda: None)
         names = (b"lookup", b"record")
         self.server = Server(
             self.scheduler,
@@ -407,7 +393,7 @@
         self.linked = True
         self.link: MadeStream | None = None
         self.interpreter = Interpreter()
-        self.client = Client(self.scheduler, self._connect, self, self.counts.append)
+        self.client = Client(self.scheduler, self._connect, self.dispatch, self.counts.append)
         self.dispatch.attach(self.server, self.client)
         self.router, self.answers = MadeStream(self.scheduler), Parser()
         self.server.accepted(self.router)
@@ -420,12 +406,6 @@
         self.interpreter.bytes = b""
         return self.link
 
-    def greeted(self, cold: bool, age: float) -> None:
-        self.dispatch.open(cold, age)
-
-    def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
-        self.dispatch.ended(exchange, outcome, took, result)
-
     @property
     def now(self) -> float:
         return self.scheduler.clock.now
@@ -477,7 +457,7 @@
         self.check()
 
     def wait(self, span: float) -> None:
-        until, timers = self.now + span, self.scheduler.timers
+        until, timers = self.now + span, self.scheduler._timers
         while timers and timers[0][0] <= until:
             when, _, timer = heapq.heappop(timers)
             self.scheduler.clock.now = max(when, self.now)
