Copied labels, names and odd fields are terminated; unknown runs leave no trace

Now: the first one's track and body are kept as one hash beside its label; a try that differs is terminated at once and reaches neither the controller nor the table. So is one under the name of an open ticket, wherever that stands. Each field has the shape that the protocol's table gives it; since must lie within 60 s back and 1 s ahead. A run that the interpreter does not know (MOOT) is taken back in the module: pool, customer's share, label. The clock is read after poll, not before, so that what a round reads is judged by the round's time; arrivals are clamped before the label is looked up.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -286,10 +286,23 @@
             if not joined:
                 self.put += 1
             self._answer(ticket)
-        elif not ticket.answered:
+        elif outcome is Outcome.MOOT and not joined:
+            self._undo(ticket)
+        if not ticket.answered:
             self._terminate(ticket)  # stopped: a rerun is never needed here, the answer is
         self._leave(ticket)
 
+    def _undo(self, ticket: Ticket) -> None:
+        """It never began: it leaves no trace in the pool, in its customer's share or in the table.
+
+        Departure, acts when the machine does not know what it was to run. Guards against clients that make
+        up tickets, whose labels would end true ones in errors; any run that was lost counts as never taken.
+        """
+        self.taken = max(self.taken - 1, 0)
+        self._release(ticket)
+        if ticket.customer is not None and ticket.since in self.customers[ticket.customer]:
+            self.customers[ticket.customer].remove(ticket.since)
+
     def _stand(self, ticket: Ticket) -> None:
         if ticket.stage is not Stage.RUNNING:
             return
--- a/sablewheel/protocol/resp.py
+++ b/sablewheel/protocol/resp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -9,6 +10,18 @@
 WORD_MOST = 1 << 16  # what one bulk string may hold before the connection is past saving
 BODY_MOST = 2048
 DIGITS_MOST = 19
+KB_UNDER = 2000.0
+# The shapes that fields must have; Python's own readers take signs, blanks, underscores and exponents.
+SHAPES = {
+    b"ref": re.compile(rb"[0-9a-fA-F]{16}"),
+    b"since": re.compile(rb"[0-9]{1,16}"),
+    b"sender": re.compile(rb"[0-9]{1,19}"),
+    b"room": re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"),
+    b"class_rank": re.compile(rb"0(\.[0-9]{1,19})?"),
+    b"replay": re.compile(rb"[0-9a-fA-F]{32}"),
+    b"lookup": re.compile(rb"[!-~]{1,64}"),
+}
+NEEDED = (b"ref", b"since", b"sender", b"room")
 
 
 class GarbledError(ValueError):
@@ -142,29 +155,27 @@
         name, mark, value = pair.partition(b"=")
         if not mark or name in fields:
             raise FaultyError(f"not a field: {pair[:40]!r}", tag)
+        if name in SHAPES and not SHAPES[name].fullmatch(value):
+            raise FaultyError(f"a field that can't be read: {pair[:60]!r}", tag)
         fields[name] = value
-    try:
-        asked = Asked(
-            tag=tag,
-            name=fields[b"ref"],
-            track=words[2],
-            router=fields[b"sender"],
-            customer=fields.get(b"project", b""),
-            since=int(fields[b"since"]) / 1000,
-            kb=float(fields[b"room"]),
-            label=fields.get(b"replay"),
-            subject=fields[b"lookup"].decode("ascii") if b"lookup" in fields else None,
-            body=body,
-        )
-    except KeyError as missing:
-        raise FaultyError(f"no field {missing}", tag) from None
-    except ValueError as trouble:
-        raise FaultyError(f"a field that can't be read: {trouble}", tag) from None
-    if not (0 < asked.kb < 1e9 and 0 < asked.since < 1e12):
-        raise FaultyError("a figure out of range", tag)
-    if not (len(asked.name) <= 64 and asked.name.isalnum() and asked.router.isdigit()):
-        raise FaultyError("a name that can't be read", tag)
-    return asked
+    for name in NEEDED:
+        if name not in fields:
+            raise FaultyError(f"no field {name!r}", tag)
+    kb = float(fields[b"room"])
+    if not 0 < kb < KB_UNDER:
+        raise FaultyError(f"a figure out of range: room={kb:g}", tag)
+    return Asked(
+        tag=tag,
+        name=fields[b"ref"],
+        track=words[2],
+        router=fields[b"sender"],
+        customer=fields.get(b"project", b""),
+        since=int(fields[b"since"]) / 1000,
+        kb=kb,
+        label=fields.get(b"replay"),
+        subject=fields[b"lookup"].decode("ascii") if b"lookup" in fields else None,
+        body=body,
+    )
 
 
 def completed(tag: int, said: float | None, result: bytes) -> bytes:
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -78,8 +78,7 @@
         return self._gauges if self._scheduler.clock.now <= self._told + GAUGES_HOLD else ()
 
     def run(self, exchange: Exchange) -> None:
-        if exchange.name in self._runs:  # a name must be new: a second run could not be told from the first
-            return self._desk.ended(exchange, Outcome.MOOT, 0.0, b"")
+        """The name is that of no other run: the desk takes no two tickets of one name."""
         run = self._runs[exchange.name] = Run(exchange)
         self._count("runs_sent")
         if self._ready:
@@ -230,7 +229,7 @@
         if command is interpreter.Command.GAUGES:
             return
         pairs = {"command": command.name.lower(), "name": name.decode("ascii", "replace")}
-        log.error("interpreter rejected a command", extra={"pairs": pairs})
+        log.warning("interpreter rejected a command", extra={"pairs": pairs})
         if command is interpreter.Command.START and name in self._runs:
             self._end(name, Outcome.MOOT, 0.0, b"")
 
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -40,6 +40,7 @@
         self._happenings: list[Happening] = []
         self._undecided: set[bytes] = set()  # labels among them
         self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
+        self._names: set[bytes] = set()  # theirs
         self._server: Server
         self._client: Client
 
@@ -64,17 +65,28 @@
     # -- what happens
 
     def arrived(self, exchange: Exchange) -> None:
+        """A try that was read: the controller's, unless it contradicts one that is known.
+
+        The name of an open ticket, or a label that came with another body or track: it is terminated at once
+        and changes nothing for the true one. Guards against clients that copy or mix up names and labels;
+        might hurt a true ticket only where a copy of its label came first and is still open.
+        """
         ticket, label = exchange.ticket, exchange.label
-        self._exchanges[ticket] = exchange
+        if exchange.name in self._names:
+            return exchange.terminate()
         if label is not None and ticket.track.nature is Nature.LABELLED:
             # Another try in this very batch: its fate first, or this one could not be told what it repeats.
             if label in self._undecided:
                 self.decide()
-            self._undecided.add(label)
             exchange.first = self._labels.find(label, ticket.arrived)
+            if exchange.first is not None and exchange.first.sameness != exchange.sameness:
+                return exchange.terminate()
+            self._undecided.add(label)
             ticket.repeats = exchange.first.ticket if exchange.first is not None else None
         else:
             exchange.label = None
+        self._exchanges[ticket] = exchange
+        self._names.add(exchange.name)
         self._happenings.append(terms.Arrived(ticket))
 
     def gone(self, exchange: Exchange) -> None:
@@ -123,10 +135,6 @@
             now = self._clock.read()
             happenings, self._happenings = self._happenings, []
             self._undecided.clear()
-            for happening in happenings:
-                if isinstance(happening, terms.Arrived):
-                    # Whole milliseconds of another's reading of the clock may lie slightly ahead of ours.
-                    happening.ticket.arrived = min(happening.ticket.arrived, now)
             self._carry_out(self._controller.decide(now, happenings), now)
 
     def _carry_out(self, deeds: list[Deed], decided: float) -> None:
@@ -205,7 +213,8 @@
         """Off this server, but for what the table of labels keeps; those that wait for it hear."""
         exchange.place = Place.OVER
         exchange.body, exchange.first = b"", None
-        self._exchanges.pop(exchange.ticket, None)
+        if self._exchanges.pop(exchange.ticket, None) is not None:
+            self._names.discard(exchange.name)
         joined, exchange.joined = exchange.joined, []
         for one in joined:
             self._end_join(one, result)
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -53,6 +53,7 @@
     ) -> None:
         self.name, self.track, self.body = name, track, body
         self.tag, self.label, self.ticket, self.caller = tag, label, ticket, caller
+        self.sameness = hash((track, body))  # of two with one label: whether they ask for the same
         self.place = Place.HELD
         self.closed = False  # answered, or nobody waits
         self.result: bytes | None = None  # as long as it is kept
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -15,7 +15,8 @@
 OPEN_MOST = 32  # tries that the protocol allows on one connection at a time
 SWEEP = 0.25  # how often unused connections are looked for
 PARTING = 1.0  # how long a router has to close a connection after a farewell, with nothing open on it
-ROUTERS_MOST = 4096  # remembered by number; the one heard longest ago goes first
+AGE_MOST, AHEAD_MOST = 60.0, 1.0  # of a ticket on arrival: no wait and no two readings of one clock differ so
+ROUTERS_MOST = 512  # remembered by number; the one heard longest ago goes first
 
 log = logging.getLogger(__name__)
 
@@ -183,11 +184,15 @@
             raise resp.FaultyError(f"no such customer: {asked.customer[:40]!r}", asked.tag)
         if track.nature is Nature.LABELLED and not asked.label:
             raise resp.FaultyError("no label on a track that needs one", asked.tag)
+        now = self.scheduler.clock.now
+        if not now - AGE_MOST < asked.since < now + AHEAD_MOST:
+            raise resp.FaultyError(f"a figure out of range: since={asked.since:.3f}", asked.tag)
+        arrived = min(asked.since, now)  # whole milliseconds of another's reading may lie ahead of ours
         router = self._routers.pop(asked.router, None) or Router()
         self._routers[asked.router] = router
         if len(self._routers) > ROUTERS_MOST:
             del self._routers[next(iter(self._routers))]
-        return Ticket(track, router, customer, asked.since, asked.kb, subject=asked.subject)
+        return Ticket(track, router, customer, arrived, asked.kb, subject=asked.subject)
 
     def flush(self) -> None:
         """At the end of a round: everything queued goes out, connection by connection."""
--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -147,8 +147,10 @@
     def run(self) -> None:
         """Rounds until `stop`; the round in which it is called is the last."""
         while not self._stopped:
-            for descriptor, events in self._poll.poll(self._timeout()):
-                self._wake(descriptor, events)
+            events = self._poll.poll(self._timeout())
+            self.clock.read()
+            for descriptor, event in events:
+                self._wake(descriptor, event)
             self._run_ready()
             now = self.clock.read()
             while self._timers and self._timers[0][0] <= now:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -158,7 +158,7 @@
 
     def call(self, tag: int, track: bytes = b"lookup", label: bytes = b"") -> bytes:
         name = b"%08x%08x" % (id(self) % 2**32, tag)
-        return call(tag, name, track, time.time(), b"body%d" % tag, label)
+        return call(tag, name, track, time.time(), label or b"body%d" % tag, label)
 
     def read(self, tag: int) -> list[bytes]:
         while True:
@@ -203,7 +203,7 @@
     done = peer.ask(1, peer.call(1))
     assert done[1] == b"OK" and done[2].startswith(b"pressure=") and done[3] == b"made of body1"
     first, again = peer.ask(2, peer.call(2, b"record", b"aa")), peer.ask(3, peer.call(3, b"record", b"aa"))
-    assert first[3] == again[3] == b"made of body2" and len(place.engine.core.applied) == 2
+    assert first[3] == again[3] == b"made of aa" and len(place.engine.core.applied) == 2
     process.send_signal(signal.SIGUSR1)
     place.engine.at_once = False
     peer.send(peer.call(4))
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -17,6 +17,7 @@
     b"BANNER booting 1500\r\nVALUE 1 ab success 12.5 7\r\na\r\nbTOP\r\nTRACE 2 what ever it says\r\n"
     b"TOPS 3 0.25 4 - 17\r\nVALUE 3 cd failure 8 0\r\n\r\nERROR APPLY ef\r\n"
 )
+NAME = b"9b1f03aa5c7e2d41"
 Feed = Callable[[bytes], list[object]]
 
 
@@ -87,29 +88,37 @@
 
 
 def test_a_call_gives_what_decisions_need_and_leaves_the_rest_as_it_came() -> None:
-    words = frame(b"RPC.CALL", b"9", b"record", b"ref=0a,since=1764576000123,sender=4,project=acme,room=24.5"
-                  b",class_rank=0.6250,replay=5c0f,novel=x", b"\0body")  # fmt: skip
+    words = frame(b"RPC.CALL", b"9", b"record", b"ref=%b,since=1764576000123,sender=4,project=acme,room=24.5"
+                  b",class_rank=0.6250,replay=%b,novel=x" % (NAME, NAME * 2), b"\0body")  # fmt: skip
     asked = resp.message(resp.Parser().feed(words)[0])
     assert asked == resp.Asked(
-        9, b"0a", b"record", b"4", b"acme", 1764576000.123, 24.5, b"5c0f", None, b"\0body"
+        9, NAME, b"record", b"4", b"acme", 1764576000.123, 24.5, NAME * 2, None, b"\0body"
     )
 
 
-@pytest.mark.parametrize(
-    ("fields", "tag"),
-    [
-        (b"ref=0a,sender=4,room=1", 9),
-        (b"ref=0a,since=x,sender=4,room=1", 9),
-        (b"ref=0a,since=1,sender=4,room=nan", 9),
-        (b"ref=0 a,since=1,sender=4,room=1", 9),
-        (b"ref", 9),
-        (b"ref=0a,since=1,sender=4,room=1", 0),
-    ],
-)
-def test_faulty_calls_name_the_tag_where_it_can_be_read(fields: bytes, tag: int) -> None:
-    with pytest.raises(resp.FaultyError) as fault:
-        resp.message([b"RPC.CALL", b"%d" % tag if tag else b"nine", b"lookup", fields, b""])
-    assert fault.value.tag == tag
+FAULTY = {
+    b"ref": [b"", b"0a", b"0 a", b"g" * 16, b"0" * 17],
+    b"since": [b"", b"x", b"-1", b"+1", b" 1", b"1_0", b"1e3", b"1.5", b"9" * 30, "\u0661".encode()],
+    b"sender": [b"", b"-4", b"four", b"4" * 30],
+    b"room": [b"", b"nan", b"inf", b"0", b"0.0", b"-1", b"2000", b"1e3", b"1_0", b" 1", b"9" * 12, b"+3"],
+    b"class_rank": [b"1", b"-0.5", b"nan", b"2.5"],
+    b"replay": [b"", b"5c0f", b"z" * 32],
+    b"lookup": [b"", b"a b", b"x" * 65],
+}
+
+
+@pytest.mark.parametrize("name", FAULTY)
+def test_faulty_fields_name_the_tag_where_it_can_be_read(name: bytes) -> None:
+    good = {b"ref": NAME, b"since": b"1764576000123", b"sender": b"4", b"room": b"1"}
+    for fields in [good | {name: value} for value in FAULTY[name]] + [{**good, b"": b""}]:
+        words = [b"RPC.CALL", b"9", b"lookup", b",".join(b"%b=%b" % pair for pair in fields.items()), b""]
+        for tag in (9, 0):
+            words[1] = b"9" if tag else b"nine"
+            with pytest.raises(resp.FaultyError) as fault:
+                if fields.get(b"") is not None:
+                    words[3] = words[3].replace(name + b"=", b"novel=") if name in good else b"ref"
+                resp.message(words)
+            assert fault.value.tag == tag
 
 
 def test_answers_and_commands_are_written_as_published() -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -261,14 +261,14 @@
     town = Town(MACHINE)
     good = town.call(b"lookup")
     town.settle()
-    since, bad = town.now, [call(tag, b"00ff", b"lookup", town.now, b"") for tag in range(60, 70)]
-    bad[0] = call(60, b"00ff", b"novel", since, b"")
+    since, bad = town.now, [call(tag, b"%016x" % 255, b"lookup", town.now, b"") for tag in range(60, 70)]
+    bad[0] = call(60, b"%016x" % 255, b"novel", since, b"")
     bad[1] = bad[1].replace(b"acme", b"ecma")
     bad[2] = bad[2].replace(b"room=10.0", b"room=none")
-    bad[3] = call(63, b"00ff", b"lookup", since, b"x" * 2049)
+    bad[3] = call(63, b"%016x" % 255, b"lookup", since, b"x" * 2049)
     bad[4] = frame(b"RPC.NOVEL", b"64", b"")
     bad[5] = bad[5].replace(b"sender=4", b"render=4")
-    bad[6] = call(66, b"00ff", b"record", since, b"")
+    bad[6] = call(66, b"%016x" % 255, b"record", since, b"")
     town.server.connections.clear()
     words = []
     for data in bad[:7]:
@@ -287,7 +287,7 @@
     tries = [town.call(b"lookup") for _ in range(33)]
     town.settle()
     assert sum(bool(one.answers) and one.answers[0][1] == b"FAILED" for one in tries) == 1
-    town.router.feed(call(1, b"00ff", b"lookup", town.now, b""))
+    town.router.feed(call(1, b"%016x" % 255, b"lookup", town.now, b""))
     town.scheduler.run_ready()
     assert not town.router.open and town.dispatch.open_count <= 33
 
@@ -339,7 +339,7 @@
     assert town.counts.count("links") == 2 and town.link is not None and town.link.open
     del town.dispatch.ended
     town.server.desk = type("Faulty", (), {"arrived": fault, "gone": lambda *_: None})()
-    town.router.feed(call(99, b"00ff", b"lookup", town.now, b""))
+    town.router.feed(call(99, b"%016x" % 255, b"lookup", town.now, b""))
     town.scheduler.run_ready()
     assert not town.router.open and not town.server.connections
 
@@ -435,3 +435,70 @@
     two = town.call(b"lookup")
     town.settle()
     assert two.name in town.interpreter.running and sum(one.open for one in town.links) == 1
+
+
+def test_a_label_with_another_body_or_track_is_terminated_and_the_true_one_unharmed() -> None:
+    town = Town(MACHINE)
+    first = town.call(b"record", b"a")
+    town.settle()
+    said = []
+    for tag in (900, 901):  # while the first runs, and after its end
+        copy = call(tag, b"%016x" % tag, b"record", town.now, b"another body", b"a")
+        town.router.feed(copy)
+        town.scheduler.run_ready()
+        town.dispatch.end_round()
+        said += [words[:2] for words in town.answers.feed(town.router.taken()) if int(words[0]) >= 900]
+        if tag == 900:
+            town.end(first.name)
+            town.settle()
+    assert said == [[b"900", b"FAILED"], [b"901", b"FAILED"]]
+    again = town.call(b"record", b"a")
+    town.settle()
+    assert first.answers[0][1] == again.answers[0][1] == b"OK" and town.dispatch.open_count == 0
+
+
+def test_the_name_of_an_open_ticket_is_refused_and_the_first_unharmed() -> None:
+    town = Town(MACHINE)
+    tries = [town.call(b"record", b"a"), town.call(b"record", b"a")]  # one runs, one has joined it
+    tries += [town.call(b"lookup") for _ in range(4)]  # one runs, the others are held
+    town.settle()
+    open_before = town.dispatch.open_count
+    for place, one in enumerate(tries):
+        town.router.feed(call(900 + place, one.name, one.track, town.now, b"", b"b"))
+        town.scheduler.run_ready()
+        town.dispatch.end_round()
+        said = town.answers.feed(town.router.taken())
+        assert [words[:2] for words in said] == [[b"%d" % (900 + place), b"FAILED"]]
+    assert town.dispatch.open_count == open_before
+    while town.interpreter.running:
+        town.end(next(iter(town.interpreter.running)))
+        town.settle()
+    assert all(one.answers[0][1] == b"OK" for one in tries)
+
+
+def test_a_run_that_the_interpreter_does_not_know_leaves_no_trace() -> None:
+    town = Town(MACHINE)
+    made_up = town.call(b"record", b"a")
+    town.settle()
+    controller = town.dispatch._controller
+    assert town.link is not None and controller is not None
+    town.interpreter.applied.clear()
+    town.interpreter.running.clear()
+    town.link.feed(b"ERROR APPLY %b\r\n" % made_up.name)
+    town.settle()
+    assert made_up.answers[0][1] == b"FAILED"
+    assert controller.taken == controller.put == controller.on_cores == 0 and not controller.trips.raw
+    assert not any(controller.customers.values()) and not town.labels._entries
+    true = town.call(b"record", b"a")
+    town.settle()
+    assert true.name in town.interpreter.running
+
+
+def test_a_time_of_arrival_out_of_range_reaches_no_decision() -> None:
+    town = Town(MACHINE)
+    for place, ago in enumerate((-1e6, -2.0, 61.0, 1e6)):
+        town.router.feed(call(900 + place, b"%016x" % place, b"lookup", town.now - ago, b""))
+    town.scheduler.run_ready()
+    town.dispatch.end_round()
+    said = town.answers.feed(town.router.taken())
+    assert [words[1] for words in said] == [b"FAILED"] * 4 and not town.dispatch.open_count
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import zlib
 from collections import deque
 from collections.abc import Callable
 
@@ -305,7 +306,9 @@
     tag: int, name: bytes, track: bytes, since: float, body: bytes, label: bytes = b"", kb: float = 10
 ) -> bytes:
     fields = b"ref=%b,since=%d,sender=4,project=acme,room=%.1f,class_rank=0.5" % (name, since * 1000, kb)
-    return frame(b"RPC.CALL", b"%d" % tag, track, fields + (b",replay=" + label if label else b""), body)
+    if label:
+        fields += b",replay=%032x" % zlib.crc32(label)
+    return frame(b"RPC.CALL", b"%d" % tag, track, fields, body)
 
 
 class MadeScheduler(Scheduler):
