Silent connections and unfinished frames end in 2 s; crowds of unused ones are thinned

Nothing in server.py closed either; make_room asked one unused connection to go every 20 ms, and one that never said anything does not hear it.

Now: a first frame must be whole 2 s after the connecting, a later one 2 s after it began. Beyond a quarter of the connections there may be, those unused longest (2 s at least) are asked to go. With a full table, those that never asked anything go at once from 0.1 s of age. A connection accepted is read 16 KiB a round, so a flood has one turn a round. Also guards against leaks of connections on the routers' side and slow senders; might hurt a router that connects 2 s ahead of its first frame.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -62,12 +62,18 @@
         )
         count = self._counters.count
         self._server = Server(
-            scheduler, posting.tracks, posting.customers, self._standing, self._dispatch, count
+            scheduler,
+            posting.tracks,
+            posting.customers,
+            self._standing,
+            self._dispatch,
+            count,
+            posting.connections_most,
         )
         self._listener = Listener(
             scheduler,
             posting.listen,
-            lambda: len(self._server.connections) < posting.connections_most,
+            self._server.room,
             self._server.accepted,
             self._server.make_room,
         )
--- a/sablewheel/protocol/resp.py
+++ b/sablewheel/protocol/resp.py
@@ -78,6 +78,11 @@
         self._words: list[bytes] = []
         self._left = 0  # words still to come in the open array
 
+    @property
+    def partial(self) -> bool:
+        """Whether an array has begun whose end is still to come."""
+        return bool(self._bytes or self._left)
+
     def feed(self, data: bytes) -> list[list[bytes]]:
         self._bytes += data
         self._at = 0
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
 from ..protocol import resp
@@ -14,6 +15,11 @@
 
 OPEN_MOST = 32  # tries that the protocol allows on one connection at a time
 SWEEP = 0.25  # how often unused connections are looked for
+FIRST_MOST = 2.0  # from connecting to the end of the first frame: routers connect when they have one to send
+WHOLE_MOST = 2.0  # from the beginning of any later frame to its end
+CROWD_SHARE = 4  # one part in so many of the connections there may be; beyond it, unused ones are parted with
+UNUSED_LEAST = 2.0  # for how long those must have been unused
+SILENT_LEAST = 0.1  # once there is no room: those older than this that never asked anything go at once
 PARTING = 1.0  # how long a router has to close a connection after a farewell, with nothing open on it
 AGE_MOST, AHEAD_MOST = 60.0, 1.0  # of a ticket on arrival: no wait and no two readings of one clock differ so
 ROUTERS_MOST = 512  # remembered by number; the one heard longest ago goes first
@@ -34,7 +40,9 @@
     def __init__(self, server: Server, stream: Stream) -> None:
         self.stream = stream
         self.open: dict[int, Exchange] = {}
-        self.used = server.scheduler.clock.now
+        self.accepted = self.used = server.scheduler.clock.now
+        self.due = self.accepted + FIRST_MOST  # when what is awaited must be whole
+        self.heard = False  # whether a whole frame came
         self.leaving = False  # a farewell was said, or nothing more will come
         self.finished = False  # nothing more will come; answers may be owed
         self._server = server
@@ -47,9 +55,15 @@
         """Read until the end. Half a close may leave answers owed, so only a broken stream means gone."""
         try:
             while data := self.stream.read():
-                self.used = self._server.scheduler.clock.now
-                for words in self._parser.feed(data):
+                self.used = now = self._server.scheduler.clock.now
+                frames = self._parser.feed(data)
+                for words in frames:
                     self._take(words)
+                self.heard = self.heard or bool(frames)
+                if not self._parser.partial:
+                    self.due = inf
+                elif frames or self.due == inf:
+                    self.due = now + WHOLE_MOST
             if self.stream.open and (self.open or not self.stream.all_sent):
                 self._server.count("connections_half_closed")
                 self.leaving = self.finished = True
@@ -159,7 +173,9 @@
         standing: Standing,
         desk: Desk,
         count: Callable[[str], None],
+        connections_most: int,
     ) -> None:
+        self._connections_most = connections_most
         self.scheduler, self.standing, self.desk, self.count = scheduler, standing, desk, count
         self.connections: dict[Connection, None] = {}
         self.dirty: dict[Connection, None] = {}
@@ -205,11 +221,37 @@
         """Say farewell on connections that carry nothing for so long."""
         self._unused_most = after
 
+    def room(self) -> bool:
+        return len(self.connections) < self._connections_most
+
     def make_room(self) -> None:
-        """The table of descriptors is full: part with the connection that is unused for longest."""
-        unused = [one for one in self.connections if not one.open and not one.leaving]
-        if unused:
-            min(unused, key=lambda one: one.used).farewell()
+        """The table is full: who never asked anything goes at once, then who is unused for longest.
+
+        Guards against crowds that connect and say nothing, and against any leak of connections on the other
+        side; it may cut off a router that takes a tenth of a second from connecting to its first frame.
+        """
+        before = self.scheduler.clock.now - SILENT_LEAST
+        silent = [one for one in self.connections if not one.heard]
+        for connection in silent:
+            if connection.accepted <= before:
+                self._cut(connection)
+        if not silent:
+            self._thin(0.0)
+
+    def _cut(self, connection: Connection) -> None:
+        """What was awaited on it did not come in time."""
+        self.count("connections_unfinished" if connection.heard else "connections_silent")
+        connection.close()
+
+    def _thin(self, unused_least: float) -> None:
+        """Part with connections unused for so long, the longest first, until they are no crowd any more."""
+        staying = [one for one in self.connections if not one.leaving]
+        over = len(staying) - self._connections_most // CROWD_SHARE
+        if over > 0:
+            before = self.scheduler.clock.now - unused_least
+            unused = [one for one in staying if one.used <= before and not one.open]
+            for connection in sorted(unused, key=lambda one: one.used)[:over]:
+                connection.farewell()
 
     def farewell(self) -> None:
         """Nothing new is to come on any connection."""
@@ -219,6 +261,8 @@
     def _sweep(self) -> None:
         now = self.scheduler.clock.now
         for connection in list(self.connections):
+            if now > connection.due and connection.stream.all_sent:
+                self._cut(connection)
             if connection.open or not connection.stream.all_sent:
                 continue
             if connection.leaving:
@@ -226,4 +270,5 @@
                     connection.close()
             elif self._unused_most is not None and now > connection.used + self._unused_most:
                 connection.farewell()
+        self._thin(UNUSED_LEAST)
         self.scheduler.after(SWEEP, self._sweep)
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -11,7 +11,8 @@
 
 from .scheduler import READABLE, WRITABLE, Scheduler
 
-CHUNK = 131072  # the most read at once, so that no peer keeps the others waiting
+CHUNK = 131072  # the most read at once
+FAIR_CHUNK = 16384  # at once of a connection accepted: one that sends at full speed has one turn a round
 HIGH_WATER = 65536  # unsent bytes past which nothing more is read from a peer
 BACKLOG = 1024
 Address = tuple[str, int]
@@ -20,13 +21,15 @@
 class Stream:
     """One connection. What is written goes out at `flush`, or when the peer takes it."""
 
-    def __init__(self, scheduler: Scheduler, sock: socket.socket, unsent_most: float = inf) -> None:
+    def __init__(
+        self, scheduler: Scheduler, sock: socket.socket, unsent_most: float = inf, chunk: int = CHUNK
+    ) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._scheduler = scheduler
         self._socket = sock
         self._unsent = bytearray()
-        self._unsent_most = unsent_most
+        self._unsent_most, self._chunk = unsent_most, chunk
         self._paused: greenlet | None = None  # the reader, while too much is unsent
         self._sending = False
         self.open = True
@@ -44,7 +47,7 @@
                 continue
             self._scheduler.wait(self._socket.fileno(), READABLE)
             try:
-                return self._socket.recv(CHUNK) if self.open else b""
+                return self._socket.recv(self._chunk) if self.open else b""
             except BlockingIOError:
                 continue
             except OSError:
@@ -162,7 +165,7 @@
         while self._room():
             try:
                 sock, _ = self._socket.accept()
-                stream = Stream(self._scheduler, sock, HIGH_WATER)
+                stream = Stream(self._scheduler, sock, HIGH_WATER, FAIR_CHUNK)
             except BlockingIOError:
                 return True
             except ConnectionAbortedError:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -376,27 +376,47 @@
     assert "open_connections=1" in leave(process)
 
 
-def test_a_full_table_parts_with_unused_connections(tmp_path: Path) -> None:
-    place = Place(tmp_path, limits={"sockets": 28, "memory_mb": 64})
-    try:
-        place.start()
-        place.ready()
-        peers = [place.router() for _ in range(30)]
-        place.engine.at_once = False
-        peers[0].send(peers[0].call(1))
-        last = peers[-1]
-        last.send(last.call(1))
-        for peer in peers[1:12]:
-            assert peer.read(0)[1] == b"BYE"
-            peer.sock.close()
-        until = time.monotonic() + PATIENCE
-        while len(place.engine.core.running) < 2 and time.monotonic() < until:
-            time.sleep(0.005)
-        for name in list(place.engine.core.running):
-            place.engine.end(name)
-        assert peers[0].read(1)[1] == last.read(1)[1] == b"OK"
-    finally:
-        place.end()
+@pytest.fixture
+def narrow(tmp_path: Path) -> Iterator[Place]:
+    place = Place(tmp_path, limits={"sockets": 28, "memory_mb": 32})  # room for 16 connections
+    yield place
+    place.end()
+
+
+def test_a_full_table_parts_with_unused_connections(narrow: Place) -> None:
+    narrow.start()
+    peers = [narrow.ready() for _ in range(16)]
+    narrow.engine.at_once = False
+    peers[0].send(peers[0].call(1))
+    last = narrow.router()
+    last.send(last.call(1))
+    for peer in peers[1:13]:
+        assert peer.read(0)[1] == b"BYE"
+        peer.sock.close()
+    until = time.monotonic() + PATIENCE
+    while len(narrow.engine.core.running) < 2 and time.monotonic() < until:
+        time.sleep(0.005)
+    for name in list(narrow.engine.core.running):
+        narrow.engine.end(name)
+    assert peers[0].read(1)[1] == last.read(1)[1] == b"OK"
+
+
+def test_crowds_that_say_nothing_are_closed_and_keep_no_router_out(narrow: Place) -> None:
+    process = narrow.start()
+    kept = narrow.ready()
+    crowd = [narrow.router() for _ in range(60)]
+    half = narrow.router()
+    half.send(half.call(1)[:-9])
+    began = time.monotonic()
+    late = narrow.router()
+    assert late.ask(1, late.call(1))[1] == kept.ask(1, kept.call(1))[1] == b"OK"
+    assert all(peer.ended() for peer in (*crowd, half)) and time.monotonic() < began + PATIENCE
+    kept.send(kept.call(2))
+    assert kept.read(2)[1] == b"OK"  # it has asked once: it may stay
+    kept.send(kept.call(3)[:-9])
+    assert kept.ended()
+    late.sock.close()
+    assert "connections_silent=61" in leave(process)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,7 +4,7 @@
 
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
-from world import Town, call, frame
+from world import MadeStream, Town, call, frame
 
 from sablewheel.terms import Customer, Halting, Machine, Nature, Track
 
@@ -502,3 +502,35 @@
     town.dispatch.end_round()
     said = town.answers.feed(town.router.taken())
     assert [words[1] for words in said] == [b"FAILED"] * 4 and not town.dispatch.open_count
+
+
+def test_a_frame_that_does_not_end_ends_its_connection_and_one_that_asked_once_may_stay() -> None:
+    town = Town(MACHINE)
+    silent, slow, once = (MadeStream(town.scheduler) for _ in range(3))
+    for stream in (silent, slow, once):
+        town.server.accepted(stream)
+    once.feed(frame(b"RPC.HEALTH", b"1", b""))
+    for byte in call(1, b"%016x" % 1, b"lookup", town.now, b"x" * 50):
+        slow.feed(bytes([byte]))
+        town.wait(0.02)
+    assert not slow.open and not silent.open and once.open
+    once.feed(frame(b"RPC.HEALTH", b"2", b"") + b"*3\r\n")
+    town.wait(1.0)
+    once.feed(b"$1\r\n")
+    town.wait(0.5)
+    assert once.open
+    town.wait(1.0)
+    assert not once.open and town.router.open
+
+
+def test_a_crowd_of_unused_connections_is_thinned_longest_unused_first() -> None:
+    town = Town(MACHINE)
+    streams = [MadeStream(town.scheduler) for _ in range(30)]
+    for stream in streams:
+        town.server.accepted(stream)
+        stream.feed(frame(b"RPC.HEALTH", b"1", b""))
+        town.wait(0.1)
+    town.wait(6.0)
+    assert [one.open for one in (town.router, *streams)] == [False] * 21 + [True] * 10
+    town.wait(60.0)
+    assert sum(one.open for one in streams) == 10
--- a/tests/world.py
+++ b/tests/world.py
@@ -398,6 +398,7 @@
             self.standing,
             self.dispatch,
             self.counts.append,
+            connections_most=40,
         )
         self.linked = True
         self.links: list[MadeStream] = []
@@ -407,6 +408,7 @@
         self.dispatch.attach(self.server, self.client)
         self.router, self.answers = MadeStream(self.scheduler), Parser()
         self.server.accepted(self.router)
+        self.router.feed(frame(b"RPC.HEALTH", b"%d" % 10**9, b""))
         self.tries: list[Try] = []
         self.notice = self.stop = float("inf")
         self.settle()
@@ -464,7 +466,7 @@
                 if link is self.link and (said := self.interpreter.feed(data)):
                     link.feed(said)
             for words in self.answers.feed(self.router.taken()):
-                if words[0] != b"0":
+                if 0 < int(words[0]) <= len(self.tries):
                     self.tries[int(words[0]) - 1].answers.append(words)
             if not moved:
                 break
