--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -39,7 +39,12 @@
 
 
 class Exchange:
-    """One try, from its bytes to its answer."""
+    """One try, from its bytes to its answer; kept for repeats, it lets go of all that they do not need."""
+
+    __slots__ = (
+        "began", "body", "caller", "first", "joined", "label", "name", "place", "result", "sameness", "tag",
+        "ticket", "track",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -52,31 +57,35 @@
         caller: Caller,
     ) -> None:
         self.name, self.track, self.body = name, track, body
-        self.tag, self.label, self.ticket, self.caller = tag, label, ticket, caller
+        self.tag, self.label, self.ticket = tag, label, ticket
+        self.caller: Caller | None = caller  # until answered, or nobody waits
         self.sameness = hash((track, body))  # of two with one label: whether they ask for the same
         self.place = Place.HELD
-        self.closed = False  # answered, or nobody waits
         self.result: bytes | None = None  # as long as it is kept
         self.joined: list[Exchange] = []  # repeats that wait for its end
         self.began = 0.0  # when its join was decided
         self.first: Exchange | None = None  # what it repeats
 
+    @property
+    def closed(self) -> bool:
+        return self.caller is None
+
     def complete(self, result: bytes) -> None:
-        if self._close():
-            self.caller.completed(self, result)
+        if (caller := self._close()) is not None:
+            caller.completed(self, result)
 
     def deny(self, come_back: float, nowhere: bool) -> None:
-        if self._close():
-            self.caller.denied(self, come_back, nowhere)
+        if (caller := self._close()) is not None:
+            caller.denied(self, come_back, nowhere)
 
     def terminate(self) -> None:
-        if self._close():
-            self.caller.terminated(self)
+        if (caller := self._close()) is not None:
+            caller.terminated(self)
 
     def abandon(self) -> bool:
         """Nobody waits any more; whether that is news."""
-        return self._close()
+        return self._close() is not None
 
-    def _close(self) -> bool:
-        was_open, self.closed = not self.closed, True
-        return was_open
+    def _close(self) -> Caller | None:
+        caller, self.caller = self.caller, None
+        return caller
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import gc
+import tracemalloc
+
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 from world import MadeStream, Town, call, frame
@@ -534,3 +537,33 @@
     assert [one.open for one in (town.router, *streams)] == [False] * 21 + [True] * 10
     town.wait(60.0)
     assert sum(one.open for one in streams) == 10
+
+
+def test_nothing_grows_with_new_names_labels_routers_and_connections() -> None:
+    town, sizes = Town(MACHINE), []
+    town.server.close_unused(1.0)
+    try:
+        for place in range(6000):
+            track, label = ((b"lookup", b""), (b"record", b"label%d" % place))[place % 2]
+            stream = MadeStream(town.scheduler)
+            town.server.accepted(stream)
+            frames = call(1, b"%016x" % place, track, town.now, b"x" * 200, label, 1000 + place)
+            stream.feed(frames if place % 3 else frames + frame(b"RPC.CANCEL", b"1"))
+            town.settle()
+            if town.interpreter.running:
+                town.end(next(iter(town.interpreter.running)))
+            town.settle()
+            town.wait(0.02)
+            for book in (town.interpreter.applied, town.interpreter.over, town.counts):
+                book.clear()
+            town.interpreter.notices[:] = [b""] * len(town.interpreter.notices)
+            if place == 2000:
+                tracemalloc.start()
+            if place in (4000, 5999):
+                gc.collect()
+                ours = [tracemalloc.Filter(True, "*/sablewheel/*"), tracemalloc.Filter(False, "*/tests/*")]
+                kept = tracemalloc.take_snapshot().filter_traces(ours).statistics("lineno")
+                sizes.append(sum(one.size for one in kept))
+    finally:
+        tracemalloc.stop()
+    assert sizes[1] < sizes[0] + 100_000, sizes
--- a/tests/world.py
+++ b/tests/world.py
@@ -303,9 +303,9 @@
 
 
 def call(
-    tag: int, name: bytes, track: bytes, since: float, body: bytes, label: bytes = b"", kb: float = 10
+    tag: int, name: bytes, track: bytes, since: float, body: bytes, label: bytes = b"", router: int = 4
 ) -> bytes:
-    fields = b"ref=%b,since=%d,sender=4,project=acme,room=%.1f,class_rank=0.5" % (name, since * 1000, kb)
+    fields = b"ref=%b,since=%d,sender=%d,project=acme,room=10.0,class_rank=0.5" % (name, since * 1000, router)
     if label:
         fields += b",replay=%032x" % zlib.crc32(label)
     return frame(b"RPC.CALL", b"%d" % tag, track, fields, body)
