A full table closes its longest unused connections at once for newcomers

Seen: routers time out while the cores idle. At fault: Server.make_room, whose farewell leaves a second to peers that do not listen to it.

Now make_room closes what is unused for 0.1 s, an eighth of the table at a time, what never asked first, then the longest unused. It might cost a router whose ticket crosses the close a second sending.

--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -19,7 +19,8 @@
 WHOLE_MOST = 2.0  # from the beginning of any later frame to its end
 CROWD_SHARE = 4  # one part in so many of the connections there may be; beyond it, unused ones are parted with
 UNUSED_LEAST = 2.0  # for how long those must have been unused
-SILENT_LEAST = 0.1  # once there is no room: those older than this that never asked anything go at once
+ROOM_LEAST = 0.1  # once there is no room: what is unused for so long is closed at once, some at a time
+ROOM_PARTS = 8
 PARTING = 1.0  # how long a router has to close a connection after a farewell, with nothing open on it
 AGE_MOST, AHEAD_MOST = 60.0, 1.0  # of a ticket on arrival: no wait and no two readings of one clock differ so
 ROUTERS_MOST = 512  # remembered by number; the one heard longest ago goes first
@@ -227,28 +228,29 @@
     def make_room(self) -> None:
         """The table is full: who never asked anything goes at once, then who is unused for longest.
 
-        Guards against crowds that connect and say nothing, and against any leak of connections on the other
-        side; it may cut off a router that takes a tenth of a second from connecting to its first frame.
+        No farewell first: a router in need would wait until those are gone that do not listen to it. Guards
+        against crowds that connect and say nothing or ask once and stay, and against any leak of connections
+        on the other side; a router whose next ticket crosses the close has to send it again.
         """
-        before = self.scheduler.clock.now - SILENT_LEAST
-        silent = [one for one in self.connections if not one.heard]
-        for connection in silent:
-            if connection.accepted <= before:
-                self._cut(connection)
-        if not silent:
-            self._thin(0.0)
+        before = self.scheduler.clock.now - ROOM_LEAST
+        quiet = [one for one in self.connections if not one.open and one.stream.all_sent]
+        idle = [one for one in quiet if one.used <= before]
+        idle.sort(key=lambda one: (one.heard, one.used))
+        for connection in idle[: self._connections_most // ROOM_PARTS]:
+            self.count("connections_crowded_out")
+            connection.close()
 
     def _cut(self, connection: Connection) -> None:
         """What was awaited on it did not come in time."""
         self.count("connections_unfinished" if connection.heard else "connections_silent")
         connection.close()
 
-    def _thin(self, unused_least: float) -> None:
-        """Part with connections unused for so long, the longest first, until they are no crowd any more."""
+    def _thin(self) -> None:
+        """Ask connections to go that are unused, the longest first, until they are no crowd any more."""
         staying = [one for one in self.connections if not one.leaving]
         over = len(staying) - self._connections_most // CROWD_SHARE
         if over > 0:
-            before = self.scheduler.clock.now - unused_least
+            before = self.scheduler.clock.now - UNUSED_LEAST
             unused = [one for one in staying if one.used <= before and not one.open]
             for connection in sorted(unused, key=lambda one: one.used)[:over]:
                 connection.farewell()
@@ -270,5 +272,5 @@
                     connection.close()
             elif self._unused_most is not None and now > connection.used + self._unused_most:
                 connection.farewell()
-        self._thin(UNUSED_LEAST)
+        self._thin()
         self.scheduler.after(SWEEP, self._sweep)
