--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -26,7 +26,7 @@
 IDLE, BUSY = 0.25, 0.9  # shares of the cores below and above which they count as idle and busy
 SLOW_CALLS = 3.0  # median of the recent over lower quartile of all: about 2 for times that scatter evenly
 DONT_RUN_AGAIN = (Nature.LABELLED, Nature.IRREVERSIBLE)
-ROUTERS_KNOWN = 256  # whose patience is remembered, or twice those there are: numbers may never come again
+ROUTERS_KNOWN = 32  # whose patience is kept, or four times those there are: numbers may never come again
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
 
 
@@ -147,7 +147,7 @@
         ticket.router.heard = ticket.read_at = now
         known = self.patience.pop(ticket.router) if ticket.router in self.patience else Samples()
         self.patience[ticket.router] = known  # whom it heard last comes last
-        if len(self.patience) > max(ROUTERS_KNOWN, 2 * machine.routers):
+        if len(self.patience) > max(ROUTERS_KNOWN, 4 * machine.routers):
             oldest_heard = next(iter(self.patience))
             if not oldest_heard.out:
                 del self.patience[oldest_heard]
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -90,7 +90,7 @@
     linger: float = 0.0
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Router:
     """Someone who sends tickets here; the controller notes its open tickets and when it was last heard."""
 
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -13,6 +13,7 @@
 
 CHUNK = 131072  # the most read at once
 FAIR_CHUNK = 16384  # at once of a connection accepted: one that sends at full speed has one turn a round
+BUFFER = memoryview(bytearray(CHUNK))
 HIGH_WATER = 65536  # unsent bytes past which nothing more is read from a peer
 BACKLOG = 1024
 Address = tuple[str, int]
@@ -47,13 +48,19 @@
                 continue
             self._scheduler.wait(self._socket.fileno(), READABLE)
             try:
-                return self._socket.recv(self._chunk) if self.open else b""
+                return self._receive() if self.open else b""
             except BlockingIOError:
                 continue
             except OSError:
                 self.close()
         return b""
 
+    def _receive(self) -> bytes:
+        """Into one buffer for all: a block as large as a read may be, cut down at once, would leave a hole in
+        the heap beside whatever is kept of it, and the process would grow though its objects do not."""
+        got = self._socket.recv_into(BUFFER, self._chunk)
+        return bytes(BUFFER[:got])
+
     def write(self, data: bytes) -> None:
         if self.open:
             self._unsent += data
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -566,4 +566,5 @@
                 sizes.append(sum(one.size for one in kept))
     finally:
         tracemalloc.stop()
-    assert sizes[1] < sizes[0] + 100_000, sizes
+    controller = town.dispatch._controller
+    assert sizes[1] < sizes[0] + 100_000 and controller is not None and len(controller.patience) <= 32, sizes
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import time
+import tracemalloc
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -149,6 +150,26 @@
     assert bytes(got) == data and ends[0].all_sent
 
 
+def test_a_read_takes_no_more_memory_than_what_came() -> None:
+    scheduler, peaks = Scheduler(Clock()), []
+    with socket.create_server(("127.0.0.1", 0)) as door:
+        two = socket.create_connection(door.getsockname())
+        stream = Stream(scheduler, door.accept()[0])
+
+    def reader() -> None:
+        for _ in range(3):
+            two.send(b"x" * 100)
+            tracemalloc.start()
+            assert stream.read() == b"x" * 100
+            peaks.append(tracemalloc.get_traced_memory()[1])
+            tracemalloc.stop()
+        stream.close()
+
+    play(scheduler, reader)
+    two.close()
+    assert len(peaks) == 3 and min(peaks) < 16_000, peaks
+
+
 def test_nobody_there_is_no_connection() -> None:
     scheduler, seen = Scheduler(Clock()), []
     with socket.create_server(("127.0.0.1", 0)) as free:
