A link silent for 3 s is made anew; a fault in one signal leaves the others

From the reading: gauges are asked five times a second, but nobody looked whether an answer comes, so a link cut off without a close would hold all runs until the process is restarted. Since a command given again begins nothing anew, a new link is harmless where the interpreter only stalls. And a fault in what a signal does (say, a configuration nested too deep to read) ended the greenlet that takes signals, SIGTERM's too.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -20,6 +20,7 @@
 
 FIRST_REST, LAST_REST = 0.02, 0.5  # between tries, doubling
 GAUGES_EVERY, GAUGES_HOLD = 0.2, 0.5
+SILENT_MOST = 3.0  # without a word, while asked five times a second: longer than a machine that only stalls
 HAND_OVER_MOST = 0.3  # for the fence on a link that is about to be left; past it, it counts as broken
 HAND_OVER_LOOK = 0.005
 
@@ -64,7 +65,7 @@
         self._proven = 0  # the last that was answered: all commands before it were read
         self._commands = bytearray()
         self._gauges: tuple[float | None, ...] = ()
-        self._told = 0.0
+        self._told = self._heard = 0.0
         self._moves = 0
         self.move(connect)
         scheduler.after(GAUGES_EVERY, self._ask_gauges)
@@ -166,6 +167,7 @@
         stream.write(interpreter.connect(self._last))
         stream.flush()
         while data := stream.read():
+            self._heard = self._scheduler.clock.now
             for notice in parser.feed(data):
                 match notice:
                     case interpreter.Greeting(cold, age):
@@ -212,7 +214,11 @@
         self._commands += interpreter.apply(exchange.name, exchange.track, exchange.body)
 
     def _ask_gauges(self) -> None:
+        """Also finds a link that is open but dead: it is made anew, which harms nothing if it only stalls."""
         self._asking = self._asking or self._ready
+        if self._ready and self._stream is not None and self._scheduler.clock.now > self._heard + SILENT_MOST:
+            self._count("links_silent")
+            self._stream.close()
         self._scheduler.after(GAUGES_EVERY, self._ask_gauges)
 
     # -- what it tells
--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -140,7 +140,10 @@
             self.wait(descriptor, READABLE)
             for number in os.read(descriptor, 64):
                 if number in self._on_signal:
-                    self._on_signal[number]()
+                    try:
+                        self._on_signal[number]()
+                    except Exception:  # a fault in one must not make the process deaf to the others
+                        log.exception("signal ended by a fault")
 
     # -- the loop
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -568,3 +568,13 @@
         tracemalloc.stop()
     controller = town.dispatch._controller
     assert sizes[1] < sizes[0] + 100_000 and controller is not None and len(controller.patience) <= 32, sizes
+
+
+def test_a_link_that_is_open_but_silent_is_made_anew() -> None:
+    town = Town(MACHINE)
+    town.links.clear()  # nothing that is written arrives any more, and nothing comes
+    one = town.call(b"record", b"a")
+    town.wait(2.5)
+    assert town.counts.count("links") == 1 and not town.interpreter.running
+    town.wait(1.0)
+    assert town.counts.count("links") == 2 and one.name in town.interpreter.running
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -115,9 +115,18 @@
     scheduler, seen = Scheduler(Clock()), []
     before = signal.getsignal(signal.SIGUSR1)
     try:
-        scheduler.on_signal(signal.SIGUSR1, lambda: seen.append(1))
-        play(scheduler, lambda: os.kill(os.getpid(), signal.SIGUSR1))
-        assert seen == [1]
+
+        def faulty() -> None:
+            seen.append(1)
+            raise RuntimeError("a fault of ours")
+
+        scheduler.on_signal(signal.SIGUSR1, faulty)
+        play(
+            scheduler,
+            lambda: os.kill(os.getpid(), signal.SIGUSR1),
+            lambda: scheduler.after(0.1, lambda: os.kill(os.getpid(), signal.SIGUSR1)),  # type: ignore[arg-type]
+        )
+        assert seen == [1, 1]
     finally:
         signal.set_wakeup_fd(-1)
         signal.signal(signal.SIGUSR1, before)
