--- a/tests/world.py
+++ b/tests/world.py
@@ -272,6 +272,8 @@
                 return b"BANNER steady 5000\r\n" + b"".join(self.notices[int(last) :]) if self.up else b""
             case [verb, name, *_] if not self.up:
                 return b"ERROR %b %b\r\n" % (verb, name)
+            case [b"APPLY", name, *_] if name.startswith(b"bad0"):  # no ticket of that name came to it
+                return b"ERROR APPLY %b\r\n" % name
             case [b"APPLY", name, track, _]:
                 if name in self.over:  # as the bench's was seen to do
                     return self._tell(name, b"nothing", b"")
