Doubled notices, remarks and bad clients in the random interleavings

Between moves, breaks and lost commands the last notice now comes again, a remark with it, and a bad client copies a label or an open name, leaves a field out or sends half a frame.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -28,7 +28,7 @@
     said_for=1.0,
     idle=30.0,
 )
-OFTEN = ["read"] * 2 + ["write"] * 3 + ["end"] * 3
+OFTEN = ["read"] * 2 + ["write"] * 3 + ["end"] * 3 + ["double", "bad"]
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(
@@ -84,6 +84,13 @@
             case "move":
                 town.linked = True
                 town.client.move(town._connect)
+            case "double" if town.interpreter.notices and town.link is not None:  # the last notice once more
+                town.link.feed(town.interpreter.notices[-1] + b"TRACE 1 a remark\r\n")
+            case "bad":  # a copied label or name with another body, a faulty field, no end
+                stream, name = MadeStream(town.scheduler), running[0] if running else b"%016x" % which
+                town.server.accepted(stream)
+                faulty = call(1, name, b"record", town.now, b"another", b"label%d" % which)
+                stream.feed([faulty, faulty.replace(b"room=", b"boom="), faulty[:-9], b"\0"][which])
             case "drain":
                 town.drain(1.0 + which)
             case _:
