--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -41,8 +41,8 @@
     def __init__(self, server: Server, stream: Stream) -> None:
         self.stream = stream
         self.open: dict[int, Exchange] = {}
-        self.accepted = self.used = server.scheduler.clock.now
-        self.due = self.accepted + FIRST_MOST  # when what is awaited must be whole
+        self.used = server.scheduler.clock.now
+        self.due = self.used + FIRST_MOST  # when what is awaited must be whole
         self.heard = False  # whether a whole frame came
         self.leaving = False  # a farewell was said, or nothing more will come
         self.finished = False  # nothing more will come; answers may be owed
@@ -50,6 +50,11 @@
         self._parser = resp.Parser()
         self._answers: list[Callable[[float | None], bytes]] = []
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is open on it and all answers are on their way."""
+        return not self.open and self.stream.all_sent
+
     # -- what comes
 
     def serve(self) -> None:
@@ -233,18 +238,12 @@
         on the other side; a router whose next ticket crosses the close has to send it again.
         """
         before = self.scheduler.clock.now - ROOM_LEAST
-        quiet = [one for one in self.connections if not one.open and one.stream.all_sent]
-        idle = [one for one in quiet if one.used <= before]
+        idle = [one for one in self.connections if one.idle and one.used <= before]
         idle.sort(key=lambda one: (one.heard, one.used))
         for connection in idle[: self._connections_most // ROOM_PARTS]:
             self.count("connections_crowded_out")
             connection.close()
 
-    def _cut(self, connection: Connection) -> None:
-        """What was awaited on it did not come in time."""
-        self.count("connections_unfinished" if connection.heard else "connections_silent")
-        connection.close()
-
     def _thin(self) -> None:
         """Ask connections to go that are unused, the longest first, until they are no crowd any more."""
         staying = [one for one in self.connections if not one.leaving]
@@ -264,10 +263,11 @@
         now = self.scheduler.clock.now
         for connection in list(self.connections):
             if now > connection.due and connection.stream.all_sent:
-                self._cut(connection)
-            if connection.open or not connection.stream.all_sent:
+                self.count("connections_unfinished" if connection.heard else "connections_silent")
+                connection.close()
+            elif not connection.idle:
                 continue
-            if connection.leaving:
+            elif connection.leaving:
                 if connection.finished or now > connection.used + PARTING:
                     connection.close()
             elif self._unused_most is not None and now > connection.used + self._unused_most:
--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -140,10 +140,7 @@
             self.wait(descriptor, READABLE)
             for number in os.read(descriptor, 64):
                 if number in self._on_signal:
-                    try:
-                        self._on_signal[number]()
-                    except Exception:  # a fault in one must not make the process deaf to the others
-                        log.exception("signal ended by a fault")
+                    self.spawn(self._on_signal[number])  # a fault there must not end the watch
 
     # -- the loop
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,7 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -146,6 +146,13 @@
         self.names.close()
 
 
+def wait_until(true: Callable[[], object]) -> None:
+    until = time.monotonic() + PATIENCE
+    while not true():
+        assert time.monotonic() < until, "what was waited for did not come"
+        time.sleep(0.005)
+
+
 class Peer:
     """A router's connection."""
 
@@ -260,9 +267,7 @@
     peer = place.ready()
     place.engine.at_once = False
     peer.send(peer.call(1))
-    until = time.monotonic() + PATIENCE
-    while not place.engine.core.running and time.monotonic() < until:
-        time.sleep(0.005)
+    wait_until(lambda: place.engine.core.running)
     place.engine.cut()
     place.engine.core.end(next(iter(place.engine.core.running)))
     assert peer.read(1)[1] == b"OK"
@@ -290,9 +295,7 @@
     assert peer.ask(2, peer.call(2))[1] == peer.read(1)[1] == b"OK"
     old.at_once = new.at_once = False
     peer.send(peer.call(3, b"record", b"ab"))
-    until = time.monotonic() + PATIENCE
-    while not old.core.running and time.monotonic() < until:
-        time.sleep(0.005)
+    wait_until(lambda: old.core.running)
     addresses = {
         "vm": f"127.0.0.1:{new.door.getsockname()[1]}",
         "naming": f"127.0.0.1:{names.getsockname()[1]}",
@@ -300,8 +303,7 @@
     told(**addresses, stop_ms=1501)
     told(**addresses, stop_ms=1501)
     assert names.recv(64) == b"renew n3 yes"
-    while new.link is None and time.monotonic() < until:
-        time.sleep(0.005)
+    wait_until(lambda: new.link is not None)
     old.door.close()
     old.cut()
     new.end(next(iter(new.core.running)))
@@ -355,9 +357,7 @@
     assert good.ask(1, good.call(1, b"record", b"true"))[1] == b"OK"
     place.engine.at_once = False
     good.send(good.call(2))
-    until = time.monotonic() + PATIENCE
-    while not place.engine.core.running and time.monotonic() < until:
-        time.sleep(0.005)
+    wait_until(lambda: place.engine.core.running)
     held = next(iter(place.engine.core.running))
     for tag, (kind, data) in enumerate(bad_clients(held).items(), 10):
         bad = place.router()
@@ -439,9 +439,7 @@
     peers[0].send(peers[0].call(1))
     last = narrow.router()
     last.send(last.call(1))
-    until = time.monotonic() + PATIENCE
-    while len(narrow.engine.core.running) < 2 and time.monotonic() < until:
-        time.sleep(0.005)
+    wait_until(lambda: len(narrow.engine.core.running) == 2)
     assert peers[1].ended()  # though it was heard and would have stayed
     for name in list(narrow.engine.core.running):
         narrow.engine.end(name)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -411,10 +411,7 @@
     said = []
     for tag in (900, 901):  # while the first runs, and after its end
         copy = call(tag, b"%016x" % tag, b"record", town.now, b"another body", b"a")
-        town.router.feed(copy)
-        town.scheduler.run_ready()
-        town.dispatch.end_round()
-        said += [words[:2] for words in town.answers.feed(town.router.taken()) if int(words[0]) >= 900]
+        said += [words[:2] for words in town.ask(copy) if int(words[0]) >= 900]
         if tag == 900:
             town.end(first.name)
             town.settle()
@@ -431,10 +428,7 @@
     town.settle()
     open_before = town.dispatch.open_count
     for place, one in enumerate(tries):
-        town.router.feed(call(900 + place, one.name, one.track, town.now, b"", b"b"))
-        town.scheduler.run_ready()
-        town.dispatch.end_round()
-        said = town.answers.feed(town.router.taken())
+        said = town.ask(call(900 + place, one.name, one.track, town.now, b"", b"b"))
         assert [words[:2] for words in said] == [[b"%d" % (900 + place), b"FAILED"]]
     assert town.dispatch.open_count == open_before
     while town.interpreter.running:
@@ -463,11 +457,11 @@
 
 def test_a_time_of_arrival_out_of_range_reaches_no_decision() -> None:
     town = Town(MACHINE)
-    for place, ago in enumerate((-1e6, -2.0, 61.0, 1e6)):
-        town.router.feed(call(900 + place, b"%016x" % place, b"lookup", town.now - ago, b""))
-    town.scheduler.run_ready()
-    town.dispatch.end_round()
-    said = town.answers.feed(town.router.taken())
+    calls = [
+        call(900 + place, b"%016x" % place, b"lookup", town.now - ago, b"")
+        for place, ago in enumerate((-1e6, -2.0, 61.0, 1e6))
+    ]
+    said = town.ask(b"".join(calls))
     assert [words[1] for words in said] == [b"FAILED"] * 4 and not town.dispatch.open_count
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -434,6 +434,13 @@
         self.router.feed(call(tag, one.name, track, one.since, one.body, label))
         return one
 
+    def ask(self, data: bytes) -> list[list[bytes]]:
+        """One round with these bytes from the router; what it was answered in it."""
+        self.router.feed(data)
+        self.scheduler.run_ready()
+        self.dispatch.end_round()
+        return self.answers.feed(self.router.taken())
+
     def cancel(self, one: Try) -> None:
         one.cancelled = one.cancelled or not one.answers
         self.router.feed(frame(b"RPC.CANCEL", b"%d" % one.tag))
