--- /dev/null
+++ b/sablewheel/transport/background.py
@@ -0,0 +1,59 @@
+"""Carries out the rota's chores at the end of rounds, after all that tickets needed."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+from .rota import Chore, Rota
+from .scheduler import Scheduler, Timer
+
+SLICE = 0.002  # seconds of chores in one round without tickets
+
+log = logging.getLogger(__name__)
+
+
+class Background:
+    """`moved` tells a number that changes whenever a round carried tickets."""
+
+    def __init__(self, scheduler: Scheduler, moved: Callable[[], int]) -> None:
+        self._scheduler, self._moved = scheduler, moved
+        self._last = -1
+        self._rota = Rota()
+        self._steps: dict[str, Callable[[], bool]] = {}
+        self._wake: Timer | None = None
+
+    def add(self, name: str, priority: int, share: float, step: Callable[[], bool]) -> Chore:
+        """A chore; `step` does one small piece and tells whether there is more to do now."""
+        chore = Chore(name, priority, share)
+        self._rota.add(chore)
+        self._steps[name] = step
+        return chore
+
+    def want(self, chore: Chore) -> None:
+        self._rota.want(chore, self._scheduler.clock.now)
+
+    def end_round(self) -> None:
+        if not self._rota.wanted:
+            return
+        moved = self._moved()
+        busy, self._last = moved != self._last, moved
+        begun = time.perf_counter()
+        now = self._scheduler.clock.now
+        while (chore := self._rota.choose(now, busy)) is not None:
+            before = time.perf_counter()
+            try:
+                more = self._steps[chore.name]()
+            except Exception:
+                log.exception("a chore ended by a fault", extra={"pairs": {"chore": chore.name}})
+                more = False
+            after = time.perf_counter()
+            self._rota.done(chore, now, after - before, more)
+            if busy or after - begun > SLICE:
+                break
+        rest = self._rota.again_in(now, busy=False)
+        if rest is not None:
+            if self._wake is not None:
+                self._wake.cancel()
+            self._wake = self._scheduler.after(max(rest, 0.001), lambda: None)
