--- a/sablewheel/__init__.py
+++ b/sablewheel/__init__.py
@@ -1,1 +1,3 @@
-"""Sablewheel: an overload controller that lives inside each server of a fleet."""
+"""Sablewheel: an overload controller inside each server of a fleet, and the app server round it."""
+
+__version__ = "0.2.0"
--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 
@@ -14,15 +15,27 @@
     from .program import configuration, logs
     from .program.application import Application
 
+    features, file = None, os.environ.get("SABLEWHEEL_FEATURES")
     try:
         posting = configuration.posting()
     except configuration.FaultyKeyError as trouble:
         print(f"sablewheel: {trouble}", file=sys.stderr)
         return 2
+    if file:
+        from .program.features import FaultyFeaturesError, read
+
+        try:
+            features = read(file)
+        except FaultyFeaturesError as trouble:
+            print(trouble, file=sys.stderr)
+            return 2
     logs.start(posting.level)
     try:
-        application = Application(posting)
+        application = Application(posting, features)
     except OSError as trouble:
+        if trouble.errno is None or trouble.filename:  # a feature's folder, not the door
+            print(f"sablewheel: {trouble}", file=sys.stderr)
+            return 1
         host, port = posting.listen
         print(f"sablewheel: listen: {host}:{port}: {trouble.strerror}", file=sys.stderr)
         return 1
--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -184,7 +184,7 @@
         if not any(self.hold) and not stale and self._may_start(ticket):
             return self._run(ticket)
         # Its own line only: an in-share ticket starts before any that wait beyond their share.
-        over = self._over_share(ticket)
+        ticket.beyond = over = self._over_share(ticket)
         oldest = max(waits) if over else waits[0]
         if track.calls:  # the queue before the ledger is ahead of it as well
             oldest = max(oldest, self._oldest(self.at_call, Stage.AT_CALL), self._wait_to_call(track))
@@ -262,6 +262,7 @@
         self.kb += self._more_kb(ticket)
         self.taken += 1
         if ticket.customer is not None:
+            ticket.beyond = self._over_share(ticket)
             self.customers[ticket.customer].append(self.now)
         self.deeds.append(terms.Run(ticket))
 
--- /dev/null
+++ b/sablewheel/command/trial.py
@@ -0,0 +1,49 @@
+"""`sablewheel trial NAME`: the measured experiments."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from pathlib import Path
+
+import click
+
+from ..trials.rig import RigError
+from ..trials.verdict import Verdict
+
+TRIALS = {
+    "ledger": "ledger",
+    "ledger-cost": "ledger_cost",
+    "ledger-size": "ledger_size",
+}
+
+
+@click.command()
+@click.argument("name", type=click.Choice(sorted(TRIALS)))
+@click.option("--quick", is_flag=True, help="Under 40 seconds.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--broken", default="", help="A part broken on purpose; the trial must catch it.")
+@click.option("--json", "json_file", type=click.Path(path_type=Path), help="Also write the line here.")
+def trial(name: str, quick: bool, seed: int, broken: str, json_file: Path | None) -> None:
+    """Measure what NAME promises, with real processes and failures. Exit 1 if it does not hold.
+
+    \b
+    sablewheel trial ledger --quick
+    sablewheel trial ledger --broken no-dedup    must not hold
+    """
+    module = importlib.import_module(f"..trials.{TRIALS[name]}", __package__)
+    kinds = getattr(module, "BROKEN", ())
+    if broken and broken not in kinds:
+        raise click.BadParameter(
+            f"{broken!r} is none of {', '.join(kinds) or 'no kinds'}", param_hint="--broken"
+        )
+    try:
+        verdict = module.run(seed, quick, broken) if kinds else module.run(seed, quick)
+    except RigError as trouble:
+        verdict = Verdict(name)
+        verdict.check("the rig comes up", False, trouble)
+    click.echo(verdict.table())
+    click.echo(verdict.line())
+    if json_file is not None:
+        json_file.write_text(verdict.line() + "\n")
+    sys.exit(0 if verdict.holds else 1)
--- /dev/null
+++ b/sablewheel/ledger/book.py
@@ -0,0 +1,442 @@
+"""The collector's book: SQLite, one transaction for all that a round brought, lines that are only ever added.
+
+A line's digest covers the line and the digest of the one before it in its period; a period's seal covers its
+last line's digest, its number of lines and the seal before. So a line that is lost, put in or changed later
+is found by `verify`, with its place.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import sqlite3
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from . import ledger_pb2 as pb
+from .closing import Closer
+from .collecting import Apply, Known
+from .corrections import Correction, Target, check
+from .periods import Period, Periods
+from .plan import Calendar, Length
+
+FORMAT = 1
+ENTRY, TOTAL, CORRECTION = 0, 1, 2
+KINDS = ("entry", "total", "correction")
+SCHEMA = """
+create table meta(key text primary key, value text not null) without rowid;
+create table sources(id integer primary key, server text not null, incarnation blob not null,
+  number integer not null, digest blob not null, last_sequence integer not null,
+  first_seen_us integer not null, last_seen_us integer not null, skew_us integer not null,
+  answered integer not null default 0, unique(server, incarnation));
+create table blocks(id integer primary key, source integer not null, number integer not null,
+  digest blob not null, first_sequence integer not null, last_sequence integer not null,
+  size integer not null, written_us integer not null, received_us integer not null, unique(source, number));
+create index block_sequences on blocks(source, first_sequence);
+create table periods(id integer primary key, name text not null unique, start_us integer not null,
+  end_us integer not null, lines integer not null, head blob not null, closed_us integer, seal blob, sealed
+  integer); create table lines(period integer not null, place integer not null, digest blob not null, kind
+  integer not null, block integer not null, sequence integer not null, belongs text, customer text not null,
+  track text not null, outcome integer not null, goal_kept integer not null, beyond integer not null, billed
+  integer not null, entries integer not null, run_us integer not null, asked_bytes integer not null,
+  answer_bytes integer not null, ended_us integer not null, name blob, run blob, more text, primary
+  key(period, place)) without rowid; create index line_blocks on lines(block, sequence);
+create index corrections on lines(kind) where kind = 2;
+create table holes(source integer not null, after_number integer not null, through_number integer not null,
+  reason text not null, told_us integer not null);
+create table unsure(source integer not null, after_sequence integer not null, through_sequence integer not
+null, block integer not null);
+"""
+LINE = (
+    "kind, block, sequence, belongs, customer, track, outcome, goal_kept, beyond, billed, entries, run_us,"
+    " asked_bytes, answer_bytes, ended_us, name, run, more"
+)
+LINE_SLOTS = ", ".join("?" * 21)
+Line = tuple[Any, ...]  # the columns of LINE, in that order
+
+
+class BookError(RuntimeError):
+    """A book that can't be used; the message says why."""
+
+
+def line_digest(before: bytes, line: Line) -> bytes:
+    """The digest of a line behind another; bytes stand as hexadecimal in what is digested."""
+    text = json.dumps([one.hex() if isinstance(one, bytes) else one for one in line], separators=(",", ":"))
+    return hashlib.sha256(before + text.encode()).digest()
+
+
+def seal_digest(before: bytes, name: str, lines: int, head: bytes) -> bytes:
+    return hashlib.sha256(before + f"{name}\n{lines}\n".encode() + head).digest()
+
+
+@dataclass
+class Source:
+    """One incarnation of a server, as the book has it."""
+
+    id: int
+    server: str
+    incarnation: bytes
+    known: Known
+
+
+class Book:
+    """One file. Writers use `with book.transaction()`; a book has one writer."""
+
+    def __init__(self, path: Path, calendar: Calendar | None = None, read_only: bool = False) -> None:
+        self.path = path
+        if read_only and not path.exists():
+            raise BookError(f"{path}: there is no such book")
+        try:
+            if read_only:
+                self._db = sqlite3.connect(f"file:{path}?mode=ro", uri=True, isolation_level=None, timeout=10)
+            else:
+                path.parent.mkdir(parents=True, exist_ok=True)
+                self._db = sqlite3.connect(path, isolation_level=None, timeout=10)
+                self._db.execute("pragma journal_mode=wal")
+                self._db.execute("pragma synchronous=full")
+            self._db.execute("pragma cache_size=-16000")
+            self._prepare(calendar)
+        except sqlite3.DatabaseError as trouble:
+            raise BookError(f"{path}: {trouble}") from None
+        except OSError as trouble:
+            raise BookError(f"{path}: {trouble.strerror}") from None
+        self.closer = Closer(self.periods, closed_through=int(self._meta("closed_through") or 0))
+        self.closer.now = self.closer.closed_through
+        self._sources: dict[tuple[str, bytes], Source] = {}
+        self._period_ids: dict[
+            int, tuple[int, int, bytes]
+        ] = {}  # by start: id, lines, head; in a transaction
+
+    def _prepare(self, calendar: Calendar | None) -> None:
+        if not self._db.execute("select 1 from sqlite_master where name = 'meta'").fetchone():
+            if calendar is None:
+                raise BookError(f"{self.path}: not a book of this program")
+            told = {
+                "format": str(FORMAT), "zone": calendar.zone, "length": calendar.length.value,
+                "lag": repr(calendar.lag), "closed_through": "0",
+            }  # fmt: skip
+            statements = [one for one in SCHEMA.split(";") if one.strip()]
+            self._db.execute("begin immediate")
+            for statement in statements:
+                self._db.execute(statement)
+            self._db.executemany("insert into meta values(?, ?)", told.items())
+            self._db.execute("commit")
+        if self._meta("format") != str(FORMAT):
+            raise BookError(f"{self.path}: format {self._meta('format')}, this program reads {FORMAT}")
+        kept = Calendar(
+            self._meta("zone") or "UTC", Length(self._meta("length")), float(self._meta("lag") or 0.0)
+        )
+        if calendar is not None and (calendar.zone, calendar.length) != (kept.zone, kept.length):
+            raise BookError(
+                f"{self.path}: the book's periods are {kept.length.value}s of {kept.zone}, not"
+                f" {calendar.length.value}s of {calendar.zone}; a book keeps its calendar"
+            )
+        self.periods = Periods(kept if calendar is None else calendar)
+
+    def _meta(self, key: str) -> str | None:
+        row = self._db.execute("select value from meta where key = ?", (key,)).fetchone()
+        return row[0] if row else None
+
+    def close(self) -> None:
+        self._db.close()
+
+    def rows(self, query: str, *values: object) -> Iterator[Any]:
+        """For reports: the rows of a query, one by one."""
+        return self._db.execute(query, values)
+
+    # -- writing: all between `begin` and `commit`, or none of it
+
+    def begin(self) -> None:
+        self._period_ids.clear()
+        self._db.execute("begin immediate")
+        # Another writer (a correction made by hand, or the collector beside it) may have closed periods.
+        self.closer.closed_through = max(self.closer.closed_through, int(self._meta("closed_through") or 0))
+
+    def commit(self) -> None:
+        for period, lines, head in self._period_ids.values():
+            self._db.execute("update periods set lines = ?, head = ? where id = ?", (lines, head, period))
+        self._period_ids.clear()
+        self._db.execute("commit")
+
+    def roll_back(self) -> None:
+        self._period_ids.clear()
+        self._sources.clear()
+        if self._db.in_transaction:
+            self._db.execute("rollback")
+
+    def known(self, server: str) -> dict[bytes, Known]:
+        """By incarnation: the last block of this server that is in the book."""
+        rows = self._db.execute(
+            "select incarnation, number, digest, last_sequence from sources where server = ?", (server,)
+        )
+        return {bytes(one[0]): Known(one[1], bytes(one[2]), one[3]) for one in rows}
+
+    def held(self, server: str, incarnation: bytes, number: int) -> bytes | None:
+        """The digest under which a block is in the book."""
+        row = self._db.execute(
+            "select b.digest from blocks b join sources s on b.source = s.id"
+            " where s.server = ? and s.incarnation = ? and b.number = ?",
+            (server, incarnation, number),
+        ).fetchone()
+        return bytes(row[0]) if row else None
+
+    def apply(self, server: str, one: Apply, received: float) -> None:
+        """Post a block that was judged to be the next; within a transaction."""
+        block, now = one.block, round(received * 1e6)
+        source = self._source(server, block.incarnation, now)
+        cursor = self._db.execute(
+            "insert into blocks(source, number, digest, first_sequence, last_sequence, size, written_us,"
+            " received_us) values(?, ?, ?, ?, ?, ?, ?, ?)",
+            (
+                source.id, block.number, one.digest, block.first_sequence, block.last_sequence, one.data_size,
+                block.written_us, now,
+            ),
+        )  # fmt: skip
+        place = cursor.lastrowid or 0
+        by_period: dict[int, list[Line]] = {}
+        periods: dict[int, Period] = {}
+        for period, line in self._lines(place, block):
+            periods[period.start] = period
+            by_period.setdefault(period.start, []).append(line)
+        for start, lines in by_period.items():
+            self._post(periods[start], lines)
+        for flag in block.unsure:
+            before = self._source(server, flag.incarnation, now)
+            self._db.execute(
+                "insert into unsure values(?, ?, ?, ?)",
+                (before.id, flag.after_sequence, flag.through_sequence, place),
+            )
+        source.known = Known(block.number, one.digest, block.last_sequence)
+        self._db.execute(
+            "update sources set number = ?, digest = ?, last_sequence = ?, last_seen_us = ?, skew_us = ?,"
+            " answered = ? where id = ?",
+            (
+                block.number,
+                one.digest,
+                block.last_sequence,
+                now,
+                block.written_us - now,
+                block.answered,
+                source.id,
+            ),
+        )
+
+    def lose(self, server: str, incarnation: bytes, through: int, reason: str, received: float) -> bool:
+        """Blocks up to one can't come any more: noted as a hole, and the chain goes on behind it."""
+        now = round(received * 1e6)
+        source = self._source(server, incarnation, now)
+        if through <= source.known.number:
+            return False
+        self._db.execute(
+            "insert into holes values(?, ?, ?, ?, ?)",
+            (source.id, source.known.number, through, reason[:200], now),
+        )
+        source.known = Known(through, b"", source.known.last_sequence)
+        self._db.execute("update sources set number = ?, digest = x'' where id = ?", (through, source.id))
+        return True
+
+    def correct(self, one: Correction, made: float) -> str:
+        """Add a correction to the open period; its name. Raises `CorrectionError` if it may not be made."""
+        self.closer.look(made, made)
+        self.begin()
+        try:
+            target = one.target
+            closed, billed = self._target(target)
+            taken = sum(
+                -json.loads(more)["tickets"]
+                for more, customer in self._db.execute("select more, customer from lines where kind = 2")
+                if customer == one.customer and json.loads(more)["target"] == str(target)
+                and json.loads(more)["tickets"] < 0
+            )  # fmt: skip
+            check(one, closed, billed, taken)
+            period = self.closer.open_now()
+            more = json.dumps(
+                {"target": str(target), "tickets": one.tickets, "reason": one.reason, "author": one.author},
+                sort_keys=True,
+            )
+            line = (
+                CORRECTION, 0, 0, target.period or None, one.customer, one.track, int(pb.COMPLETED), 0, 0, 1,
+                one.tickets, one.run_us, 0, 0, round(made * 1e6), None, None, more,
+            )  # fmt: skip
+            self._post(period, [line])
+            self.commit()
+        except BaseException:
+            self.roll_back()
+            raise
+        return period.name
+
+    def _target(self, target: Target) -> tuple[bool | None, tuple[str, str, int, int] | None]:
+        if target.period:
+            row = self._db.execute("select seal from periods where name = ?", (target.period,)).fetchone()
+            return (None if row is None else row[0] is not None), None
+        row = self._db.execute(
+            "select l.customer, l.track, l.billed * l.entries, l.run_us * l.billed from lines l"
+            " join blocks b on l.block = b.id join sources s on b.source = s.id"
+            " where s.server = ? and s.incarnation = ? and l.sequence = ? and b.first_sequence <= ?"
+            " and b.last_sequence >= ? and l.kind = 0",
+            (target.server, target.incarnation, target.sequence, target.sequence, target.sequence),
+        ).fetchone()
+        return None, row
+
+    def close_due(self) -> list[str]:
+        """Close and seal what is due by the closer, oldest first; the names. Within a transaction."""
+        closed = []
+        for name, start, end in self._db.execute(
+            "select name, start_us, end_us from periods where seal is null order by start_us"
+        ).fetchall():
+            period = Period(start, end, name)
+            if not self.closer.due(period):
+                break
+            self._seal(period)
+            self.closer.closed(period)
+            closed.append(name)
+        if closed:
+            self._db.execute(
+                "update meta set value = ? where key = 'closed_through'", (str(self.closer.closed_through),)
+            )
+        return closed
+
+    def _seal(self, period: Period) -> None:
+        number, before = self._db.execute(
+            "select coalesce(max(sealed), 0),"
+            " (select seal from periods order by sealed desc limit 1) from periods"
+        ).fetchone()
+        place, lines, head = self._period(period)
+        seal = seal_digest(bytes(before or b""), period.name, lines, head)
+        self._db.execute(
+            "update periods set closed_us = ?, seal = ?, sealed = ? where id = ?",
+            (self.closer.now, seal, number + 1, place),
+        )
+
+    def _source(self, server: str, incarnation: bytes, now: int) -> Source:
+        key = (server, incarnation)
+        if key not in self._sources:
+            self._db.execute(
+                "insert or ignore into sources(server, incarnation, number, digest, last_sequence,"
+                " first_seen_us, last_seen_us, skew_us) values(?, ?, 0, x'', 0, ?, ?, 0)",
+                (server, incarnation, now, now),
+            )
+            row = self._db.execute(
+                "select id, number, digest, last_sequence from sources where server = ? and incarnation = ?",
+                key,
+            ).fetchone()
+            if len(self._sources) > 1000:
+                self._sources.clear()
+            self._sources[key] = Source(row[0], *key, Known(row[1], bytes(row[2]), row[3]))
+        return self._sources[key]
+
+    def _lines(self, place: int, block: pb.Block) -> Iterator[tuple[Period, Line]]:
+        closer, sequence = self.closer, block.first_sequence
+        for total in block.totals:
+            period, belongs = closer.place(total.first_us, total.end_us)
+            yield period, (
+                TOTAL, place, sequence, belongs, total.customer, total.track, int(total.outcome),
+                int(total.goal_kept), int(total.beyond_share), int(total.billed), total.entries, total.run_us,
+                total.asked_bytes, total.answer_bytes, total.first_us, None, None, None,
+            )  # fmt: skip
+            sequence += total.entries
+        for entry in block.entries:
+            period, belongs = closer.place(entry.ended_us, entry.ended_us)
+            yield period, (
+                ENTRY, place, entry.sequence, belongs, entry.customer, entry.track, int(entry.outcome),
+                int(entry.goal_kept), int(entry.beyond_share), int(entry.billed), 1, entry.run_us,
+                entry.asked_bytes, entry.answer_bytes, entry.ended_us, entry.name or None, entry.run or None,
+                None, )  # fmt: skip
+
+    def _post(self, period: Period, lines: Iterable[Line]) -> None:
+        place, count, head = self._period(period)
+        rows = []
+        for line in lines:
+            head = line_digest(head, line)
+            count += 1
+            rows.append((place, count, head, *line))
+        self._db.executemany(f"insert into lines(period, place, digest, {LINE}) values({LINE_SLOTS})", rows)
+        self._period_ids[period.start] = (place, count, head)
+
+    def _period(self, period: Period) -> tuple[int, int, bytes]:
+        if period.start not in self._period_ids:
+            self._db.execute(
+                "insert or ignore into periods(name, start_us, end_us, lines, head) values(?, ?, ?, 0, x'')",
+                (period.name, period.start, period.end),
+            )
+            row = self._db.execute(
+                "select id, lines, head from periods where name = ?", (period.name,)
+            ).fetchone()
+            self._period_ids[period.start] = (row[0], row[1], bytes(row[2]))
+        return self._period_ids[period.start]
+
+    # -- checking
+
+    def verify(self) -> Iterator[str]:
+        """Every fault found, with its place; nothing if the book is as it was written."""
+        seal = b""
+        order = "order by sealed is null, sealed, start_us"
+        for period, name, lines, head, kept, closed in self._db.execute(
+            f"select id, name, lines, head, seal, closed_us from periods {order}"
+        ).fetchall():
+            digest, place, faults = b"", 0, 0
+            for row in self._db.execute(
+                f"select place, digest, {LINE} from lines where period = ? order by place", (period,)
+            ):
+                place += 1
+                if row[0] != place:
+                    yield f"period {name}: lines {place} to {row[0] - 1} are missing"
+                    faults, place = faults + 1, row[0]
+                elif (digest := line_digest(digest, row[2:])) != bytes(row[1]):
+                    origin = self._origin(row[3], row[4])
+                    yield f"period {name}, line {place}: not as it was written ({origin})"
+                    faults += 1
+                digest = bytes(row[1])
+                if faults >= 20:
+                    yield f"period {name}: and maybe more"
+                    break
+            if not faults and (place != lines or digest != bytes(head)):
+                yield f"period {name}: {lines} lines were written, {place} are there"
+            if kept is None:
+                if closed is not None or (
+                    self.closer.closed_through and self._end(period) <= self.closer.closed_through
+                ):
+                    yield f"period {name}: closed without a seal"
+                continue
+            due = seal_digest(seal, name, lines, bytes(head))
+            if bytes(kept) != due:
+                yield f"period {name}: its seal does not fit its lines and the seal before"
+            seal = bytes(kept)
+        yield from self._verify_blocks()
+
+    def _end(self, period: int) -> int:
+        return int(self._db.execute("select end_us from periods where id = ?", (period,)).fetchone()[0])
+
+    def _origin(self, block: int, sequence: int) -> str:
+        row = self._db.execute(
+            "select s.server, s.incarnation, b.number from blocks b join sources s on b.source = s.id"
+            " where b.id = ?",
+            (block,),
+        ).fetchone()
+        return f"{row[0]}/{bytes(row[1]).hex()}/{sequence}, block {row[2]}" if row else f"block {block}"
+
+    def _verify_blocks(self) -> Iterator[str]:
+        """Each block's lines must account for its row of sequence numbers, and blocks follow without gaps."""
+        stray = next(
+            self.rows("select count(*) from lines where kind < 2 and block not in (select id from blocks)")
+        )[0]
+        if stray:
+            yield f"{stray} lines are of no block in the book"
+        last: dict[int, tuple[int, int]] = {}
+        holes = {(one[0], one[1] + 1): one[2] for one in self._db.execute("select * from holes")}
+        for block, source, number, first, end, held in self._db.execute(
+            "select b.id, b.source, b.number, b.first_sequence, b.last_sequence,"
+            " (select coalesce(sum(entries), 0) from lines where block = b.id) from blocks b"
+            " order by b.source, b.number"
+        ):
+            before, sequence = last.get(source, (0, 0))
+            if number != before + 1 and holes.get((source, before + 1)) != number - 1:
+                yield f"{self._origin(block, first)}: blocks {before + 1} to {number - 1} are missing"
+            elif number == before + 1 and first != sequence + 1:
+                yield f"{self._origin(block, first)}: sequence {first} where {sequence + 1} was due"
+            if held != end - first + 1:
+                due = end - first + 1
+                yield f"{self._origin(block, first)}: {held} entries in its lines, {due} were in it"
+            last[source] = (number, end)
--- /dev/null
+++ b/sablewheel/ledger/keeper.py
@@ -0,0 +1,349 @@
+"""The ledger in the server: it sees each ticket's outcome, makes the entry, and lets completed answers go.
+
+With the durable depth and `after-entry`, a completed answer leaves when its entry is on disk, so that
+whatever a client holds is in the ledger, also after a kill. It waits for a bounded time, and not at all
+while the disk is known to be full or failing: then the answer goes ahead, counted, and the entry is kept in
+memory until it can be written, folded to totals if it must be. A ticket is never lost to the ledger.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from ..routing.exchange import Caller, Exchange, Place
+from ..state import log as durable
+from ..state.files import DiskFiles
+from ..state.health import Disk
+from ..state.store import Store
+from ..terms import Customer
+from ..transport.background import Background
+from ..transport.bridge import Bridge
+from ..transport.scheduler import Scheduler
+from . import ledger_pb2 as pb
+from .blocks import Sealed
+from .periods import Periods
+from .plan import Answers, Depth, LedgerPlan
+from .pool import Pool
+from .positions import Positions
+from .sender import Sender
+from .sources import BLOCK_ENTRIES, DurableSource, MemorySource
+
+KIND = b"ledger"
+DUE_SPARE = 0.02  # an answer that waits leaves so long before its ticket's time is up
+SLOW_AFTER = 0.1
+FULL_BLOCK = 256  # entries that are worth a block before its time
+
+log = logging.getLogger(__name__)
+
+
+class Held:
+    """A completed answer that waits for its entry."""
+
+    __slots__ = ("caller", "due", "exchange", "result", "sequence")
+
+    def __init__(self, sequence: int, due: float, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        self.sequence, self.due = sequence, due
+        self.exchange, self.result, self.caller = exchange, result, caller
+
+
+class Predecessors:
+    """What the log tells of incarnations before this one: which of their answers may never have left."""
+
+    def __init__(self) -> None:
+        self.last_sequence: dict[bytes, int] = {}
+        self.answered: dict[bytes, int] = {}
+        self.flagged: set[bytes] = set()
+        self.positions = Positions()
+
+    def saw(self, _: int, payload: bytes, place: durable.Place) -> None:
+        block = pb.Block.FromString(payload)
+        self.positions.note(place, block.incarnation, block.number)
+        one = block.incarnation
+        self.last_sequence[one] = max(self.last_sequence.get(one, 0), block.last_sequence)
+        self.answered[one] = max(self.answered.get(one, 0), block.answered)
+        self.flagged.update(flag.incarnation for flag in block.unsure)
+
+    def unsure(self) -> list[tuple[bytes, int, int]]:
+        """Incarnation, sequences after and through: those that no block says were answered, not
+        flagged yet.
+        """
+        return [
+            (one, self.answered[one], last)
+            for one, last in self.last_sequence.items()
+            if last > self.answered[one] and one not in self.flagged
+        ]
+
+
+class Keeper:
+    """The witness of one server's tickets. `names` gives customers their names."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        background: Background,
+        plan: LedgerPlan,
+        server: str,
+        incarnation: bytes,
+        names: dict[Customer, str],
+        chance: Callable[[], float],
+        count: Callable[[str], None],
+    ) -> None:
+        self._scheduler, self._plan, self._count, self._names = scheduler, plan, count, names
+        self._pool = Pool(server, incarnation, Periods(plan.calendar), plan.entries_most, plan.totals_most)
+        self._held: deque[Held] = deque()
+        self._fences: deque[tuple[int, int]] = deque()  # record number, last sequence in it
+        self._durable_sequence = self._marked = 0
+        self._cut_at = scheduler.clock.now
+        self._leaving = False
+        self._store: Store | None = None
+        self._bridge: Bridge | None = None
+        self._sender: Sender | None = None
+        self._tracks: dict[bytes, str] = {}
+        self.recovery = durable.Recovery()
+        self._waits = plan.depth is Depth.DURABLE and plan.answers is Answers.AFTER_ENTRY
+        predecessors = Predecessors()
+        if plan.depth is Depth.DURABLE:
+            assert plan.folder is not None
+            records = durable.Log(DiskFiles(plan.folder), KIND, incarnation, plan.disk_bytes_most)
+            self.recovery = records.recover(predecessors.saw)
+            self._tell_recovery(predecessors)
+            self._bridge = Bridge(scheduler)
+            self._store = Store(
+                scheduler, self._bridge, records, SLOW_AFTER, self._fenced, self._disk_changed
+            )
+        if plan.export is not None:
+            source: Any
+            if self._store is not None:
+                source = DurableSource(self._store, predecessors.positions, plan.keep_bytes)
+            else:
+                source = MemorySource(self._pool, incarnation, self._cut_for_export)
+            self._sender = Sender(scheduler, plan.export, server, incarnation, source, chance, count)
+            for one, number in predecessors.positions.last.items():
+                self._sender.exporter.known(one, number)
+            pump = background.add("ledger export", 2, 0.2, self._sender.pump)
+            self._sender.wanted = lambda: background.want(pump)  # type: ignore[method-assign]
+        self._schedule()
+
+    def _tell_recovery(self, predecessors: Predecessors) -> None:
+        found = self.recovery
+        for flag in predecessors.unsure():
+            self._pool.flag(*flag)
+            self._count("ledger_incarnations_flagged")
+        pairs = {
+            "records": found.records, "bytes": found.bytes, "segments": found.segments,
+            "torn_bytes": found.torn_bytes, "damaged": len(found.damage),
+        }  # fmt: skip
+        log.info("ledger recovered", extra={"pairs": pairs})
+        for damage in found.damage[:20]:
+            log.error("ledger damaged", extra={"pairs": {"where": damage}})
+
+    # -- what the seam tells
+
+    def completed(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        first = exchange.first if exchange.place is Place.JOINED else None  # whose result it gets
+        run = first if first is not None else exchange
+        billed, run.billed = not run.billed, True
+        sequence = self._note(exchange, pb.COMPLETED, run if billed else None, len(result), first)
+        if not self._waits or self._store is None or self._store.disk in (Disk.FULL, Disk.FAILING):
+            if self._waits:
+                self._count("ledger_answers_ahead")
+            return caller.completed(exchange, result)
+        now = self._scheduler.clock.now
+        due = min(now + self._plan.hold_most, max(exchange.ticket.due - DUE_SPARE, now))
+        self._held.append(Held(sequence, due, exchange, result, caller))
+        if len(self._held) == 1:
+            self._scheduler.after(due - now, self._release_due)
+
+    def denied(self, exchange: Exchange) -> None:
+        self._note(exchange, pb.DENIED)
+
+    def terminated(self, exchange: Exchange) -> None:
+        self._note(exchange, pb.TERMINATED)
+
+    def gone(self, exchange: Exchange) -> None:
+        self._note(exchange, pb.GONE)
+
+    def _note(
+        self,
+        exchange: Exchange,
+        outcome: pb.Outcome,
+        billed: Exchange | None = None,
+        answer_bytes: int = 0,
+        first: Exchange | None = None,
+    ) -> int:
+        ticket, now = exchange.ticket, self._scheduler.clock.now
+        track = self._tracks.get(exchange.track)
+        if track is None:
+            track = self._tracks[exchange.track] = exchange.track.decode("utf-8", "replace")
+        goal = ticket.track.goal + ticket.track.goal_stretch * (ticket.estimate or 0.0)
+        entry = pb.Entry(
+            customer=self._names.get(ticket.customer, "") if ticket.customer is not None else "",
+            track=track,
+            outcome=outcome,
+            ended_us=round(now * 1e6),
+            arrived_us=round(ticket.arrived * 1e6),
+            run_us=round(billed.took * 1e6) if billed is not None else 0,
+            asked_bytes=len(exchange.body),
+            answer_bytes=answer_bytes,
+            goal_kept=outcome == pb.COMPLETED and now - ticket.arrived <= goal,
+            beyond_share=ticket.beyond,
+            billed=billed is not None,
+            name=_id(exchange.name),
+            run=_id(first.name) if first is not None else b"",
+        )
+        return self._pool.add(entry)
+
+    # -- rounds
+
+    def end_round(self) -> None:
+        """After the answers of the round were written: what may be sealed is sealed."""
+        if self._store is not None:
+            self._seal_durably(self._store)
+        elif self._sender is not None and self._sender.linked and self._ripe():
+            self._sender.wanted()
+
+    def _ripe(self) -> bool:
+        """Whether the pool holds what is worth a block by itself."""
+        if self._pool.empty:
+            return False
+        aged = self._scheduler.clock.now - self._cut_at >= self._plan.block_every
+        return aged or self._leaving or self._pool.kept >= FULL_BLOCK
+
+    def _seal_durably(self, store: Store) -> None:
+        now = self._scheduler.clock.now
+        if store.idle:
+            quiet = now - self._cut_at >= self._plan.block_every or self._leaving
+            mark = quiet and self._answered() > self._marked and self._pool.empty
+            if mark or (not self._pool.empty and (self._held or self._ripe())):
+                self._cut_at = now
+                self._marked = self._answered()
+                while mark or not self._pool.empty:
+                    mark = False
+                    block = self._pool.cut(now, self._marked, BLOCK_ENTRIES)
+                    number = store.append(block.data)
+                    assert number is not None  # the store was idle, and one pool is within its bound
+                    self._fences.append((number, block.last_sequence))
+                    if len(self._fences) >= 16:
+                        break  # the rest with the next commit
+        store.flush()
+
+    def _answered(self) -> int:
+        """All entries up to this one have no answer that still waits here."""
+        return self._held[0].sequence - 1 if self._held else self._pool.last
+
+    def _cut_for_export(self) -> Sealed | None:
+        if not self._ripe():
+            return None
+        self._cut_at = self._scheduler.clock.now
+        return self._pool.cut(self._cut_at, self._pool.last, BLOCK_ENTRIES)
+
+    def _schedule(self) -> None:
+        """Rounds come with tickets; without any, what lies in the pool still has its time."""
+        if self._sender is not None and self._sender.linked:
+            self._sender.wanted()
+        self._scheduler.after(self._plan.block_every, self._schedule)
+
+    # -- the disk
+
+    def _fenced(self, number: int) -> None:
+        while self._fences and self._fences[0][0] <= number:
+            self._durable_sequence = self._fences.popleft()[1]
+        while self._held and self._held[0].sequence <= self._durable_sequence:
+            self._release(self._held.popleft(), ahead=False)
+        if self._sender is not None and self._sender.linked:
+            self._sender.wanted()
+
+    def _release_due(self) -> None:
+        """No answer waits beyond its time, whatever the disk does; one that is due before an older one waits
+        for that one at most as long as any may wait."""
+        now = self._scheduler.clock.now
+        while self._held and self._held[0].due <= now:
+            self._release(self._held.popleft(), ahead=True)
+        if self._held:
+            self._scheduler.after(self._held[0].due - now, self._release_due)
+
+    def _release(self, one: Held, ahead: bool) -> None:
+        if ahead:
+            self._count("ledger_answers_ahead")
+        one.caller.completed(one.exchange, one.result)
+
+    def _disk_changed(self, disk: Disk) -> None:
+        self._count(f"ledger_disk_{disk.value}")
+        if disk in (Disk.FULL, Disk.FAILING):
+            while self._held:
+                self._release(self._held.popleft(), ahead=True)
+
+    # -- the end
+
+    def parting(self) -> None:
+        """The server leaves: what is noted is sealed and exported without waiting for more."""
+        self._leaving = True
+        if self._sender is not None:
+            self._sender.hurry()
+
+    def settled(self) -> bool:
+        """Whether nothing would be lost by ending now."""
+        if self._held or not self._pool.empty:
+            return False
+        if self._store is not None:
+            return self._store.settled and self._answered() <= self._marked
+        return self._sender is None or not self._sender.exporter.unsettled
+
+    def close(self, most: float) -> None:
+        """The last instant: write what can be written; what can't is told in the log, by customer."""
+        for one in self._held:
+            self._release(one, ahead=True)
+        self._held.clear()
+        if self._store is not None and self._bridge is not None:
+            self._seal_durably(self._store)
+            self._store.close()
+            self._bridge.close(most)
+        if self._sender is not None:
+            self._sender.close()
+        if not self._pool.empty:
+            self._tell_left()
+
+    def _tell_left(self) -> None:
+        """Nothing is lost silently: totals that can be put right by hand, as corrections."""
+        left = pb.Block.FromString(self._pool.cut(self._scheduler.clock.now, 0, 1 << 30).data)
+        sums: dict[str, list[int]] = {}
+        for entry in left.entries:
+            row = sums.setdefault(entry.customer, [0, 0, 0])
+            row[0] += 1
+            row[1] += entry.billed
+            row[2] += entry.run_us
+        for total in left.totals:
+            row = sums.setdefault(total.customer, [0, 0, 0])
+            row[0] += total.entries
+            row[1] += total.entries * total.billed
+            row[2] += total.run_us
+        for customer, (entries, billed, run_us) in sorted(sums.items()):
+            pairs = {"customer": customer, "entries": entries, "billed": billed, "run_s": run_us / 1e6}
+            log.error("entries left behind", extra={"pairs": pairs})
+
+    def gauges(self) -> dict[str, object]:
+        told: dict[str, object] = {
+            "ledger_entries": self._pool.last,
+            "ledger_waiting": self._pool.waiting,
+            "ledger_folded": self._pool.folded_ever,
+            "ledger_held": len(self._held),
+        }
+        if self._store is not None:
+            told |= {"ledger_disk": self._store.disk.value, "ledger_disk_bytes": self._store.size}
+        if self._sender is not None:
+            told |= {
+                "ledger_link": self._sender.exporter.link.value,
+                "ledger_unsettled": len(self._sender.exporter.unsettled),
+            }
+        return told
+
+
+def _id(name: bytes) -> bytes:
+    """Names are hexadecimal on our own protocol and take half the room as bytes; others stay as they are."""
+    try:
+        return bytes.fromhex(name.decode("ascii"))
+    except ValueError:
+        return name
--- /dev/null
+++ b/sablewheel/ledger/positions.py
@@ -0,0 +1,49 @@
+"""Where in the log a block is: a sparse index, and the place from which a collector must be offered
+blocks. Pure.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..state.log import START, Place
+
+EVERY = 1 << 18  # bytes of a segment between two notes
+
+
+@dataclass
+class Positions:
+    """Notes of blocks in the log's order, one for each segment and each `EVERY` bytes of it."""
+
+    notes: list[tuple[Place, bytes, int]] = field(default_factory=list)
+    last: dict[bytes, int] = field(default_factory=dict)  # by incarnation, its last block that is known
+
+    def note(self, place: Place, incarnation: bytes, number: int) -> None:
+        """A block seen at a place; places come in order, those before the last note are known already."""
+        self.last[incarnation] = max(self.last.get(incarnation, 0), number)
+        if self.notes:
+            before, held, _ = self.notes[-1]
+            near = place.segment == before.segment and place.offset < before.offset + EVERY
+            if (place.segment, place.offset) <= (before.segment, before.offset) or (
+                near and held == incarnation
+            ):
+                return
+        self.notes.append((place, incarnation, number))
+
+    def start(self, have: Mapping[bytes, int]) -> Place:
+        """A place at or before the first block that a collector with these lacks."""
+        for (place, incarnation, _), after in zip(self.notes, [*self.notes[1:], None], strict=True):
+            if after is not None and after[1] == incarnation:
+                through = after[2] - 1
+            else:
+                through = self.last.get(incarnation, 0)
+            if have.get(incarnation, 0) < through or after is None:
+                return place
+        return START
+
+    def forget_before(self, segment: int) -> None:
+        """Segments before this one are gone."""
+        place = bisect_right(self.notes, segment - 1, key=lambda one: one[0].segment)
+        del self.notes[:place]
--- /dev/null
+++ b/sablewheel/ledger/reports.py
@@ -0,0 +1,85 @@
+"""What the book's tools read: statements, entries and the facts for reconciliation. Queries only, no
+decisions.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+
+from .book import Book, BookError
+from .periods import PeriodError
+from .statement import Corrected, Row, Statement, build
+
+
+def statements(book: Book, period: str, customer: str | None = None) -> list[Statement]:
+    """All customers' statements of a period, or one's. Raises `BookError` for what is not in the book."""
+    try:
+        named = book.periods.named(period)
+    except PeriodError as trouble:
+        raise BookError(f"period: {trouble}") from None
+    row = next(iter(book.rows("select id, seal from periods where name = ?", named.name)), None)
+    if row is None:
+        raise BookError(f"period: nothing was posted in {period!r}")
+    where, values = ("and customer = ?", [customer]) if customer is not None else ("", [])
+    rows = (
+        Row(one[0], one[1], one[2], one[3], one[4], bool(one[5]), bool(one[6]), bool(one[7]), *one[8:])
+        for one in book.rows(
+            "select kind, belongs, customer, track, outcome, goal_kept, beyond, billed, sum(entries),"
+            " sum(run_us), sum(asked_bytes), sum(answer_bytes) from lines"
+            f" where period = ? and kind < 2 {where}"
+            " group by kind, belongs, customer, track, outcome, goal_kept, beyond, billed",
+            row[0], *values,
+        )
+    )  # fmt: skip
+    corrections = [
+        Corrected(
+            told["target"], one[0], one[1], one[2], one[3], told["reason"], told["author"], one[4]
+        )
+        for one in book.rows(
+            "select customer, track, entries, run_us, ended_us, more from lines where period = ? and kind = 2"
+            f" {where} order by place", row[0], *values,
+        )
+        if (told := json.loads(one[5]))
+    ]  # fmt: skip
+    unsure = dict(
+        book.rows(
+            "select l.customer, count(*) from unsure u join blocks b on b.source = u.source"
+            " and b.last_sequence > u.after_sequence and b.first_sequence <= u.through_sequence"
+            " join lines l on l.block = b.id and l.sequence > u.after_sequence"
+            f" and l.sequence <= u.through_sequence where l.period = ? and l.outcome = 1 {where}"
+            " group by l.customer", row[0], *values,
+        )
+    )  # fmt: skip
+    found = build(
+        named.name, book.periods.calendar.zone, bytes(row[1]) if row[1] else None, rows, corrections, unsure
+    )
+    if customer is not None and not found:
+        raise BookError(f"customer: nothing of {customer!r} in {period}")
+    return found
+
+
+def entries(book: Book, customer: str | None, period: str | None, most: int) -> Iterator[dict[str, object]]:
+    """Lines one by one, in the order in which they were posted, at most so many."""
+    where, values = ["1"], []
+    for name, value in (("l.customer", customer), ("p.name", period)):
+        if value is not None:
+            where.append(f"{name} = ?")
+            values.append(value)
+    query = (
+        "select p.name, l.place, l.kind, s.server, s.incarnation, l.sequence, l.belongs, l.customer, l.track,"
+        " l.outcome, l.goal_kept, l.beyond, l.billed, l.entries, l.run_us, l.ended_us, l.name, l.run, l.more"
+        " from lines l join periods p on l.period = p.id left join blocks b on l.block = b.id"
+        f" left join sources s on b.source = s.id where {' and '.join(where)}"
+        " order by p.start_us, l.place limit ?"
+    )
+    names = (
+        "period", "line", "kind", "server", "incarnation", "sequence", "belongs", "customer", "track",
+        "outcome", "goal_kept", "beyond_share", "billed", "entries", "run_us", "ended_us", "name",
+        "run", "more",
+    )  # fmt: skip
+    for row in book.rows(query, *values, most):
+        yield {
+            name: value.hex() if isinstance(value, bytes) else value
+            for name, value in zip(names, row, strict=True)
+        }
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from ..protocol import naming
 from ..routing.client import Client
@@ -21,6 +22,10 @@
 from . import configuration
 from .configuration import FaultyKeyError, Posting
 from .counters import Counters
+from .feature import Feature, NoFeature
+
+if TYPE_CHECKING:
+    from .features import Features
 
 REPORT_EVERY = 0.25  # a server silent for 3 s is off the list, and one report in a few may be lost
 CONNECT_MOST = 1.0  # one try to reach the interpreter
@@ -43,7 +48,7 @@
 class Application:
     """All parts, and how they start and end."""
 
-    def __init__(self, posting: Posting) -> None:
+    def __init__(self, posting: Posting, features: Features | None = None) -> None:
         self.phase = Phase.WAITING
         self._posting = posting
         self._counters = Counters()
@@ -61,6 +66,11 @@
             self._opened,
         )
         count = self._counters.count
+        self._feature: Feature = NoFeature()
+        if features is not None and features.any:
+            from .parts import Parts
+
+            self._feature = Parts(features, posting, scheduler, lambda: self._dispatch.batches, count)
         self._server = Server(
             scheduler,
             posting.tracks,
@@ -69,6 +79,7 @@
             self._dispatch,
             count,
             posting.connections_most,
+            self._feature.witness,
         )
         self._listener = Listener(
             scheduler,
@@ -90,6 +101,7 @@
         scheduler.on_signal(signal.SIGHUP, self._read_anew)
         scheduler.on_signal(signal.SIGUSR1, lambda: self._print("asked"))
         scheduler.after_round.append(self._dispatch.end_round)
+        scheduler.after_round.append(self._feature.end_round)
         scheduler.after_round.append(self._look_for_end)
 
     def run(self) -> None:
@@ -99,6 +111,10 @@
         gc.freeze()
         log.info("listening", extra={"pairs": {"name": self._posting.name, "phase": self.phase.value}})
         self._scheduler.run()
+        self._feature.close(
+            max(self._stop_at - self._scheduler.clock.read() - LAST_INSTANT / 2, LAST_INSTANT / 2)
+        )
+        self._server.flush()
         self._print("exit")
 
     # -- the phases
@@ -129,11 +145,14 @@
     def _part(self) -> None:
         self._enter(Phase.PARTING)
         self._listener.close()
+        self._feature.parting()
         self._scheduler.spawn(self._server.farewell)  # behind the first reading of those just taken
         self._scheduler.after(max(self._stop_at - LAST_INSTANT - self._scheduler.clock.now, 0.0), self._end)
 
     def _look_for_end(self) -> None:
-        if self.phase is Phase.PARTING and not self._server.connections and not self._dispatch.open_count:
+        if self.phase is not Phase.PARTING or self._server.connections or self._dispatch.open_count:
+            return
+        if self._feature.settled():
             self._end()
 
     def _end(self) -> None:
@@ -191,4 +210,5 @@
             open_tickets=self._dispatch.open_count,
             open_connections=len(self._server.connections),
             said=self._standing.said,
+            **self._feature.gauges(),
         )
--- /dev/null
+++ b/sablewheel/program/collect.py
@@ -0,0 +1,54 @@
+"""Runs the collector as a process: its log, its signals, its end."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from ..ledger.book import Book, BookError
+from ..ledger.collector import Collector
+from ..ledger.plan import CollectorPlan
+from ..transport.scheduler import Clock, Scheduler
+
+
+def logger() -> Any:
+    """Key=value lines on standard error."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    return structlog.get_logger()
+
+
+def run(
+    plan: CollectorPlan, make: Callable[[Scheduler, CollectorPlan, Book, Any], Collector] = Collector
+) -> int:
+    """Collect until told to leave; 0, or 1 if the address can't be listened on."""
+    log, scheduler = logger(), Scheduler(Clock())
+    book = Book(plan.book, plan.calendar)
+    try:
+        collector = make(scheduler, plan, book, log)
+    except OSError as trouble:
+        raise BookError(f"listen: {plan.listen[0]}:{plan.listen[1]}: {trouble.strerror}") from None
+
+    def tell() -> None:
+        log.info(
+            "counters", connections_open=len(collector.connections), **dict(sorted(collector.counts.items()))
+        )
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        scheduler.on_signal(number, scheduler.stop)
+    scheduler.on_signal(signal.SIGUSR1, tell)
+    log.info("collecting", listen=f"{plan.listen[0]}:{plan.listen[1]}", book=str(plan.book))
+    scheduler.run()
+    collector.close()
+    tell()
+    return 0
--- /dev/null
+++ b/sablewheel/program/feature.py
@@ -0,0 +1,40 @@
+"""What the application knows of features: one seam, and the object that stands there when none is on."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from ..routing.seam import UNWITNESSED, Witness
+
+
+class Feature(Protocol):
+    """All features together, as the phases need them."""
+
+    @property
+    def witness(self) -> Witness: ...
+    def end_round(self) -> None: ...
+    def parting(self) -> None:
+        """The grace is over: finish what is under way."""
+
+    def settled(self) -> bool:
+        """Whether the process may end without losing anything."""
+
+    def close(self, most: float) -> None:
+        """It ends now; `most` seconds are left."""
+
+    def gauges(self) -> dict[str, object]: ...
+
+
+class NoFeature:
+    """Nothing is switched on."""
+
+    witness: Witness = UNWITNESSED
+
+    def end_round(self) -> None: ...
+    def parting(self) -> None: ...
+    def settled(self) -> bool:
+        return True
+
+    def close(self, most: float) -> None: ...
+    def gauges(self) -> dict[str, object]:
+        return {}
--- /dev/null
+++ b/sablewheel/program/features.py
@@ -0,0 +1,302 @@
+"""The features file: YAML, one schema, all faults told at once with line, key, what was found and what would
+do.
+
+Named by `--features FILE` or `SABLEWHEEL_FEATURES`. A section absent is a feature off. The same reader
+serves the server, the collector and `sablewheel check`.
+"""
+
+from __future__ import annotations
+
+import difflib
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
+from ruamel.yaml import YAML
+from ruamel.yaml.comments import CommentedMap, CommentedSeq
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+
+from ..ledger.periods import PeriodError, zone_of
+from ..ledger.plan import Answers, Calendar, CollectorPlan, Depth, ExportPlan, LedgerPlan, Length
+
+VERSION = 1
+VARIABLE = "SABLEWHEEL_FEATURES"
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault: the line from 1 (0 if there is none), the key's path, and what to say."""
+
+    line: int
+    key: str
+    says: str
+
+
+class FaultyFeaturesError(ValueError):
+    """The file can't be used; the text has a line for each fault."""
+
+    def __init__(self, file: str, faults: list[Fault]) -> None:
+        self.faults = faults
+        super().__init__("\n".join(f"{file}:{one.line}: {one.key}: {one.says}" for one in faults))
+
+
+@dataclass(frozen=True)
+class Features:
+    """What is switched on."""
+
+    ledger: LedgerPlan | None = None
+    collector: CollectorPlan | None = None
+
+    @property
+    def any(self) -> bool:
+        """Whether anything is on that the server itself must do."""
+        return self.ledger is not None
+
+
+def _address(text: str) -> str:
+    host, colon, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        good = bool(colon) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    except ValueError:
+        good = False
+    if not good:
+        raise ValueError("an IPv4 address and a port are wanted, as 127.0.0.1:7600")
+    return text
+
+
+def _zone(text: str) -> str:
+    try:
+        zone_of(text)
+    except PeriodError:
+        raise ValueError(
+            "no such time zone; names are those of the IANA database, as America/Regina"
+        ) from None
+    return text
+
+
+Address = Annotated[str, AfterValidator(_address)]
+Seconds = Annotated[float, Field(ge=0, le=86400 * 31, allow_inf_nan=False)]
+Some = Annotated[float, Field(gt=0, le=86400, allow_inf_nan=False)]
+
+
+class Section(BaseModel):
+    """Keys are written with hyphens; unknown ones are faults."""
+
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, alias_generator=lambda name: name.replace("_", "-")
+    )
+
+
+class PeriodSection(Section):
+    """How use is divided into periods."""
+
+    zone: Annotated[str, AfterValidator(_zone)] = "UTC"
+    length: Literal["hour", "day", "month"] = "day"
+    lag_s: Seconds = 3600.0
+
+    def plan(self) -> Calendar:
+        return Calendar(self.zone, Length(self.length), self.lag_s)
+
+
+class ExportSection(Section):
+    """Where entries go."""
+
+    address: Address
+    answer_within_s: Some = 5.0
+    first_rest_s: Some = 0.2
+    last_rest_s: Some = 30.0
+    window_kb: Annotated[int, Field(ge=16, le=65536)] = 256
+
+    @model_validator(mode="after")
+    def _rests(self) -> ExportSection:
+        if self.last_rest_s < self.first_rest_s:
+            raise ValueError(
+                f"last-rest-s {self.last_rest_s:g} is less than first-rest-s {self.first_rest_s:g}"
+            )
+        return self
+
+    def plan(self) -> ExportPlan:
+        host, _, port = self.address.rpartition(":")
+        return ExportPlan(
+            (host, int(port)),
+            self.answer_within_s,
+            self.first_rest_s,
+            self.last_rest_s,
+            self.window_kb * 1024,
+        )
+
+
+class LedgerSection(Section):
+    """The usage ledger in the server."""
+
+    depth: Literal["memory", "durable"]
+    folder: str | None = None
+    answers: Literal["after-entry", "before-entry"] = "after-entry"
+    hold_most_s: Annotated[float, Field(gt=0, le=5)] = 0.25
+    entries_most: Annotated[int, Field(ge=100, le=5_000_000)] = 20_000
+    totals_most: Annotated[int, Field(ge=100, le=1_000_000)] = 5_000
+    disk_mb: Annotated[int, Field(ge=1, le=1 << 20)] = 1024
+    keep_mb: Annotated[int, Field(ge=0, le=1 << 20)] = 64
+    block_every_s: Annotated[float, Field(ge=0.01, le=60)] = 0.25
+    period: PeriodSection = PeriodSection()
+    export: ExportSection | None = None
+
+    @model_validator(mode="after")
+    def _fits(self) -> LedgerSection:
+        if self.depth == "durable" and not self.folder:
+            raise ValueError("folder is needed with depth: durable, a place that outlives the process")
+        if self.depth == "memory" and self.export is None:
+            raise ValueError("export is needed with depth: memory, or nothing would ever leave the process")
+        if self.keep_mb >= self.disk_mb and self.depth == "durable":
+            raise ValueError(f"keep-mb {self.keep_mb} leaves no room within disk-mb {self.disk_mb}")
+        return self
+
+    def plan(self) -> LedgerPlan:
+        return LedgerPlan(
+            depth=Depth(self.depth),
+            folder=Path(self.folder) if self.folder else None,
+            answers=Answers(self.answers),
+            hold_most=self.hold_most_s,
+            entries_most=self.entries_most,
+            totals_most=self.totals_most,
+            disk_bytes_most=self.disk_mb << 20,
+            keep_bytes=self.keep_mb << 20,
+            block_every=self.block_every_s,
+            calendar=self.period.plan(),
+            export=self.export.plan() if self.export is not None else None,
+        )
+
+
+class CollectorSection(Section):
+    """`sablewheel ledger collect`: a program of its own, not a part of the server."""
+
+    book: str
+    listen: Address
+    period: PeriodSection = PeriodSection()
+    customers: list[str] = []
+    frame_most_kb: Annotated[int, Field(ge=64, le=65536)] = 4096
+    connections_most: Annotated[int, Field(ge=1, le=10_000)] = 512
+    silent_most_s: Some = 600.0
+    skew_most_s: Seconds = 300.0
+    close_every_s: Some = 5.0
+
+    def plan(self) -> CollectorPlan:
+        host, _, port = self.listen.rpartition(":")
+        return CollectorPlan(
+            book=Path(self.book),
+            listen=(host, int(port)),
+            calendar=self.period.plan(),
+            customers=frozenset(self.customers),
+            frame_most=self.frame_most_kb * 1024,
+            connections_most=self.connections_most,
+            silent_most=self.silent_most_s,
+            skew_most=self.skew_most_s,
+            close_every=self.close_every_s,
+        )
+
+
+class Top(Section):
+    """The whole file."""
+
+    version: Literal[1]
+    ledger: LedgerSection | None = None
+    collector: CollectorSection | None = None
+
+
+def read(file: str | Path) -> Features:
+    """The features of a file; raises `FaultyFeaturesError` with all of its faults."""
+    top = check(str(file), _text(str(file)))
+    return Features(
+        ledger=top.ledger.plan() if top.ledger is not None else None,
+        collector=top.collector.plan() if top.collector is not None else None,
+    )
+
+
+def _text(file: str) -> str:
+    try:
+        return Path(file).read_text(encoding="utf-8")
+    except OSError as trouble:
+        raise FaultyFeaturesError(file, [Fault(0, "file", trouble.strerror or str(trouble))]) from None
+    except UnicodeDecodeError as trouble:
+        raise FaultyFeaturesError(file, [Fault(0, "file", f"not UTF-8 at byte {trouble.start}")]) from None
+
+
+def check(file: str, text: str) -> Top:
+    """The same for a text; `file` is its name in messages."""
+    try:
+        told = YAML(typ="rt").load(text)
+    except MarkedYAMLError as trouble:
+        mark = trouble.problem_mark
+        line = mark.line + 1 if mark is not None else 0
+        raise FaultyFeaturesError(file, [Fault(line, "file", f"not YAML: {trouble.problem}")]) from None
+    except (YAMLError, ValueError) as trouble:
+        raise FaultyFeaturesError(file, [Fault(0, "file", f"not YAML: {trouble}".split("\n")[0])]) from None
+    if not isinstance(told, CommentedMap):
+        raise FaultyFeaturesError(file, [Fault(1, "file", "keys are wanted, `version: 1` first")])
+    try:
+        return Top.model_validate(_plain(told))
+    except ValidationError as trouble:
+        faults = [_fault(told, one) for one in trouble.errors(include_url=False)]
+        raise FaultyFeaturesError(file, sorted(faults, key=lambda one: one.line)) from None
+
+
+def _plain(value: Any) -> Any:
+    """Python's own types of what the YAML reader gives, which keeps comments and notations."""
+    if isinstance(value, CommentedMap):
+        return {str(key): _plain(item) for key, item in value.items()}
+    if isinstance(value, CommentedSeq):
+        return [_plain(item) for item in value]
+    if isinstance(value, bool):
+        return value
+    for kind in (int, float, str):
+        if isinstance(value, kind):
+            return kind(value)
+    return value
+
+
+def _fault(told: CommentedMap, error: Any) -> Fault:
+    path, kind = error["loc"], error["type"]
+    key = ".".join(str(one) for one in path) or "file"
+    line = _line(told, path)
+    found = error["input"]
+    if kind == "extra_forbidden":
+        near = difflib.get_close_matches(str(path[-1]), _known(path[:-1]), 1)
+        hint = f"; {near[0]} may be meant" if near else f"; known here: {', '.join(_known(path[:-1]))}"
+        return Fault(line, key, f"no such key{hint}")
+    if kind == "missing":
+        return Fault(line, key, "missing")
+    says = error["msg"].removeprefix("Value error, ")
+    if isinstance(found, (str, int, float, bool)) or found is None:
+        says = f"{says}, got {found!r:.60}"
+    return Fault(line, key, says[0].lower() + says[1:])
+
+
+def _line(told: Any, path: tuple[Any, ...]) -> int:
+    """The line of a key, or of the nearest one above it that is there."""
+    line = 1
+    for one in path:
+        try:
+            if isinstance(told, CommentedMap):
+                line = told.lc.key(one)[0] + 1
+            elif isinstance(told, CommentedSeq):
+                line = told.lc.item(one)[0] + 1
+            told = told[one]
+        except (KeyError, IndexError, TypeError):
+            break
+    return line
+
+
+def _known(path: tuple[Any, ...]) -> list[str]:
+    """The keys of the section at a path."""
+    model: type[BaseModel] = Top
+    for one in path:
+        field = next((each for each in model.model_fields.values() if each.alias == one), None)
+        kinds = [field.annotation, *getattr(field.annotation, "__args__", ())] if field is not None else []
+        inner = [kind for kind in kinds if isinstance(kind, type) and issubclass(kind, BaseModel)]
+        if not inner:
+            return []
+        model = inner[0]
+    return [each.alias or name for name, each in model.model_fields.items()]
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -39,6 +39,7 @@
         self._controller: Controller | None = None
         self._happenings: list[Happening] = []
         self._undecided: set[bytes] = set()  # labels among them
+        self.batches = 0  # decided so far: whether rounds carry tickets
         self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
         self._names: set[bytes] = set()  # theirs
         self._server: Server
@@ -98,6 +99,7 @@
     def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
         """A run is over: its answer goes out with it, and its repeats have theirs."""
         self._happenings.append(terms.Ended(exchange.ticket, took, outcome))
+        exchange.took = took
         if outcome is Outcome.WORKED:
             exchange.complete(result)
             if self._labels.holds(exchange):
@@ -135,6 +137,7 @@
             now = self._clock.read()
             happenings, self._happenings = self._happenings, []
             self._undecided.clear()
+            self.batches += 1
             self._carry_out(self._controller.decide(now, happenings), now)
 
     def _carry_out(self, deeds: list[Deed], decided: float) -> None:
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from ..terms import Ticket
+from .seam import UNWITNESSED, Witness
 
 
 class Caller(Protocol):
@@ -42,8 +43,8 @@
     """One try, from its bytes to its answer; kept for repeats, it lets go of all that they do not need."""
 
     __slots__ = (
-        "began", "body", "caller", "first", "joined", "label", "name", "place", "result", "sameness", "tag",
-        "ticket", "track",
+        "began", "billed", "body", "caller", "first", "joined", "label", "name", "place", "result",
+        "sameness", "tag", "ticket", "took", "track", "witness",
     )  # fmt: skip
 
     def __init__(
@@ -55,10 +56,14 @@
         label: bytes | None,
         ticket: Ticket,
         caller: Caller,
+        witness: Witness = UNWITNESSED,
     ) -> None:
         self.name, self.track, self.body = name, track, body
         self.tag, self.label, self.ticket = tag, label, ticket
         self.caller: Caller | None = caller  # until answered, or nobody waits
+        self.witness = witness
+        self.took = 0.0  # how long its run took, once that is over
+        self.billed = False  # whether the result of its run went out to somebody
         self.sameness = hash((track, body))  # of two with one label: whether they ask for the same
         self.place = Place.HELD
         self.result: bytes | None = None  # as long as it is kept
@@ -72,19 +77,24 @@
 
     def complete(self, result: bytes) -> None:
         if (caller := self._close()) is not None:
-            caller.completed(self, result)
+            self.witness.completed(self, result, caller)
 
     def deny(self, come_back: float, nowhere: bool) -> None:
         if (caller := self._close()) is not None:
+            self.witness.denied(self)
             caller.denied(self, come_back, nowhere)
 
     def terminate(self) -> None:
         if (caller := self._close()) is not None:
+            self.witness.terminated(self)
             caller.terminated(self)
 
     def abandon(self) -> bool:
         """Nobody waits any more; whether that is news."""
-        return self._close() is not None
+        if self._close() is None:
+            return False
+        self.witness.gone(self)
+        return True
 
     def _close(self) -> Caller | None:
         caller, self.caller = self.caller, None
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -12,6 +12,7 @@
 from ..transport.scheduler import Scheduler
 from ..transport.stream import Stream
 from .exchange import Exchange, Standing
+from .seam import UNWITNESSED, Witness
 
 OPEN_MOST = 32  # tries that the protocol allows on one connection at a time
 SWEEP = 0.25  # how often unused connections are looked for
@@ -118,7 +119,9 @@
         if len(self.open) >= OPEN_MOST:
             raise resp.FaultyError("more open than allowed", tag)
         ticket = server.ticket(asked)
-        exchange = Exchange(asked.name, asked.track, asked.body, tag, asked.label, ticket, self)
+        exchange = Exchange(
+            asked.name, asked.track, asked.body, tag, asked.label, ticket, self, server.witness
+        )
         self.open[tag] = exchange
         server.desk.arrived(exchange)
 
@@ -180,7 +183,9 @@
         desk: Desk,
         count: Callable[[str], None],
         connections_most: int,
+        witness: Witness = UNWITNESSED,
     ) -> None:
+        self.witness = witness
         self._connections_most = connections_most
         self.scheduler, self.standing, self.desk, self.count = scheduler, standing, desk, count
         self.connections: dict[Connection, None] = {}
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -155,6 +155,7 @@
     since: float = 0.0
     called: float = 0.0
     remembered: bool = False
+    beyond: bool = False
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/sablewheel/trials/collector.py
@@ -0,0 +1,84 @@
+"""The collector, whole or broken on purpose: each broken one must be caught by the trial.
+
+python -m sablewheel.trials.collector FEATURES [ack-before-apply | no-dedup | no-seal]
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from ..ledger import ledger_pb2 as pb
+from ..ledger.book import Book
+from ..ledger.collecting import Again, Apply, Verdict
+from ..ledger.collector import Collector, Connection
+from ..ledger.export import VERSION
+from ..ledger.periods import Period
+from ..ledger.plan import CollectorPlan
+from ..program.collect import run
+from ..program.features import read
+from ..transport.scheduler import Scheduler
+
+LATE = 1.5
+
+
+class AckBeforeApply(Collector):
+    """Acknowledges what it has only read; it is posted a while later, if the process lives so long."""
+
+    def _batch(
+        self, connection: Connection, batch: pb.Batch, posted: list[tuple[Connection, pb.Acknowledged]]
+    ) -> None:
+        block = pb.Block.FromString(batch.block)
+        told = pb.Acknowledged(incarnation=block.incarnation, number=block.number)
+        connection.tell(pb.Frame(acknowledged=told))
+        self.scheduler.after(LATE, lambda: self._apply_late(connection.server, batch))
+
+    def _apply_late(self, server: str, batch: pb.Batch) -> None:
+        verdict = self.judge(server, batch)
+        if isinstance(verdict, Apply):
+            self.book.begin()
+            self.book.apply(server, verdict, self._clock())
+            self.book.commit()
+
+
+class NoDedup(Collector):
+    """Remembers nothing: asks for everything at each start, and posts what comes again as if it were new."""
+
+    def welcome(self, server: str) -> pb.Welcome:
+        return pb.Welcome(version=VERSION)
+
+    def judge(self, server: str, batch: pb.Batch) -> Verdict:
+        verdict = super().judge(server, batch)
+        if isinstance(verdict, Again):
+            block = pb.Block.FromString(batch.block)
+            for period, line in self.book._lines(0, block):
+                self.book._post(period, [line])
+        return verdict
+
+
+class NoSealBook(Book):
+    """Closes periods without a seal."""
+
+    def _seal(self, period: Period) -> None:
+        self._db.execute("update periods set closed_us = ? where name = ?", (self.closer.now, period.name))
+
+
+def make(variant: str) -> Any:
+    def made(scheduler: Scheduler, plan: CollectorPlan, book: Book, log: Any) -> Collector:
+        kinds = {"ack-before-apply": AckBeforeApply, "no-dedup": NoDedup}
+        if variant == "no-seal":
+            book.close()
+            book = NoSealBook(plan.book, plan.calendar)
+        return kinds.get(variant, Collector)(scheduler, plan, book, log)
+
+    return made
+
+
+def main() -> int:
+    plan = read(sys.argv[1]).collector
+    assert plan is not None
+    return run(plan, make(sys.argv[2] if len(sys.argv) > 2 else ""))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sablewheel/trials/ledger.py
@@ -0,0 +1,378 @@
+"""The ledger's trial: three servers, a collector that dies and hiccups, a server that dies, a drain across a
+close.
+
+What the routers hold, what the interpreters ran and what stands in the book must be the same, ticket by
+ticket.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ..ledger import reports, statement
+from ..ledger.auditing import reconcile_folders
+from ..ledger.book import Book
+from ..ledger.corrections import Correction, CorrectionError, Target
+from .hiccups import Hiccups
+from .rig import Process, Rig, free_port
+from .verdict import Verdict
+
+BROKEN = ("ack-before-apply", "no-dedup", "no-seal")
+HOUR = 3600.0
+LAG = 2.0
+OUTCOMES = {"completed": 1, "denied": 2, "terminated": 3}
+
+
+def features(depth: str, port: int, folder: Path | None, **more: object) -> str:
+    """A features file for a server of a trial."""
+    lines = ["version: 1", "ledger:", f"  depth: {depth}"]
+    lines += [f"  folder: {folder}"] if folder is not None else []
+    lines += [f"  {key.replace('_', '-')}: {value}" for key, value in more.items()]
+    lines += ["  period: {zone: UTC, length: hour, lag-s: 2}", "  export:", f"    address: 127.0.0.1:{port}"]
+    lines += ["    answer-within-s: 1.0", "    first-rest-s: 0.05", "    last-rest-s: 0.4", ""]
+    return "\n".join(lines)
+
+
+def collector_features(port: int, book: Path) -> str:
+    return "\n".join(
+        [
+            "version: 1", "collector:", f"  book: {book}", f"  listen: 127.0.0.1:{port}",
+            f"  period: {{zone: UTC, length: hour, lag-s: {LAG:g}}}", "  close-every-s: 0.2", "",
+        ]
+    )  # fmt: skip
+
+
+@dataclass
+class Stage:
+    """The processes of one run, and what happened to them."""
+
+    rig: Rig
+    broken: str
+    ports: dict[str, int] = field(default_factory=dict)
+    vms: dict[str, int] = field(default_factory=dict)
+    texts: dict[str, str] = field(default_factory=dict)
+    servers: dict[str, Process] = field(default_factory=dict)
+    collector: Process | None = None
+    door: int = 0
+    kills: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def book(self) -> Path:
+        return self.rig.folder / "book.sqlite"
+
+    def start_collector(self) -> None:
+        path = self.rig.folder / "collector.yaml"
+        path.write_text(collector_features(self.door, self.book))
+        words = [str(path)] + ([self.broken] if self.broken else [])
+        self.collector = self.rig.start("collector", "sablewheel.trials.collector", *words)
+        self.rig.wait_for_port(self.door, self.collector)
+
+    def kill_collector(self) -> None:
+        assert self.collector is not None
+        self.collector.kill()
+        self.kills["collector"] += 1
+
+    def start_server(self, name: str) -> None:
+        self.servers[name] = self.rig.server(name, self.ports[name], self.vms[name], self.texts[name])
+
+    def kill_server(self, name: str) -> None:
+        self.servers[name].kill()
+        self.kills[name] += 1
+
+
+def run(seed: int, quick: bool, broken: str = "") -> Verdict:
+    """The trial; `broken` names a collector that is broken on purpose."""
+    verdict = Verdict("ledger")
+    with Rig(seed) as rig:
+        stage = Stage(rig, broken)
+        hiccups = None
+        try:
+            hiccups = _set_up(stage, seed)
+            _play(stage, hiccups, seed, 12.0 if quick else 45.0)
+            _judge(stage, verdict)
+            verdict.figures["cuts"], verdict.figures["silences"] = hiccups.cuts, hiccups.silences
+        finally:
+            if hiccups is not None:
+                hiccups.close()
+    return verdict
+
+
+def _set_up(stage: Stage, seed: int) -> Hiccups:
+    rig = stage.rig
+    stage.door = free_port()
+    stage.start_collector()
+    hiccups = Hiccups(stage.door, seed)
+    for name, depth in (("n1", "durable"), ("n2", "memory"), ("n3", "durable")):
+        folder = rig.folder / f"{name}-ledger" if depth == "durable" else None
+        stage.texts[name] = features(depth, hiccups.port, folder, block_every_s=0.1)
+        stage.ports[name], stage.vms[name] = free_port(), free_port()
+        rig.interpreter(name, stage.vms[name])
+        stage.start_server(name)
+    return hiccups
+
+
+def _play(stage: Stage, hiccups: Hiccups, seed: int, seconds: float) -> None:
+    """The load, and on a seeded script the failures."""
+    rig, chance = stage.rig, random.Random(seed)
+    # An hour of the shifted clock ends shortly before n2 is told to leave, and is closed during its drain.
+    boundary = seconds * 0.6
+    rig.shift(HOUR - time.time() % HOUR - boundary)
+    begun = time.monotonic()
+    burst = [{"customer": "regina", "from": seconds * 0.4, "to": seconds * 0.55, "times": 3}]
+    routers = [
+        rig.router(
+            name, [f"127.0.0.1:{stage.ports[one]}"], rate=110, seconds=seconds, repeats=0.25, cancels=0.04,
+            bursts=burst, seed=seed + place,
+        )
+        for place, (name, one) in enumerate((("r1", "n1"), ("r2", "n2"), ("r3", "n3")))
+    ]  # fmt: skip
+
+    def at(moment: float) -> None:
+        time.sleep(max(begun + moment - time.monotonic(), 0.0))
+
+    kills = sorted(chance.uniform(0.05, 0.95) * seconds for _ in range(round(seconds / 2)))
+    events: list[tuple[float, str]] = [(one, "collector") for one in kills]
+    events += [(seconds * share, "n1") for share in (0.25, 0.45, 0.7)]
+    events += [
+        (boundary + LAG - 0.3, "drain n2"),
+        (boundary - 0.4, "down n3"),
+        (boundary + LAG + 2.5, "up n3"),
+    ]
+    for moment, what in sorted(events):
+        at(moment)
+        if what == "collector":
+            stage.kill_collector()
+            time.sleep(chance.uniform(0.0, 0.3))
+            stage.start_collector()
+        elif what == "n1":
+            stage.kill_server("n1")
+            stage.start_server("n1")
+        elif what == "down n3":
+            stage.kill_server("n3")
+        elif what == "up n3":
+            stage.start_server("n3")
+        else:
+            stage.servers["n2"].popen.terminate()  # answers and exports what it has, while the hour closes
+    at(seconds)
+    for one in routers:
+        one.popen.wait(20)
+    hiccups.calm = True
+    # One restart more: the flags of those killed last reach the book with the next incarnation's first block.
+    for name in ("n1", "n3"):
+        stage.kill_server(name)
+        stage.start_server(name)
+    _settle(stage)
+
+
+def _settle(stage: Stage) -> None:
+    """Until the servers' folders are in the book, or a while has passed; then all leave."""
+    until = time.monotonic() + 10
+    folders = [stage.rig.folder / f"{name}-ledger" for name in ("n1", "n3")]
+    while time.monotonic() < until:
+        time.sleep(0.3)
+        book = Book(stage.book, read_only=True)
+        found, _ = reconcile_folders(book, folders)
+        book.close()
+        if not found.pending:
+            break
+    for process in stage.servers.values():
+        process.leave()
+    time.sleep(0.3)
+    if stage.collector is not None:
+        stage.collector.leave()
+
+
+def _judge(stage: Stage, verdict: Verdict) -> None:
+    book = Book(stage.book, read_only=True)
+    tries = {name: list(stage.rig.held(name)) for name in ("r1", "r2", "r3")}
+    by_server = dict(zip(("n1", "n2", "n3"), tries.values(), strict=True))
+    lines = _lines(book)
+    _check_answers(stage, verdict, by_server, lines)
+    _check_bills(stage, verdict, by_server, lines)
+    _check_books(stage, verdict, book)
+    verdict.figures |= {
+        "tries": sum(map(len, tries.values())),
+        "completed": sum(one["how"] == "completed" for each in tries.values() for one in each),
+        "denied": sum(one["how"] == "denied" for each in tries.values() for one in each),
+        "lost_with_a_kill": sum(one["how"] == "lost" for each in tries.values() for one in each),
+        "collector_kills": stage.kills["collector"],
+        "server_kills": stage.kills["n1"] + stage.kills["n3"],
+        "entries": sum(map(len, lines.values())),
+        "late_entries": sum(one["belongs"] is not None for each in lines.values() for one in each),
+    }
+    book.close()
+
+
+def _lines(book: Book) -> dict[str, list[dict[str, Any]]]:
+    """The book's entries by the name of their try."""
+    found: dict[str, list[dict[str, Any]]] = {}
+    for one in reports.entries(book, None, None, 1 << 40):
+        if one["kind"] == 0:
+            found.setdefault(str(one["name"]), []).append(dict(one))
+    return found
+
+
+def _check_answers(
+    stage: Stage,
+    verdict: Verdict,
+    by_server: dict[str, list[dict[str, Any]]],
+    lines: dict[str, list[dict[str, Any]]],
+) -> None:
+    """Every answer that a router holds is in the book once, with its customer, track and outcome."""
+    gaps = doubles = wrong = 0
+    example = ""
+    for server, tries in by_server.items():
+        for one in tries:
+            word = one["how"]
+            if word not in OUTCOMES:
+                continue
+            if word != "completed" and stage.kills[server]:
+                continue  # only completed answers wait for their entry; those of others may fall with a kill
+            entries = lines.get(one["name"], [])
+            gaps += not entries
+            doubles += len(entries) > 1
+            if not entries:
+                example = f"{server} {one['name']} {word}"
+            elif (entries[0]["customer"], entries[0]["track"], entries[0]["outcome"]) != (
+                one["customer"], one["track"], OUTCOMES[word],
+            ):  # fmt: skip
+                wrong += 1
+                example = f"{server} {one} {entries[0]}"
+    verdict.check(
+        "every answer held by a client is in the book: gaps", gaps == 0, f"{gaps} {example}".strip()
+    )
+    verdict.check("no answer is in the book twice: doubles", doubles == 0, doubles)
+    verdict.check(
+        "customer, track and outcome are the client's", wrong == 0, f"{wrong} {example if wrong else ''}"
+    )
+    doubled = sum(len(each) > 1 for each in lines.values())
+    verdict.check("no entry at all is there twice", doubled == 0, doubled)
+    completed = {one["name"] for tries in by_server.values() for one in tries if one["how"] == "completed"}
+    known = {one["name"]: one["how"] for tries in by_server.values() for one in tries}
+    extra = [
+        one for name, each in lines.items() for one in each[:1]
+        if one["outcome"] == 1 and name not in completed and known.get(name) != "withdrawn"
+    ]  # fmt: skip
+    flagged = _flagged(stage)
+    unflagged = [one for one in extra if (one["server"], one["incarnation"], one["sequence"]) not in flagged]
+    lost = sum(one["how"] == "lost" for tries in by_server.values() for one in tries)
+    verdict.figures["completed_without_client"] = len(extra)
+    verdict.check(
+        "entries whose answer nobody holds are flagged", not unflagged, f"{len(unflagged)} of {len(extra)}"
+    )
+    verdict.check("they are at most those open at the kills", len(extra) <= lost, f"{len(extra)} of {lost}")
+
+
+class _Flagged:
+    """Whether an entry lies in a flagged row of sequences."""
+
+    def __init__(self, rows: list[tuple[str, str, int, int]]) -> None:
+        self._rows = rows
+
+    def __contains__(self, key: tuple[str, str, int]) -> bool:
+        return any(row[:2] == key[:2] and row[2] < key[2] <= row[3] for row in self._rows)
+
+
+def _flagged(stage: Stage) -> _Flagged:
+    book = Book(stage.book, read_only=True)
+    rows = [
+        (one[0], bytes(one[1]).hex(), one[2], one[3])
+        for one in book.rows(
+            "select s.server, s.incarnation, u.after_sequence, u.through_sequence from unsure u"
+            " join sources s on u.source = s.id"
+        )
+    ]
+    book.close()
+    return _Flagged(rows)
+
+
+def _check_bills(
+    stage: Stage,
+    verdict: Verdict,
+    by_server: dict[str, list[dict[str, Any]]],
+    lines: dict[str, list[dict[str, Any]]],
+) -> None:
+    """Each run that a client holds a result of is billed once, to its customer, and was run once."""
+    gaps = doubles = never_ran = 0
+    totals_held: Counter[tuple[str, str, str]] = Counter()
+    totals_billed: Counter[tuple[str, str, str]] = Counter()
+    for server, tries in by_server.items():
+        ended = Counter(name for word, name in stage.rig.runs(server) if word == "success")
+        held: dict[str, tuple[str, str]] = {}
+        for one in tries:
+            if one["how"] == "completed":
+                held[one["result"].split(" ")[2]] = (one["customer"], one["track"])
+        billed: Counter[str] = Counter()
+        customers: dict[str, tuple[str, str]] = {}
+        for each in lines.values():
+            for one in each:
+                if one["billed"] and one["server"] == server:
+                    made = str(one["run"] or one["name"])
+                    billed[made] += 1
+                    customers[made] = (str(one["customer"]), str(one["track"]))
+        gaps += sum(name not in billed for name in held)
+        doubles += sum(times > 1 for times in billed.values())
+        never_ran += sum(ended[name] != 1 for name in billed)
+        for name, key in held.items():
+            totals_held[(server, *key)] += 1
+            if name in customers:
+                totals_billed[(server, *customers[name])] += 1
+    verdict.check("every run that a client has the result of is billed", gaps == 0, gaps)
+    verdict.check("no run is billed twice", doubles == 0, doubles)
+    verdict.check("what is billed was run, once, at the interpreter", never_ran == 0, never_ran)
+    verdict.check(
+        "billed totals by server, customer and track equal the clients'", totals_held == totals_billed,
+        f"{sum(totals_billed.values())} of {sum(totals_held.values())}",
+    )  # fmt: skip
+
+
+def _check_books(stage: Stage, verdict: Verdict, book: Book) -> None:
+    faults = list(book.verify())
+    verdict.check("the book verifies: lines, seals, blocks", not faults, faults[:2] or "in order")
+    folders = [stage.rig.folder / f"{name}-ledger" for name in ("n1", "n3")]
+    found, notes = reconcile_folders(book, folders)
+    wrong = [*found.gaps, *found.doubles, *found.changed]
+    verdict.check(
+        "servers' own files and the book reconcile", found.clean, wrong[:2] or f"{found.same} blocks"
+    )
+    verdict.check("all is exported", found.pending == 0, f"{found.pending} blocks pending")
+    verdict.figures["reconcile_notes"] = len(notes)
+    holes = next(iter(book.rows("select count(*) from holes")))[0]
+    verdict.check("no block was lost on the way", holes == 0, holes)
+    closed = [
+        one[0] for one in book.rows("select name from periods where closed_us is not null order by start_us")
+    ]
+    verdict.check("a period closed during the drain", len(closed) >= 1, closed)
+    left = "entries left behind" in stage.servers["n2"].log.read_text()
+    code = stage.servers["n2"].popen.returncode
+    verdict.check("the drained server left nothing behind", not left and code == 0, f"exit {code}")
+    late = next(iter(book.rows("select count(*) from lines where belongs is not null")))[0]
+    verdict.check("what came after the close is marked with the period it belongs to", late > 0, late)
+    if closed:
+        _check_corrections(stage, verdict, closed[0])
+
+
+def _check_corrections(stage: Stage, verdict: Verdict, period: str) -> None:
+    """A closed statement prints the same after a correction, which stands in the open period."""
+    book = Book(stage.book)
+    before = statement.as_text(reports.statements(book, period))
+    one = Correction(Target(period=period), "regina", "record", -1, 0, "agreed with the customer", "trial")
+    try:
+        made = book.correct(one, time.time() + HOUR)
+    except CorrectionError as trouble:
+        verdict.check("a closed period can be corrected", False, trouble)
+        return
+    after = statement.as_text(reports.statements(book, period))
+    listed = json.loads(statement.as_json(reports.statements(book, made, "regina")))
+    faults = list(book.verify())
+    book.close()
+    verdict.check("a closed statement prints the same after a correction", before == after, period)
+    shown = len(listed[0]["corrections"]) == 1 and made != period
+    verdict.check("the correction stands in the period it was made in", shown, made)
+    verdict.check("the book verifies with it", not faults, faults[:2] or "in order")
--- /dev/null
+++ b/sablewheel/trials/rig.py
@@ -0,0 +1,231 @@
+"""The rig of a trial: a folder, ports and processes of its own; what it started it ends, and nothing else."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from ..protocol.resp import Parser
+from . import wire
+from .shifted import DOUBLE
+
+PATIENCE = 15.0
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {"name": "lookup", "on-time-s": 0.5, "deadline-s": 2.0, "repeat": "safe"},
+        {"name": "record", "on-time-s": 0.8, "deadline-s": 2.0, "repeat": "keyed", "window-s": 6.0},
+    ],
+    "extra": {
+        "cores": 4,
+        "memory-kb": 20000.0,
+        "run-factor": 4.0,
+        "key-kb": 1.0,
+        "halt": "drop",
+        "say": "tokens",
+        "said-for-s": 0.5,
+        "idle-s": 30.0,
+        "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+        "callers": 4,
+    },
+    "limits": {"retry-after": True, "max-retry-after-s": 2.0},
+    "safety": {"fall-multiple": 6.0, "answer-slack-s": 0.08, "drain-grace-s": 0.4},
+    "servers": 3,
+    "tick-s": 0.002,
+    "over-share-worth": 0.05,
+}
+CUSTOMERS = {"saskatoon": 0.4, "regina": 0.3, "brandon": 0.2, "yorkton": 0.1}
+TRACKS = {"lookup": {"share": 0.6}, "record": {"share": 0.4, "labelled": True}}
+WORK = {"lookup": 0.02, "record": 0.03}
+
+
+class RigError(RuntimeError):
+    """Something of the rig itself did not come up."""
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as door:
+        return int(door.getsockname()[1])
+
+
+class Process:
+    """One process with its log; `usage` is what it has used, also after its end as it was last looked at."""
+
+    def __init__(self, arguments: list[str], log: Path, environment: dict[str, str]) -> None:
+        self.log = log
+        with log.open("ab") as out:
+            self.popen = subprocess.Popen(
+                arguments, stdout=out, stderr=out, env={**os.environ, **environment}
+            )
+        self._ps = psutil.Process(self.popen.pid)
+        self._used = (0.0, 0.0)
+
+    @property
+    def alive(self) -> bool:
+        return self.popen.poll() is None
+
+    def usage(self) -> tuple[float, float]:
+        """Seconds of CPU, MB of memory."""
+        with contextlib.suppress(psutil.Error):
+            times = self._ps.cpu_times()
+            self._used = (times.user + times.system, self._ps.memory_info().rss / 1e6)
+        return self._used
+
+    def kill(self) -> None:
+        if self.alive:
+            self.popen.kill()
+        self.popen.wait(PATIENCE)
+
+    def leave(self) -> int:
+        """SIGTERM, and its exit code; killed if it takes too long."""
+        if self.alive:
+            self.popen.send_signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(PATIENCE)
+        except subprocess.TimeoutExpired:
+            self.popen.kill()
+            return self.popen.wait(PATIENCE)
+
+    def tail(self, lines: int = 5) -> str:
+        return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+
+
+class Rig:
+    """Use as a context: at its end all processes are gone, and the folder as well unless `keep`."""
+
+    def __init__(self, seed: int, keep: bool = False) -> None:
+        self.seed, self._keep = seed, keep
+        self.folder = Path(tempfile.mkdtemp(prefix="sablewheel-trial-"))
+        self.processes: list[Process] = []
+        self.clock = self.folder / "clock"
+        self.clock.write_bytes(DOUBLE.pack(0.0))
+        self.naming = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.naming.bind(("127.0.0.1", 0))
+
+    def __enter__(self) -> Rig:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for one in self.processes:
+            if one.alive:
+                one.popen.kill()
+        for one in self.processes:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                one.popen.wait(5)
+        self.naming.close()
+        if not self._keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def shift(self, seconds: float) -> None:
+        """Set all the clocks of what was started `shifted` to the system's plus so much."""
+        with self.clock.open("r+b") as file:
+            file.write(DOUBLE.pack(seconds))
+
+    def start(
+        self, name: str, module: str, *arguments: str, shifted: bool = True, **environment: str
+    ) -> Process:
+        words = ["-m", "sablewheel.trials.shifted", str(self.clock), module] if shifted else ["-m", module]
+        process = Process([sys.executable, *words, *arguments], self.folder / f"{name}.log", environment)
+        self.processes.append(process)
+        return process
+
+    # -- the parts
+
+    def interpreter(self, name: str, port: int, shifted: bool = False, **told: Any) -> Process:
+        spec = {
+            "port": port, "cores": 4, "work": WORK, "log": str(self.folder / f"{name}.runs"),
+            "seed": self.seed, **told,
+        }  # fmt: skip
+        module = "sablewheel.trials.interpreter"
+        process = self.start(f"{name}-vm", module, json.dumps(spec), shifted=shifted)
+        self.wait_for_port(port, process)
+        return process
+
+    def router(self, name: str, servers: Iterable[str], **told: Any) -> Process:
+        spec = {
+            "servers": list(servers), "customers": CUSTOMERS, "tracks": TRACKS, "seed": self.seed,
+            "log": str(self.folder / f"{name}.held"), **told,
+        }  # fmt: skip
+        return self.start(name, "sablewheel.trials.router", json.dumps(spec))
+
+    def configuration(self, name: str, port: int, vm: int, **changes: Any) -> Path:
+        settings = json.loads(json.dumps(SETTINGS))
+        settings["orgs"] = [
+            {"name": one, "quota-rps": 300 * share, "fraction": share} for one, share in CUSTOMERS.items()
+        ]
+        told = {
+            "name": name, "listen": f"127.0.0.1:{port}", "vm": f"127.0.0.1:{vm}",
+            "naming": f"127.0.0.1:{self.naming.getsockname()[1]}", "seed": f"{self.seed:x}", "stop_ms": 3000,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings, **changes,
+        }  # fmt: skip
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(told))
+        return path
+
+    def server(
+        self, name: str, port: int, vm: int, features: str | None, shifted: bool = True, **changes: Any
+    ) -> Process:
+        """A server that is up; `features` is the text of its features file."""
+        environment = {"RELAY_CONFIG": str(self.configuration(name, port, vm, **changes))}
+        if features is not None:
+            path = self.folder / f"{name}.yaml"
+            path.write_text(features)
+            environment["SABLEWHEEL_FEATURES"] = str(path)
+        process = self.start(name, "sablewheel", shifted=shifted, **environment)
+        self.wait_until_up(port, process)
+        return process
+
+    def wait_for_port(self, port: int, process: Process) -> None:
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until and process.alive:
+            with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port), 1.0):
+                return
+            time.sleep(0.02)
+        raise RigError(f"nothing listens on {port}: {process.tail()}")
+
+    def wait_until_up(self, port: int, process: Process) -> None:
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until and process.alive:
+            with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port), 1.0) as peer:
+                peer.sendall(wire.check(1))
+                answers = Parser().feed(peer.recv(4096))
+                if answers and answers[0][1] == b"UP":
+                    return
+            time.sleep(0.02)
+        raise RigError(f"the server on {port} does not come up: {process.tail()}")
+
+    # -- what came of it
+
+    def held(self, name: str) -> Iterator[dict[str, Any]]:
+        """What the routers of a name were answered."""
+        with (self.folder / f"{name}.held").open() as file:
+            for line in file:
+                yield json.loads(line)
+
+    def runs(self, name: str) -> Iterator[tuple[str, str]]:
+        """What an interpreter did: word and ticket's name, in order."""
+        path = self.folder / f"{name}.runs"
+        if path.exists():
+            with path.open() as file:
+                for line in file:
+                    word, _, rest = line.strip().partition(" ")
+                    yield word, rest
+
+    def counters(self, process: Process) -> dict[str, str]:
+        """The last counters line of a server's log."""
+        for line in reversed(process.log.read_text(errors="replace").splitlines()):
+            if "event=counters" in line:
+                return dict(word.split("=", 1) for word in line.split(" ") if "=" in word)
+        return {}
--- /dev/null
+++ b/sablewheel/trials/verdict.py
@@ -0,0 +1,34 @@
+"""What a trial found: checks, figures, and how they are told."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Verdict:
+    """Holds if every check does; a trial without a check holds nothing."""
+
+    trial: str
+    checks: list[tuple[str, bool, str]] = field(default_factory=list)
+    figures: dict[str, float | int | str] = field(default_factory=dict)
+
+    def check(self, promise: str, holds: bool, found: object = "") -> None:
+        self.checks.append((promise, bool(holds), str(found)))
+
+    @property
+    def holds(self) -> bool:
+        return bool(self.checks) and all(holds for _, holds, _ in self.checks)
+
+    def line(self) -> str:
+        """One line of JSON, the last that a trial prints."""
+        return json.dumps({"trial": self.trial, "holds": self.holds, "figures": self.figures})
+
+    def table(self) -> str:
+        rows = [
+            f"  {'holds' if holds else 'BROKEN':7} {promise}: {found}"
+            for promise, holds, found in self.checks
+        ]
+        rows += [f"  {name:34} {value}" for name, value in self.figures.items()]
+        return "\n".join([f"trial {self.trial}", *rows])
--- /dev/null
+++ b/sablewheel/trials/wire.py
@@ -0,0 +1,35 @@
+"""What stand-ins write: frames of the routers' protocol, from its published page."""
+
+from __future__ import annotations
+
+
+def frame(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+
+
+def call(
+    tag: int,
+    name: bytes,
+    track: bytes,
+    since: float,
+    body: bytes,
+    customer: bytes,
+    label: bytes = b"",
+    router: int = 1,
+    kb: float = 10.0,
+) -> bytes:
+    """A try of a ticket; `since` in Unix seconds, `label` of 32 hexadecimal digits or none."""
+    fields = b"ref=%b,since=%d,sender=%d,project=%b,room=%.1f,class_rank=0.5" % (
+        name, int(since * 1000), router, customer, kb,
+    )  # fmt: skip
+    if label:
+        fields += b",replay=%b" % label
+    return frame(b"RPC.CALL", b"%d" % tag, track, fields, body)
+
+
+def cancel(tag: int) -> bytes:
+    return frame(b"RPC.CANCEL", b"%d" % tag)
+
+
+def check(tag: int) -> bytes:
+    return frame(b"RPC.HEALTH", b"%d" % tag, b"")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -317,7 +317,7 @@
     text = leave(process)
     new.door.close()
     names.close()
-    assert "runs_sent_again" not in text and "reason=\"vm: " in text and "need_restart=stop_ms" in text
+    assert "runs_sent_again" not in text and 'reason="vm: ' in text and "need_restart=stop_ms" in text
 
 
 def bad_clients(open_name: bytes) -> dict[str, bytes]:
