--- a/sablewheel/ledger/keeper.py
+++ b/sablewheel/ledger/keeper.py
@@ -156,6 +156,9 @@
         self._held.append(Held(sequence, due, exchange, result, caller))
         if len(self._held) == 1:
             self._scheduler.after(due - now, self._release_due)
+            wait = self._cut_at + self._plan.commit_every - now
+            if wait > 0:
+                self._scheduler.after(wait, lambda: None)  # a round to commit in
 
     def denied(self, exchange: Exchange) -> None:
         self._note(exchange, pb.DENIED)
@@ -214,7 +217,7 @@
 
     def _seal_durably(self, store: Store) -> None:
         now = self._scheduler.clock.now
-        if store.idle:
+        if store.idle and (now >= self._cut_at + self._plan.commit_every or self._leaving):
             quiet = now - self._cut_at >= self._plan.block_every or self._leaving
             mark = quiet and self._answered() > self._marked and self._pool.empty
             if mark or (not self._pool.empty and (self._held or self._ripe())):
@@ -253,8 +256,6 @@
             self._durable_sequence = self._fences.popleft()[1]
         while self._held and self._held[0].sequence <= self._durable_sequence:
             self._release(self._held.popleft(), ahead=False)
-        if self._sender is not None and self._sender.linked:
-            self._sender.wanted()
 
     def _release_due(self) -> None:
         """No answer waits beyond its time, whatever the disk does; one that is due before an older one waits
--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -140,6 +140,7 @@
     totals_most: Annotated[int, Field(ge=100, le=1_000_000)] = 5_000
     disk_mb: Annotated[int, Field(ge=1, le=1 << 20)] = 1024
     keep_mb: Annotated[int, Field(ge=0, le=1 << 20)] = 64
+    commit_every_s: Annotated[float, Field(ge=0, le=1)] = 0.02
     block_every_s: Annotated[float, Field(ge=0.01, le=60)] = 0.25
     period: PeriodSection = PeriodSection()
     export: ExportSection | None = None
@@ -150,6 +151,10 @@
             raise ValueError("folder is needed with depth: durable, a place that outlives the process")
         if self.depth == "memory" and self.export is None:
             raise ValueError("export is needed with depth: memory, or nothing would ever leave the process")
+        if self.depth == "durable" and self.commit_every_s >= self.hold_most_s:
+            raise ValueError(
+                f"commit-every-s {self.commit_every_s:g} must be less than hold-most-s {self.hold_most_s:g}"
+            )
         if self.keep_mb >= self.disk_mb and self.depth == "durable":
             raise ValueError(f"keep-mb {self.keep_mb} leaves no room within disk-mb {self.disk_mb}")
         return self
@@ -164,6 +169,7 @@
             totals_most=self.totals_most,
             disk_bytes_most=self.disk_mb << 20,
             keep_bytes=self.keep_mb << 20,
+            commit_every=self.commit_every_s,
             block_every=self.block_every_s,
             calendar=self.period.plan(),
             export=self.export.plan() if self.export is not None else None,
--- a/sablewheel/transport/background.py
+++ b/sablewheel/transport/background.py
@@ -10,6 +10,7 @@
 from .scheduler import Scheduler, Timer
 
 SLICE = 0.002  # seconds of chores in one round without tickets
+LOOK = 0.01  # how soon a round without tickets is looked for; sooner would be work by itself
 
 log = logging.getLogger(__name__)
 
@@ -56,4 +57,4 @@
         if rest is not None:
             if self._wake is not None:
                 self._wake.cancel()
-            self._wake = self._scheduler.after(max(rest, 0.001), lambda: None)
+            self._wake = self._scheduler.after(max(rest, LOOK), lambda: None)
--- a/sablewheel/trials/ledger_cost.py
+++ b/sablewheel/trials/ledger_cost.py
@@ -135,7 +135,8 @@
             pb.Entry(
                 customer=f"c{place % 8}", track=("lookup", "record")[place % 2],
                 outcome=pb.COMPLETED if completed else pb.DENIED, ended_us=start + place * step,
-                billed=completed, run_us=20_000 * completed, name=place.to_bytes(8, "big"), goal_kept=completed,
+                billed=completed, run_us=20_000 * completed,
+                name=place.to_bytes(8, "big"), goal_kept=completed,
             )
         )  # fmt: skip
         if place % 2000 == 0:
