Demo: phases have names and labels of their own, one server's shares

Cause: all phases drew the same names, so repeats of ended tickets were terminated (330 of 1,538), and shares were those of three servers.

--- a/sablewheel/command/demo.py
+++ b/sablewheel/command/demo.py
@@ -43,7 +43,7 @@
     sablewheel demo
     sablewheel demo --seconds 60 --into my-first-server
     """
-    console = Console()
+    console = Console(soft_wrap=True)
     console.print("One server, one interpreter, routers and a collector, all on loopback.\n")
     with Day(seconds, seed, into) as day:
         with Live(console=console, refresh_per_second=4) as live:
--- a/sablewheel/trials/demo.py
+++ b/sablewheel/trials/demo.py
@@ -61,7 +61,7 @@
         rig.wait_for_port(door, self.collector)
         rig.interpreter("n1", vm)
         text = features("durable", door, rig.folder / "ledger")
-        self.server = rig.server("n1", port, vm, text, servers=1)
+        self.server = rig.server("n1", port, vm, text, settings={"servers": 1})
         self._write_configuration(rig.folder / "n1.json", text)
         self._address = f"127.0.0.1:{port}"
         return self
@@ -84,12 +84,12 @@
         self._begun = time.monotonic()
         end = 0.0
         assert self.server is not None
-        for name, span, rate in self.phases():
+        for turn, (name, span, rate) in enumerate(self.phases()):
             end += span
             bursts = [{"customer": BURSTING, "from": 0, "to": span, "times": 3}] if name == "burst" else []
             router = self.rig.router(
                 name, [self._address], rate=rate, seconds=span, bursts=bursts, repeats=0.15, cancels=0.02,
-                patience_end=3.0,
+                patience_end=3.0, seed=self.rig.seed + turn,  # names and labels of their own
             )  # fmt: skip
             while (now := time.monotonic() - self._begun) < end:
                 time.sleep(0.5)
--- a/sablewheel/trials/rig.py
+++ b/sablewheel/trials/rig.py
@@ -161,7 +161,7 @@
         return self.start(name, "sablewheel.trials.router", json.dumps(spec))
 
     def configuration(self, name: str, port: int, vm: int, **changes: Any) -> Path:
-        settings = json.loads(json.dumps(SETTINGS))
+        settings = {**json.loads(json.dumps(SETTINGS)), **changes.pop("settings", {})}
         settings["orgs"] = [
             {"name": one, "quota-rps": 300 * share, "fraction": share} for one, share in CUSTOMERS.items()
         ]
