--- a/sablewheel/ledger/book.py
+++ b/sablewheel/ledger/book.py
@@ -139,6 +139,15 @@
         row = self._db.execute("select value from meta where key = ?", (key,)).fetchone()
         return row[0] if row else None
 
+    def name_customers(self, names: frozenset[str]) -> None:
+        """Who is a customer, as the collector is told; empty: any name."""
+        self.begin()
+        self._db.execute("insert or replace into meta values('customers', ?)", (json.dumps(sorted(names)),))
+        self.commit()
+
+    def customers(self) -> frozenset[str]:
+        return frozenset(json.loads(self._meta("customers") or "[]"))
+
     def close(self) -> None:
         self._db.close()
 
--- a/sablewheel/ledger/collector.py
+++ b/sablewheel/ledger/collector.py
@@ -24,6 +24,7 @@
 GREETING_MOST = 5.0  # from connecting to a whole greeting
 SWEEP = 1.0
 ROUND_MOST = 64  # batches in one transaction
+STRANGE_MOST = 1000  # names of unknown customers that are told, each once
 
 
 class Connection:
@@ -69,6 +70,8 @@
         self.dirty: dict[Connection, None] = {}
         self.counts: dict[str, int] = {}
         self._presence = Presence()
+        self._strange: set[str] = set()  # customers that were told already
+        book.name_customers(plan.customers)
         self._disk_fault = ""
         self._closed_look = 0.0
         self._listener = Listener(scheduler, plan.listen, self._room, self._accepted, lambda: None)
@@ -241,6 +244,7 @@
                 self.book.apply(connection.server, verdict, self._clock())
                 self.count("blocks")
                 self.count("entries", block.last_sequence - block.first_sequence + 1)
+                self._look_at_customers(block)
                 skew = block.written_us / 1e6 - self._clock()
                 if skew > self._plan.skew_most:
                     self.count("blocks_from_the_future")
@@ -248,6 +252,19 @@
                 incarnation, number = block.incarnation, block.number
         posted.append((connection, pb.Acknowledged(incarnation=incarnation, number=number)))
 
+    def _look_at_customers(self, block: pb.Block) -> None:
+        """Use of a customer that nobody named is posted all the same, whoever will pay for it."""
+        known = self._plan.customers
+        if not known:
+            return
+        names = [one.customer for one in block.entries] + [one.customer for one in block.totals]
+        for name in names:
+            if name not in known:
+                self.count("entries_of_unknown_customers")
+                if name not in self._strange and len(self._strange) < STRANGE_MOST:
+                    self._strange.add(name)
+                    self._log.warning("unknown customer", customer=name, server=block.server)
+
     # -- periods
 
     def _closer_look(self) -> None:
--- a/sablewheel/ledger/reports.py
+++ b/sablewheel/ledger/reports.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import difflib
 import json
 from collections.abc import Iterator
 
@@ -54,8 +55,14 @@
     found = build(
         named.name, book.periods.calendar.zone, bytes(row[1]) if row[1] else None, rows, corrections, unsure
     )
+    known = book.customers()
+    for one in found:
+        one.known = not known or one.customer in known
     if customer is not None and not found:
-        raise BookError(f"customer: nothing of {customer!r} in {period}")
+        names = [one[0] for one in book.rows("select distinct customer from lines where period = ?", row[0])]
+        near = difflib.get_close_matches(customer, names, 1)
+        hint = f"; {near[0]!r} may be meant" if near else ""
+        raise BookError(f"customer: nothing of {customer!r} in {period}{hint}")
     return found
 
 
--- a/sablewheel/ledger/statement.py
+++ b/sablewheel/ledger/statement.py
@@ -82,6 +82,7 @@
     use: dict[str, Use] = field(default_factory=dict)
     late: dict[str, dict[str, Use]] = field(default_factory=dict)  # by the period it belongs to
     corrections: list[Corrected] = field(default_factory=list)
+    known: bool = True  # whether it is a customer that the collector was told of
     unsure: int = 0  # completed entries whose answer may never have left its server
 
     @property
@@ -150,6 +151,7 @@
                 "customer": one.customer, "period": one.period, "zone": one.zone, "closed": one.closed,
                 "seal": one.seal, "billed_tickets": one.tickets, "billed_run_us": one.run_us,
                 "use": use(one.use), "late": {name: use(one.late[name]) for name in sorted(one.late)},
+                "known": one.known,
                 "corrections": [vars(each) for each in one.corrections], "unsure": one.unsure,
             }
             for one in statements
@@ -191,7 +193,8 @@
     lines: list[str] = []
     for one in statements:
         state = "closed" if one.closed else "open, may still grow"
-        lines += [f"{one.customer}, {one.period} ({one.zone}, {state})"]
+        strange = "" if one.known else ", NOT a customer that the collector was told of"
+        lines += [f"{one.customer}, {one.period} ({one.zone}, {state}){strange}"]
         head = f"  {'track':20} {'billed':>9} {'run s':>12} {'completed':>9} {'in goal':>9} {'repeats':>8}"
         lines += [f"{head} {'denied':>8} {'terminated':>10} {'gone':>7}"]
         for belongs, use in [("", one.use), *sorted(one.late.items())]:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -606,6 +606,21 @@
     assert heard is not None and heard.acknowledged.number == 1
 
 
+def test_use_of_a_customer_that_nobody_named_is_posted_and_told(tmp_path: Path) -> None:
+    door = Door(tmp_path / "named.sqlite", customers=frozenset({"acme"}))
+    try:
+        peer = Peer(door)
+        peer.greet()
+        peer.send(sealed_blocks("n1", 1)[0])
+        book = Book(door.plan.book, read_only=True)
+        (acme, zenith) = reports.statements(book, "2026-12-01T12+00:00")
+        assert acme.known and not zenith.known and zenith.tickets == 1
+        assert "NOT a customer" in statement.as_text([zenith])
+        assert ("unknown customer", {"customer": "zenith", "server": "n1"}) in door.lines
+    finally:
+        door.close()
+
+
 def test_a_hole_is_noted_and_the_chain_goes_on_behind_it(door: Door) -> None:
     some = sealed_blocks("n1", 4)
     peer = Peer(door)
@@ -708,7 +723,7 @@
     told = json.loads(call("statement", "--period", "2026-12-01T11+00:00", "--format", "json")[1])
     assert [one["billed_tickets"] for one in told] == [2, 2]
     code, text = call("statement", "--period", "2026-12-01T11+00:00", "--customer", "acne")
-    assert code == 1 and "nothing of 'acne'" in text
+    assert code == 1 and "nothing of 'acne'" in text and "'acme' may be meant" in text
     assert "is no hour of UTC" in call("statement", "--period", "yesterday")[1]
     assert call("verify") == (0, "in order\n")
     assert call("verify", "--against", "00")[0] == 1
