--- a/sablewheel/trials/ledger_size.py
+++ b/sablewheel/trials/ledger_size.py
@@ -55,9 +55,9 @@
         verdict.figures[f"{one}_growth"] = round(growth, 2)
         verdict.figures[f"{one}_mb"] = round(last["memory"], 1)
         allowed = 1.6 * large / small
-        verdict.check(
-            f"{one}: time grows no faster than entries", growth <= allowed, f"{growth:.1f} for 10 times"
-        )
+        if one != "sqlite":  # the baseline promises nothing
+            found = f"{growth:.1f} for 10 times"
+            verdict.check(f"{one}: time grows no faster than entries", growth <= allowed, found)
         if one not in ("append", "sqlite"):
             grown = last["memory"] - first["memory"]
             verdict.check(f"{one}: memory bounded", grown <= MEMORY_GROWTH_MOST, f"{grown:+.1f} MB")
