--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -119,6 +119,8 @@
                     self._returned(ticket, took, outcome)
                 case terms.CallerGone(ticket):
                     self._gone(ticket)
+                case terms.Recalled(ticket, life):
+                    self._keep_label(ticket, life)
                 case terms.Notice(left):
                     self._notice(left)
                 case terms.Bell(busy, connections):
@@ -164,7 +166,7 @@
         if ticket.arrived > self.notice_at + machine.drain_grace:
             return self._deny(ticket)
         labelled = track.nature is Nature.LABELLED
-        if not self._memory_fits(machine.label_kb if labelled else 0.0):
+        if ticket.room_in or not self._memory_fits(machine.label_kb if labelled else 0.0):
             return self._deny(ticket)
         if labelled and ticket.arrived + track.window > now:
             self._remember(ticket, ticket.arrived + track.window - now)
@@ -201,7 +203,8 @@
         goal is out of reach. Guards against any queue that is short for the callers' patience and long for
         the goal; it may deny what a sudden calm would still have saved.
         """
-        row, track, waited = self.table[ticket.track], ticket.track, self.now - ticket.arrived
+        row, track = self.table[ticket.track], ticket.track
+        waited = self.now - ticket.arrived + ticket.overhead
         age = waited
         if ticket.wait_left is None:
             # Departure, acts where the wait is not told: what callers were seen to wait stands in for it.
@@ -439,7 +442,8 @@
         full = not self.machine.marks_again or sum(self.marks) > WALKS_MOST * len(self.marks)
         self.drops += 1
         self._release(ticket)
-        self.deeds.append(terms.Deny(ticket, min(oldest, self.machine.advice_limit), ticket.again or full))
+        rest = min(max(oldest, ticket.room_in), self.machine.advice_limit)
+        self.deeds.append(terms.Deny(ticket, rest, ticket.again or full))
         self._answer(ticket)
         self._leave(ticket)
 
@@ -468,10 +472,13 @@
         ticket.stage = Stage.OVER
 
     def _remember(self, ticket: Ticket, life: float) -> None:
+        self._keep_label(ticket, life)
+        self.deeds.append(terms.Remember(ticket, life))
+
+    def _keep_label(self, ticket: Ticket, life: float) -> None:
         ticket.remembered = True
         self.kb += self.machine.label_kb
         self.labels.append((self.now + life, ticket))
-        self.deeds.append(terms.Remember(ticket, life))
 
     def _may_share(self, ticket: Ticket) -> bool:
         reads = ticket.track.nature is Nature.REDOABLE and not ticket.writes and ticket.subject is not None
--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -15,6 +15,7 @@
     "ledger": "ledger",
     "ledger-cost": "ledger_cost",
     "ledger-size": "ledger_size",
+    "recall": "recall",
 }
 
 
--- a/sablewheel/ledger/keeper.py
+++ b/sablewheel/ledger/keeper.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from ..routing.exchange import Caller, Exchange, Place
+from ..routing.holding import Held, Holding
 from ..state import log as durable
 from ..state.files import DiskFiles
 from ..state.health import Disk
@@ -32,23 +33,12 @@
 from .sources import BLOCK_ENTRIES, DurableSource, MemorySource
 
 KIND = b"ledger"
-DUE_SPARE = 0.02  # an answer that waits leaves so long before its ticket's time is up
 SLOW_AFTER = 0.1
 FULL_BLOCK = 256  # entries that are worth a block before its time
 
 log = logging.getLogger(__name__)
 
 
-class Held:
-    """A completed answer that waits for its entry."""
-
-    __slots__ = ("caller", "due", "exchange", "result", "sequence")
-
-    def __init__(self, sequence: int, due: float, exchange: Exchange, result: bytes, caller: Caller) -> None:
-        self.sequence, self.due = sequence, due
-        self.exchange, self.result, self.caller = exchange, result, caller
-
-
 class Predecessors:
     """What the log tells of incarnations before this one: which of their answers may never have left."""
 
@@ -90,16 +80,18 @@
         names: dict[Customer, str],
         chance: Callable[[], float],
         count: Callable[[str], None],
+        bridge: Bridge | None = None,
     ) -> None:
         self._scheduler, self._plan, self._count, self._names = scheduler, plan, count, names
         self._pool = Pool(server, incarnation, Periods(plan.calendar), plan.entries_most, plan.totals_most)
-        self._held: deque[Held] = deque()
+        self._held = Holding(scheduler, plan.hold_most, self._release)
         self._fences: deque[tuple[int, int]] = deque()  # record number, last sequence in it
         self._durable_sequence = self._marked = 0
         self._cut_at = scheduler.clock.now
         self._leaving = False
         self._store: Store | None = None
         self._bridge: Bridge | None = None
+        self._shared = bridge is not None  # then its owner closes it, behind all who use it
         self._sender: Sender | None = None
         self._tracks: dict[bytes, str] = {}
         self.recovery = durable.Recovery()
@@ -110,7 +102,7 @@
             records = durable.Log(DiskFiles(plan.folder), KIND, incarnation, plan.disk_bytes_most)
             self.recovery = records.recover(predecessors.saw)
             self._tell_recovery(predecessors)
-            self._bridge = Bridge(scheduler)
+            self._bridge = bridge or Bridge(scheduler)
             self._store = Store(
                 scheduler, self._bridge, records, SLOW_AFTER, self._fenced, self._disk_changed
             )
@@ -151,14 +143,10 @@
             if self._waits:
                 self._count("ledger_answers_ahead")
             return caller.completed(exchange, result)
-        now = self._scheduler.clock.now
-        due = min(now + self._plan.hold_most, max(exchange.ticket.due - DUE_SPARE, now))
-        self._held.append(Held(sequence, due, exchange, result, caller))
-        if len(self._held) == 1:
-            self._scheduler.after(due - now, self._release_due)
-            wait = self._cut_at + self._plan.commit_every - now
-            if wait > 0:
-                self._scheduler.after(wait, lambda: None)  # a round to commit in
+        self._held.hold(sequence, exchange, result, caller)
+        wait = self._cut_at + self._plan.commit_every - self._scheduler.clock.now
+        if len(self._held) == 1 and wait > 0:
+            self._scheduler.after(wait, lambda: None)  # a round to commit in
 
     def denied(self, exchange: Exchange) -> None:
         self._note(exchange, pb.DENIED)
@@ -235,7 +223,8 @@
 
     def _answered(self) -> int:
         """All entries up to this one have no answer that still waits here."""
-        return self._held[0].sequence - 1 if self._held else self._pool.last
+        first = self._held.first_mark
+        return self._pool.last if first is None else first - 1
 
     def _cut_for_export(self) -> Sealed | None:
         if not self._ripe():
@@ -254,17 +243,7 @@
     def _fenced(self, number: int) -> None:
         while self._fences and self._fences[0][0] <= number:
             self._durable_sequence = self._fences.popleft()[1]
-        while self._held and self._held[0].sequence <= self._durable_sequence:
-            self._release(self._held.popleft(), ahead=False)
-
-    def _release_due(self) -> None:
-        """No answer waits beyond its time, whatever the disk does; one that is due before an older one waits
-        for that one at most as long as any may wait."""
-        now = self._scheduler.clock.now
-        while self._held and self._held[0].due <= now:
-            self._release(self._held.popleft(), ahead=True)
-        if self._held:
-            self._scheduler.after(self._held[0].due - now, self._release_due)
+        self._held.durable(self._durable_sequence)
 
     def _release(self, one: Held, ahead: bool) -> None:
         if ahead:
@@ -274,8 +253,7 @@
     def _disk_changed(self, disk: Disk) -> None:
         self._count(f"ledger_disk_{disk.value}")
         if disk in (Disk.FULL, Disk.FAILING):
-            while self._held:
-                self._release(self._held.popleft(), ahead=True)
+            self._held.let_all_go()
 
     # -- the end
 
@@ -295,13 +273,12 @@
 
     def close(self, most: float) -> None:
         """The last instant: write what can be written; what can't is told in the log, by customer."""
-        for one in self._held:
-            self._release(one, ahead=True)
-        self._held.clear()
+        self._held.let_all_go()
         if self._store is not None and self._bridge is not None:
             self._seal_durably(self._store)
             self._store.close()
-            self._bridge.close(most)
+            if not self._shared:
+                self._bridge.close(most)
         if self._sender is not None:
             self._sender.close()
         if not self._pool.empty:
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -13,9 +13,10 @@
 from ..protocol import naming
 from ..routing.client import Client
 from ..routing.dispatch import Dispatch
-from ..routing.exchange import Standing
+from ..routing.exchange import Exchange, Standing
 from ..routing.labels import Labels
 from ..routing.server import Server
+from ..terms import Outcome
 from ..transport.datagram import Post
 from ..transport.scheduler import Clock, Scheduler
 from ..transport.stream import Address, Listener, Stream, connect
@@ -56,6 +57,14 @@
         self._standing = Standing()
         longest = max(track.abandon for track in posting.machine.tracks)
         labels = Labels(longest, posting.machine.slack, posting.memory_bytes // KEPT_SHARE)
+        count = self._counters.count
+        self._feature: Feature = NoFeature()
+        if features is not None and features.any:
+            from .parts import Parts
+
+            self._feature = Parts(
+                features, posting, scheduler, lambda: self._dispatch.batches, self._never_begun, count
+            )
         self._dispatch = Dispatch(
             scheduler,
             posting.machine,
@@ -64,13 +73,8 @@
             self._standing,
             labels,
             self._opened,
+            self._feature.memory,
         )
-        count = self._counters.count
-        self._feature: Feature = NoFeature()
-        if features is not None and features.any:
-            from .parts import Parts
-
-            self._feature = Parts(features, posting, scheduler, lambda: self._dispatch.batches, count)
         self._server = Server(
             scheduler,
             posting.tracks,
@@ -88,7 +92,9 @@
             self._server.accepted,
             self._server.make_room,
         )
-        self._client = Client(scheduler, self._linking(posting.interpreter), self._dispatch, count)
+        self._client = Client(
+            scheduler, self._linking(posting.interpreter), self._dispatch, count, self._feature.last_notice
+        )
         self._dispatch.attach(self._server, self._client)
         self._post = Post(posting.naming)
         self._stop_at = 0.0
@@ -189,7 +195,17 @@
         self._counters.count("configurations_taken")
 
     def _linking(self, address: Address) -> Callable[[], Stream | None]:
-        return lambda: connect(self._scheduler, address, CONNECT_MOST)
+        def linked() -> Stream | None:
+            """None yet, while a feature says that the server must not be up."""
+            if self._scheduler.clock.now < self._feature.up_at:
+                return None
+            return connect(self._scheduler, address, CONNECT_MOST)
+
+        return linked
+
+    def _never_begun(self, exchange: Exchange) -> None:
+        """A run that a feature held back and nobody waits for any more."""
+        self._dispatch.ended(exchange, Outcome.MOOT, 0.0, b"")
 
     # -- small duties
 
--- a/sablewheel/program/feature.py
+++ b/sablewheel/program/feature.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from ..routing.seam import UNWITNESSED, Witness
+from ..routing.seam import UNREMEMBERED, UNWITNESSED, Memory, Witness
 
 
 class Feature(Protocol):
@@ -12,6 +12,16 @@
 
     @property
     def witness(self) -> Witness: ...
+    @property
+    def memory(self) -> Memory: ...
+    @property
+    def up_at(self) -> float:
+        """From when on the server may say that it is up."""
+
+    @property
+    def last_notice(self) -> int:
+        """The last notice of the interpreter that a predecessor has read."""
+
     def end_round(self) -> None: ...
     def parting(self) -> None:
         """The grace is over: finish what is under way."""
@@ -29,6 +39,9 @@
     """Nothing is switched on."""
 
     witness: Witness = UNWITNESSED
+    memory: Memory = UNREMEMBERED
+    up_at = 0.0
+    last_notice = 0
 
     def end_round(self) -> None: ...
     def parting(self) -> None: ...
--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -20,6 +20,7 @@
 
 from ..ledger.periods import PeriodError, zone_of
 from ..ledger.plan import Answers, Calendar, CollectorPlan, Depth, ExportPlan, LedgerPlan, Length
+from ..recall.plan import RecallPlan, Start, Unreadable
 
 VERSION = 1
 VARIABLE = "SABLEWHEEL_FEATURES"
@@ -47,12 +48,13 @@
     """What is switched on."""
 
     ledger: LedgerPlan | None = None
+    recall: RecallPlan | None = None
     collector: CollectorPlan | None = None
 
     @property
     def any(self) -> bool:
         """Whether anything is on that the server itself must do."""
-        return self.ledger is not None
+        return self.ledger is not None or self.recall is not None
 
 
 def _address(text: str) -> str:
@@ -176,6 +178,45 @@
         )
 
 
+class RecallSection(Section):
+    """Labelled runs remembered over restarts."""
+
+    folder: str | None = None
+    cold: Literal["run", "early", "strict", "wait"] = "run"
+    unreadable: Literal["refuse", "cold"] = "refuse"
+    entries_most: Annotated[int, Field(ge=100, le=10_000_000)] = 200_000
+    memory_mb: Annotated[int, Field(ge=1, le=1 << 16)] = 64
+    disk_mb: Annotated[int, Field(ge=8, le=1 << 20)] = 512
+    segment_kb: Annotated[int, Field(ge=64, le=1 << 20)] = 4096
+    commit_every_s: Annotated[float, Field(ge=0, le=1)] = 0.02
+    hold_most_s: Annotated[float, Field(gt=0, le=5)] = 0.25
+    interpreter_outlives: bool = False
+
+    @model_validator(mode="after")
+    def _fits(self) -> RecallSection:
+        if self.folder is None and self.cold == "run":
+            raise ValueError(
+                "without a folder and with cold: run there is nothing to remember and nothing to do"
+            )
+        if self.folder is not None and self.disk_mb * 1024 < 8 * self.segment_kb:
+            raise ValueError(f"disk-mb {self.disk_mb} holds less than eight segments of {self.segment_kb} kB")
+        return self
+
+    def plan(self) -> RecallPlan:
+        return RecallPlan(
+            folder=Path(self.folder) if self.folder else None,
+            cold=Start(self.cold),
+            unreadable=Unreadable(self.unreadable),
+            entries_most=self.entries_most,
+            bytes_most=self.memory_mb << 20,
+            disk_bytes_most=self.disk_mb << 20,
+            segment_bytes=self.segment_kb << 10,
+            commit_every=self.commit_every_s,
+            hold_most=self.hold_most_s,
+            interpreter_outlives=self.interpreter_outlives,
+        )
+
+
 class CollectorSection(Section):
     """`sablewheel ledger collect`: a program of its own, not a part of the server."""
 
@@ -209,6 +250,7 @@
 
     version: Literal[1]
     ledger: LedgerSection | None = None
+    recall: RecallSection | None = None
     collector: CollectorSection | None = None
 
 
@@ -217,6 +259,7 @@
     top = check(str(file), _text(str(file)))
     return Features(
         ledger=top.ledger.plan() if top.ledger is not None else None,
+        recall=top.recall.plan() if top.recall is not None else None,
         collector=top.collector.plan() if top.collector is not None else None,
     )
 
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -5,17 +5,24 @@
 import os
 import random
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from ..ledger.keeper import Keeper
-from ..routing.seam import Witness
+from ..ledger.plan import Depth
+from ..routing.seam import UNREMEMBERED, UNWITNESSED, Memory, Witness
 from ..transport.background import Background
+from ..transport.bridge import Bridge
 from ..transport.scheduler import Scheduler
 from .configuration import Posting
 from .features import Features
 
+if TYPE_CHECKING:
+    from ..ledger.keeper import Keeper
+    from ..recall.recorder import Recorder
+    from ..routing.exchange import Exchange
+
 
 class Parts:
-    """The features of one server. Background work has its turns behind theirs."""
+    """The features of one server. Background work has its turns behind theirs, blocking work one worker."""
 
     def __init__(
         self,
@@ -23,30 +30,83 @@
         posting: Posting,
         scheduler: Scheduler,
         moved: Callable[[], int],
+        never_begun: Callable[[Exchange], None],
         count: Callable[[str], None],
     ) -> None:
-        assert features.ledger is not None
         self._background = Background(scheduler, moved)
-        names = {one: name.decode("utf-8", "replace") for name, one in posting.customers.items()}
+        self.witness: Witness = UNWITNESSED
+        self.memory: Memory = UNREMEMBERED
+        self._keeper: Keeper | None = None
+        self._recorder: Recorder | None = None
+        ledger, recall = features.ledger, features.recall
         incarnation = round(scheduler.clock.now * 1000).to_bytes(6, "big") + os.urandom(2)
-        chance = random.Random(posting.seed).random
-        self._keeper = Keeper(
-            scheduler, self._background, features.ledger, posting.name, incarnation, names, chance, count
-        )
-        self.witness: Witness = self._keeper
+        on_disk = (ledger and ledger.depth is Depth.DURABLE) or (recall and recall.folder)
+        self._bridge = Bridge(scheduler) if on_disk else None
+        if ledger is not None:
+            from ..ledger.keeper import Keeper
+
+            names = {one: name.decode("utf-8", "replace") for name, one in posting.customers.items()}
+            chance = random.Random(posting.seed).random
+            self.witness = self._keeper = Keeper(
+                scheduler,
+                self._background,
+                ledger,
+                posting.name,
+                incarnation,
+                names,
+                chance,
+                count,
+                self._bridge,
+            )
+        if recall is not None:
+            from ..recall.recorder import Recorder
+
+            self.witness = self.memory = self._recorder = Recorder(
+                scheduler,
+                self._background,
+                self._bridge,
+                recall,
+                incarnation,
+                posting.tracks,
+                self.witness,
+                never_begun,
+                count,
+            )
+
+    @property
+    def up_at(self) -> float:
+        return self._recorder.up_at() if self._recorder is not None else 0.0
+
+    @property
+    def last_notice(self) -> int:
+        return self._recorder.last_notice if self._recorder is not None else 0
 
     def end_round(self) -> None:
-        self._keeper.end_round()
+        if self._recorder is not None:
+            self._recorder.end_round()
+        if self._keeper is not None:
+            self._keeper.end_round()
         self._background.end_round()
 
     def parting(self) -> None:
-        self._keeper.parting()
+        for one in (self._recorder, self._keeper):
+            if one is not None:
+                one.parting()
 
     def settled(self) -> bool:
-        return self._keeper.settled()
+        return all(one is None or one.settled() for one in (self._recorder, self._keeper))
 
     def close(self, most: float) -> None:
-        self._keeper.close(most)
+        if self._recorder is not None:
+            self._recorder.close()
+        if self._keeper is not None:
+            self._keeper.close(most)
+        if self._bridge is not None:
+            self._bridge.close(most)
 
     def gauges(self) -> dict[str, object]:
-        return self._keeper.gauges()
+        told: dict[str, object] = {}
+        for one in (self._recorder, self._keeper):
+            if one is not None:
+                told |= one.gauges()
+        return told
--- /dev/null
+++ b/sablewheel/recall/recorder.py
@@ -0,0 +1,459 @@
+"""Recall in the server: an intent before each labelled run, an outcome after it, and what a restart still
+knows.
+
+A labelled run is sent when its intent is durable; its answer leaves when its outcome is. So whatever is
+killed when, a repeat finds what its first became, or that it may have run, and never runs again within its
+window.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+
+from ..routing.exchange import Caller, Exchange, Place, digest
+from ..routing.holding import Held, Holding
+from ..routing.labels import Labels
+from ..routing.seam import Witness
+from ..state import log as durable
+from ..state.files import DiskFiles
+from ..state.health import Disk
+from ..state.store import Store
+from ..terms import Nature, Outcome, Router, Stage, Ticket, Track
+from ..transport.background import Background
+from ..transport.bridge import Bridge
+from ..transport.scheduler import Scheduler
+from . import recall_pb2 as pb
+from .carrying import Carrier
+from .cold import may_have_run, up_at
+from .loading import Loaded
+from .memory import Entry, Memory, State
+from .plan import RecallPlan, Start, Unreadable
+from .windows import Moment
+
+KIND = b"recall"
+SLOW_AFTER = 0.1
+COMMITS_KEPT = 50  # times of the last commits, from which the wait for the next is told
+SWEEP = 0.25
+ENTRY_ON_DISK = 150  # about, of one that was loaded, without its result
+HOW = {State.WORKED: pb.WORKED, State.DROPPED: pb.WORKED, State.FAILED: pb.FAILED}
+
+log = logging.getLogger(__name__)
+Run = Callable[[Exchange], None]
+
+
+def read_moment() -> Moment:
+    """Both clocks of the machine."""
+    try:
+        boot = bytes.fromhex(Path("/proc/sys/kernel/random/boot_id").read_text().strip().replace("-", ""))
+    except (OSError, ValueError):
+        boot = b""
+    since = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return Moment(time.time(), since, boot)
+
+
+class Waiting:
+    """A run that waits for its intent."""
+
+    __slots__ = ("exchange", "run")
+
+    def __init__(self, exchange: Exchange, run: Run) -> None:
+        self.exchange, self.run = exchange, run
+
+
+class Recorder:
+    """Memory of one server's labelled runs; a witness that holds their answers, in front of another."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        background: Background,
+        bridge: Bridge | None,
+        plan: RecallPlan,
+        incarnation: bytes,
+        tracks: dict[bytes, Track],
+        inner: Witness,
+        never_begun: Run,
+        count: Callable[[str], None],
+        moment: Callable[[], Moment] = read_moment,
+    ) -> None:
+        self._scheduler, self._plan, self._count, self._inner = scheduler, plan, count, inner
+        self._never_begun = never_begun
+        self._tracks, self._read_moment, self._bridge = tracks, moment, bridge
+        labelled = [one for one in tracks.values() if one.nature is Nature.LABELLED]
+        self._longest = max((one.window for one in labelled), default=0.0)
+        self.started = scheduler.clock.now
+        self._memory = Memory(plan.entries_most, plan.bytes_most)
+        self._carrier = Carrier(plan.segment_bytes)
+        self._store: Store | None = None
+        self._log: durable.Log | None = None
+        self._intents: list[Entry] = []
+        self._outcomes: list[pb.Outcome] = []
+        self._waiting: list[Waiting] = []
+        self._marks: deque[tuple[int, int, list[Waiting]]] = deque()  # record, mark, runs that it lets go
+        self._mark = self._durable_mark = 0
+        self._commit_at = self._given_at = 0.0
+        self._commits: deque[float] = deque(maxlen=COMMITS_KEPT)
+        self._leaving = False
+        self._anew = False  # the next record says that notices are numbered anew
+        self._holding = Holding(scheduler, plan.hold_most, self._release)
+        self._adopted: dict[bytes, Exchange] = {}
+        self.last_notice = 0
+        self._written: float | None = None  # when the last record was, by the clock of now
+        self.load_seconds = 0.0
+        self._damaged = False
+        if plan.folder is not None:
+            self._load(plan.folder, incarnation)
+        self._carry = background.add("recall carry", 3, 0.1, self._carry_step)
+        self._background = background
+        scheduler.after(SWEEP, self._sweep)
+
+    # -- the start
+
+    def _load(self, folder: Path, incarnation: bytes) -> None:
+        """Read what is remembered. What can't be read is a reason not to start, unless it is set otherwise.
+        """
+        assert self._bridge is not None
+        begun = time.perf_counter()
+        plan = self._plan
+        records = durable.Log(DiskFiles(folder), KIND, incarnation, plan.disk_bytes_most, plan.segment_bytes)
+        loaded = Loaded(self._memory, self._longest)
+
+        def visit(number: int, payload: bytes, _: durable.Place) -> None:
+            loaded.take(number, pb.Record.FromString(payload))
+
+        found = records.recover(visit)
+        if found.damage and plan.unreadable is Unreadable.REFUSE:
+            raise OSError(None, f"recall: {found.damage[0]}", str(folder))
+        for damage in found.damage:
+            self._count("recall_damage")
+            log.error("recall damaged", extra={"pairs": {"where": damage}})
+        self._damaged = bool(found.damage)
+        now = self._read_moment()
+        loaded.finish(now)
+        self._written = loaded.written
+        self.last_notice = loaded.notice if plan.interpreter_outlives else 0
+        for label in sorted(loaded.numbers, key=loaded.numbers.__getitem__):
+            size = ENTRY_ON_DISK + len(self._memory.entries[label].result)
+            self._carrier.wrote(label, loaded.numbers[label], size)
+        self._log = records
+        self._store = Store(
+            self._scheduler, self._bridge, records, SLOW_AFTER, self._fenced, self._disk_changed
+        )
+        self.load_seconds = time.perf_counter() - begun
+        pairs = {
+            "records": found.records, "labels": len(self._memory.entries), "rebased": loaded.rebased,
+            "torn_bytes": found.torn_bytes, "damaged": len(found.damage), "took": round(self.load_seconds, 4),
+        }  # fmt: skip
+        log.info("recall loaded", extra={"pairs": pairs})
+
+    def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
+        """The interpreter is up, since `born`: put what is remembered into the table of labels.
+
+        Gives the controller's part: tickets that are over, and how long their labels count. A run whose end
+        nobody wrote down is waited for where the interpreter outlived this server's predecessor; else it may
+        have run or not, nobody can tell, and its repeats end in an error.
+        """
+        now, told = self._scheduler.clock.now, []
+        outlived = self._plan.interpreter_outlives and self._written is not None and born < self._written
+        if not outlived:
+            self.last_notice, self._anew = 0, self._store is not None
+        for entry in sorted(self._memory.entries.values(), key=lambda one: one.until):
+            track = self._tracks.get(entry.track.encode())
+            if track is None:
+                continue
+            if entry.state is State.INTENDED and not outlived:
+                entry.state = State.FAILED
+                self._outcomes.append(self._outcome(entry))
+                self._count("recall_unknown")
+            exchange = self._exchange(entry, track)
+            if entry.state is State.INTENDED:
+                exchange.place = Place.RUNNING
+                self._adopted[entry.name] = exchange
+                self._count("recall_adopted")
+            life = entry.until - now
+            labels.remember(exchange, now, life)
+            if entry.state is State.WORKED:
+                labels.keep(exchange, entry.result)
+            told.append((exchange.ticket, life))
+            self._count("recall_labels")
+        return told
+
+    def adopted(self) -> tuple[list[Exchange], int]:
+        """Runs of the predecessor whose ends the interpreter may still tell, and the last notice read."""
+        return list(self._adopted.values()), self.last_notice
+
+    def _exchange(self, entry: Entry, track: Track) -> Exchange:
+        """A try that is over, as repeats find it."""
+        ticket = Ticket(track, Router(), None, entry.arrived, 0.0)
+        ticket.stage, ticket.begun, ticket.answered = Stage.OVER, True, True
+        if entry.state is not State.INTENDED:
+            ticket.ended = Outcome.WORKED if entry.state is not State.FAILED else Outcome.ERROR
+        exchange = Exchange(entry.name, entry.track.encode(), b"", 0, entry.label, ticket, None)
+        exchange.place = Place.OVER
+        exchange.digest = entry.sameness
+        exchange.billed = entry.state is not State.INTENDED
+        return exchange
+
+    def up_at(self) -> float:
+        """From when on the server may say that it is up."""
+        remembers = self._store is not None and self._written is not None and not self._damaged
+        return self.started if remembers else up_at(self._plan.cold, self.started, self._longest)
+
+    # -- what the dispatch asks and tells
+
+    def may_not_run(self, exchange: Exchange) -> bool:
+        """Whether a labelled ticket without a remembered first may have run in a predecessor."""
+        if self._plan.cold in (Start.RUN, Start.WAIT) or (self._store is not None and not self._damaged):
+            return False
+        ticket = exchange.ticket
+        now = self._scheduler.clock.now
+        if may_have_run(self._plan.cold, self.started, ticket.arrived, ticket.track.window, now):
+            self._count("recall_cold_terminated")
+            return True
+        return False
+
+    def prepare(self, ticket: Ticket) -> None:
+        """What a run of it will wait for beside the cores, and whether its label has room: the controller's
+        to weigh against its budget.
+        """
+        if self._store is None:
+            return
+        now = self._scheduler.clock.now
+        self._expire(now)
+        ticket.overhead = self._commit_wait(now)
+        if self._store.disk in (Disk.FULL, Disk.FAILING):
+            ticket.room_in = 1.0
+        else:
+            ticket.room_in = self._memory.room_in(now, len(self._intents) + len(self._waiting))
+        if ticket.room_in:
+            self._count("recall_no_room")
+
+    def _commit_wait(self, now: float) -> float:
+        """How long an intent may take to be durable: as the slower ones of late, or as the one under way has.
+        """
+        ranked = sorted(self._commits)
+        usual = ranked[int(0.9 * len(ranked))] if ranked else 0.0
+        under_way = now - self._given_at if self._given_at else 0.0
+        return max(usual, under_way) + self._plan.commit_every
+
+    def before_run(self, exchange: Exchange, run: Run) -> None:
+        """Send the run when its intent is durable; at once if it needs none."""
+        ticket = exchange.ticket
+        if self._store is None or exchange.label is None or ticket.track.nature is not Nature.LABELLED:
+            return run(exchange)
+        until = ticket.arrived + ticket.track.window
+        sameness = digest(exchange.track, exchange.body)
+        track = exchange.track.decode("utf-8", "replace")
+        entry = Entry(exchange.label, sameness, exchange.name, track, ticket.arrived, until)
+        self._memory.intend(entry)
+        self._intents.append(entry)
+        self._waiting.append(Waiting(exchange, run))
+
+    def ended(self, exchange: Exchange, outcome: Outcome, result: bytes) -> None:
+        """A labelled run is over, or never began."""
+        self._adopted.pop(exchange.name, None)
+        if (
+            self._store is None
+            or exchange.label is None
+            or exchange.ticket.track.nature is not Nature.LABELLED
+        ):
+            return
+        if outcome is Outcome.MOOT:
+            self._memory.forget(exchange.label, exchange.name)
+            self._carrier.gone(exchange.label)
+            never = pb.Outcome(label=exchange.label, name=exchange.name, how=pb.NEVER, notice=exchange.notice)
+            self._outcomes.append(never)
+        else:
+            state = State.WORKED if outcome is Outcome.WORKED else State.FAILED
+            entry = self._memory.end(exchange.label, exchange.name, state, result)
+            if entry is None:
+                return
+            told = self._outcome(entry)
+            told.notice = exchange.notice
+            if state is State.WORKED:
+                told.result = result
+            self._outcomes.append(told)
+        if exchange.ticket.stage is Stage.OVER:  # one of the predecessor's: the controller knows it as over
+            exchange.ticket.ended = outcome
+        self._mark += 1
+
+    def _outcome(self, entry: Entry) -> pb.Outcome:
+        return pb.Outcome(
+            label=entry.label, name=entry.name, how=HOW[entry.state], result=entry.result,
+            dropped=entry.state is State.DROPPED,
+        )  # fmt: skip
+
+    # -- the witness: answers wait for outcomes
+
+    def completed(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        labelled = exchange.label is not None and exchange.ticket.track.nature is Nature.LABELLED
+        if self._store is None or not labelled or self._durable_mark >= self._mark:
+            return self._inner.completed(exchange, result, caller)
+        if self._store.disk in (Disk.FULL, Disk.FAILING):
+            self._count("recall_answers_ahead")
+            return self._inner.completed(exchange, result, caller)
+        self._holding.hold(self._mark, exchange, result, caller)
+
+    def denied(self, exchange: Exchange) -> None:
+        self._inner.denied(exchange)
+
+    def terminated(self, exchange: Exchange) -> None:
+        self._inner.terminated(exchange)
+
+    def gone(self, exchange: Exchange) -> None:
+        self._inner.gone(exchange)
+
+    def _release(self, one: Held, ahead: bool) -> None:
+        if ahead:
+            self._count("recall_answers_ahead")
+        self._inner.completed(one.exchange, one.result, one.caller)
+
+    # -- rounds and the disk
+
+    def end_round(self) -> None:
+        store = self._store
+        if store is None:
+            return
+        now = self._scheduler.clock.now
+        if self._intents or self._outcomes or self._anew:
+            if store.idle and (now >= self._commit_at + self._plan.commit_every or self._leaving):
+                self._write(store, now)
+            elif store.idle:
+                self._scheduler.after(self._commit_at + self._plan.commit_every - now, lambda: None)
+        store.flush()
+
+    def _write(self, store: Store, now: float) -> None:
+        record = pb.Record(moment=self._moment(), anew=self._anew)
+        self._anew = False
+        record.intents.extend(self._intent(entry) for entry in self._intents)
+        record.outcomes.extend(self._outcomes)
+        number = store.append(record.SerializeToString())
+        assert number is not None  # the store was idle
+        for entry, told in zip(self._intents, record.intents, strict=True):
+            if self._memory.entries.get(entry.label) is entry:
+                self._carrier.wrote(entry.label, number, told.ByteSize())
+        for outcome in self._outcomes:
+            self._carrier.grew(outcome.label, outcome.ByteSize())
+        self._marks.append((number, self._mark, self._waiting))
+        self._intents, self._outcomes, self._waiting = [], [], []
+        self._commit_at = self._given_at = now
+
+    @staticmethod
+    def _intent(entry: Entry) -> pb.Intent:
+        return pb.Intent(
+            label=entry.label, sameness=entry.sameness, name=entry.name, track=entry.track,
+            arrived_us=round(entry.arrived * 1e6), until_us=round(entry.until * 1e6),
+        )  # fmt: skip
+
+    def _moment(self) -> pb.Moment:
+        now = self._read_moment()
+        return pb.Moment(unix_us=round(now.unix * 1e6), boot_us=round(now.since_boot * 1e6), boot=now.boot)
+
+    def _fenced(self, number: int) -> None:
+        now = self._scheduler.clock.now
+        if self._given_at:
+            self._commits.append(now - self._given_at)
+            self._given_at = 0.0
+        waiting: list[Waiting] = []
+        while self._marks and self._marks[0][0] <= number:
+            _, self._durable_mark, runs = self._marks.popleft()
+            waiting += runs
+        self._holding.durable(self._durable_mark)
+        for one in waiting:
+            self._let_run(one)
+
+    def _let_run(self, one: Waiting) -> None:
+        """Its intent is durable. If nobody waits for it any more it is not begun, and its label is free
+        again.
+        """
+        exchange = one.exchange
+        if exchange.place is not Place.RUNNING:
+            return
+        if exchange.closed and not exchange.joined:
+            self._count("recall_not_begun")
+            self._never_begun(exchange)
+        else:
+            one.run(exchange)
+
+    def _disk_changed(self, disk: Disk) -> None:
+        self._count(f"recall_disk_{disk.value}")
+        if disk in (Disk.FULL, Disk.FAILING):
+            self._holding.let_all_go()
+
+    # -- ageing
+
+    def _expire(self, now: float) -> None:
+        for entry in self._memory.expire(now):
+            self._carrier.gone(entry.label)
+
+    def _sweep(self) -> None:
+        now = self._scheduler.clock.now
+        self._expire(now)
+        if self._store is not None and self._log is not None:
+            self._store.release_through(self._carrier.oldest(self._store.fence) - 1)
+            if self._carrier.look(self._store.size, self._store.last):
+                self._background.want(self._carry)
+        self._scheduler.after(SWEEP, self._sweep)
+
+    def _carry_step(self) -> bool:
+        """Write the oldest entries anew, so that the front of the log can go."""
+        store = self._store
+        if store is None or not store.idle or self._intents or self._outcomes:
+            return False  # the sweep asks again
+        labels = [one for one in self._carrier.step(store.size) if one in self._memory.entries]
+        if not labels:
+            return False
+        record = pb.Record(moment=self._moment(), snapshot=True)
+        sizes = {}
+        for label in labels:
+            entry = self._memory.entries[label]
+            intent = self._intent(entry)
+            record.intents.append(intent)
+            sizes[label] = intent.ByteSize()
+            if entry.state is not State.INTENDED:
+                outcome = self._outcome(entry)
+                record.outcomes.append(outcome)
+                sizes[label] += outcome.ByteSize()
+        number = store.append(record.SerializeToString())
+        if number is None:
+            return False
+        for label in labels:
+            self._carrier.wrote(label, number, sizes[label])
+        self._marks.append((number, self._mark, []))
+        self._count("recall_carried")
+        store.flush()
+        return False
+
+    # -- the end
+
+    def parting(self) -> None:
+        self._leaving = True
+
+    def settled(self) -> bool:
+        if self._store is None:
+            return True
+        return not self._intents and not self._outcomes and not self._holding and self._store.settled
+
+    def close(self) -> None:
+        """The last instant: what is pending is written, answers that wait leave."""
+        self._holding.let_all_go()
+        if self._store is not None:
+            if (self._intents or self._outcomes) and self._store.idle:
+                self._write(self._store, self._scheduler.clock.now)
+            self._store.flush()
+            self._store.close()
+
+    def gauges(self) -> dict[str, object]:
+        told: dict[str, object] = {
+            "recall_live": len(self._memory.entries),
+            "recall_bytes": self._memory.bytes,
+            "recall_results_dropped": self._memory.results_dropped,
+            "recall_held": len(self._holding),
+        }
+        if self._store is not None:
+            told |= {"recall_disk": self._store.disk.value, "recall_disk_bytes": self._store.size}
+        return told
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -23,6 +23,7 @@
 SILENT_MOST = 3.0  # without a word, while asked five times a second: longer than a machine that only stalls
 HAND_OVER_MOST = 0.3  # for the fence on a link that is about to be left; past it, it counts as broken
 HAND_OVER_LOOK = 0.005
+ADOPTED = -1  # the fence of a run that was sent before this process began
 
 log = logging.getLogger(__name__)
 
@@ -54,12 +55,13 @@
         connect: Callable[[], Stream | None],
         desk: Desk,
         count: Callable[[str], None],
+        last: int = 0,
     ) -> None:
         self._scheduler, self._desk, self._count = scheduler, desk, count
         self._runs: dict[bytes, Run] = {}
         self._stream: Stream | None = None
         self._ready = False  # behind the fence
-        self._last = 0
+        self._last = last
         self._fence = 0  # the last question for gauges that went out
         self._asking = False  # one goes out at the end of this round
         self._proven = 0  # the last that was answered: all commands before it were read
@@ -85,6 +87,16 @@
         if self._ready:
             self._apply(run)
 
+    def adopt(self, exchanges: list[Exchange], last: int) -> None:
+        """Runs that a predecessor of this server began: not applied again, but their ends are waited for.
+
+        `last` is the number of the last notice that anybody here has read.
+        """
+        self._last = last
+        for exchange in exchanges:
+            run = self._runs[exchange.name] = Run(exchange)
+            run.fence = ADOPTED
+
     def halt(self, exchange: Exchange) -> None:
         run = self._runs.get(exchange.name)
         if run is not None and not run.halted:
@@ -225,6 +237,7 @@
 
     def _over(self, notice: interpreter.RunOver) -> None:
         if notice.name in self._runs:
+            self._runs[notice.name].exchange.notice = notice.number
             self._end(notice.name, notice.outcome, notice.took, notice.result)
         else:
             self._count("ends_unknown")
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -14,6 +14,7 @@
 from .client import Client
 from .exchange import Exchange, Place, Standing
 from .labels import Labels
+from .seam import UNREMEMBERED, Memory
 from .server import Server
 
 log = logging.getLogger(__name__)
@@ -31,7 +32,9 @@
         standing: Standing,
         labels: Labels,
         opened: Callable[[], None],
+        memory: Memory = UNREMEMBERED,
     ) -> None:
+        self._memory = memory
         self._scheduler, self._clock = scheduler, scheduler.clock
         self._machine, self._seed = machine, seed
         self._busy_place, self._connections_place = gauge_places
@@ -40,6 +43,7 @@
         self._happenings: list[Happening] = []
         self._undecided: set[bytes] = set()  # labels among them
         self.batches = 0  # decided so far: whether rounds carry tickets
+        self._early: dict[Exchange, None] = {}  # read before there was a controller
         self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
         self._names: set[bytes] = set()  # theirs
         self._server: Server
@@ -51,7 +55,7 @@
 
     @property
     def open_count(self) -> int:
-        return len(self._exchanges)
+        return len(self._exchanges) + len(self._early)
 
     def greeted(self, cold: bool, age: float) -> None:
         """The interpreter is up, for `age` seconds: the controller opens the server as of then."""
@@ -61,6 +65,12 @@
             self._controller = Controller(machine, self._seed)
             since = self._clock.now - age
             self._carry_out(self._controller.decide(since, []), since)
+            recalled = self._memory.recalled(since, self._labels)
+            self._happenings[:0] = [terms.Recalled(ticket, life) for ticket, life in recalled]
+            self._client.adopt(*self._memory.adopted())
+            early, self._early = self._early, {}
+            for exchange in early:
+                self.arrived(exchange)
             self._opened()
 
     # -- what happens
@@ -72,6 +82,8 @@
         and changes nothing for the true one. Guards against clients that copy or mix up names and labels;
         might hurt a true ticket only where a copy of its label came first and is still open.
         """
+        if self._controller is None:
+            return self._wait_for_interpreter(exchange)
         ticket, label = exchange.ticket, exchange.label
         if exchange.name in self._names:
             return exchange.terminate()
@@ -80,9 +92,12 @@
             if label in self._undecided:
                 self.decide()
             exchange.first = self._labels.find(label, ticket.arrived)
-            if exchange.first is not None and exchange.first.sameness != exchange.sameness:
+            if exchange.first is not None and not exchange.first.asks_same(exchange):
+                return exchange.terminate()
+            if exchange.first is None and self._memory.may_not_run(exchange):
                 return exchange.terminate()
             self._undecided.add(label)
+            self._memory.prepare(ticket)
             ticket.repeats = exchange.first.ticket if exchange.first is not None else None
         else:
             exchange.label = None
@@ -90,8 +105,28 @@
         self._names.add(exchange.name)
         self._happenings.append(terms.Arrived(ticket))
 
+    def _wait_for_interpreter(self, exchange: Exchange) -> None:
+        """Nothing is decided before the interpreter is up and all that is remembered is known.
+
+        Guards against tries of one label that come before that: neither would know of the other, nor of a
+        first that ran before the start, and each would run. None waits longer than its track allows.
+        """
+        self._early[exchange] = None
+        ticket = exchange.ticket
+        left = ticket.arrived + ticket.track.abandon - self._machine.tick - self._clock.now
+
+        def give_up() -> None:
+            if exchange in self._early:
+                del self._early[exchange]
+                exchange.terminate()
+
+        self._scheduler.after(max(left, 0.0), give_up)
+
     def gone(self, exchange: Exchange) -> None:
         """Nobody waits for its answer any more."""
+        if exchange in self._early:
+            del self._early[exchange]
+            return
         self._happenings.append(terms.CallerGone(exchange.ticket))
         if exchange.place in (Place.HELD, Place.JOINED):
             self._over(exchange)
@@ -100,6 +135,7 @@
         """A run is over: its answer goes out with it, and its repeats have theirs."""
         self._happenings.append(terms.Ended(exchange.ticket, took, outcome))
         exchange.took = took
+        self._memory.ended(exchange, outcome, result)
         if outcome is Outcome.WORKED:
             exchange.complete(result)
             if self._labels.holds(exchange):
@@ -166,7 +202,7 @@
             case terms.Run():
                 if exchange.place is Place.HELD:
                     exchange.place = Place.RUNNING
-                    self._client.run(exchange)
+                    self._memory.before_run(exchange, self._client.run)
             case terms.Stop():
                 if exchange.place is Place.RUNNING:
                     self._client.halt(exchange)
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -8,12 +8,18 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from hashlib import blake2b
 from typing import Protocol
 
 from ..terms import Ticket
 from .seam import UNWITNESSED, Witness
 
 
+def digest(track: bytes, body: bytes) -> bytes:
+    """Whether two tickets of one label ask for the same, also after a restart; 16 bytes."""
+    return blake2b(track + b"\0" + body, digest_size=16).digest()
+
+
 class Caller(Protocol):
     """Where a try came from and its answer goes."""
 
@@ -43,8 +49,8 @@
     """One try, from its bytes to its answer; kept for repeats, it lets go of all that they do not need."""
 
     __slots__ = (
-        "began", "billed", "body", "caller", "first", "joined", "label", "name", "place", "result",
-        "sameness", "tag", "ticket", "took", "track", "witness",
+        "began", "billed", "body", "caller", "digest", "first", "joined", "label", "name", "notice", "place",
+        "result", "sameness", "tag", "ticket", "took", "track", "witness",
     )  # fmt: skip
 
     def __init__(
@@ -55,14 +61,16 @@
         tag: int,
         label: bytes | None,
         ticket: Ticket,
-        caller: Caller,
+        caller: Caller | None,
         witness: Witness = UNWITNESSED,
     ) -> None:
         self.name, self.track, self.body = name, track, body
         self.tag, self.label, self.ticket = tag, label, ticket
-        self.caller: Caller | None = caller  # until answered, or nobody waits
+        self.caller = caller  # until answered, or nobody waits
         self.witness = witness
         self.took = 0.0  # how long its run took, once that is over
+        self.notice = 0  # the number under which that was told
+        self.digest = b""  # of track and body, where this one was remembered over a restart
         self.billed = False  # whether the result of its run went out to somebody
         self.sameness = hash((track, body))  # of two with one label: whether they ask for the same
         self.place = Place.HELD
@@ -71,6 +79,13 @@
         self.began = 0.0  # when its join was decided
         self.first: Exchange | None = None  # what it repeats
 
+    def asks_same(self, other: Exchange) -> bool:
+        """Whether another with this label asks for the same; one remembered over a restart has a digest only.
+        """
+        if not self.digest:
+            return self.sameness == other.sameness
+        return self.digest == digest(other.track, other.body)
+
     @property
     def closed(self) -> bool:
         return self.caller is None
--- a/sablewheel/routing/seam.py
+++ b/sablewheel/routing/seam.py
@@ -7,10 +7,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
+from ..terms import Outcome, Ticket
+
 if TYPE_CHECKING:
     from .exchange import Caller, Exchange
+    from .labels import Labels
 
 
 class Witness(Protocol):
@@ -39,3 +43,55 @@
 
 
 UNWITNESSED = Unwitnessed()
+
+
+class Memory(Protocol):
+    """Who remembers labelled runs over restarts."""
+
+    def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
+        """The interpreter is up, since `born`: fill the table of labels. Tickets and how long their labels
+        count.
+        """
+
+    def adopted(self) -> tuple[list[Exchange], int]:
+        """Runs of a predecessor whose ends may still be told, and the last notice that was read."""
+
+    def may_not_run(self, exchange: Exchange) -> bool:
+        """Whether a labelled try without a known first may have run in a predecessor, by the rule that is
+        set.
+        """
+
+    def prepare(self, ticket: Ticket) -> None:
+        """Note on a labelled ticket what a run of it would wait for beside the cores, and whether there is
+        room.
+        """
+
+    def before_run(self, exchange: Exchange, run: Callable[[Exchange], None]) -> None:
+        """Call `run` now, or when it may be sent, or report that it never began."""
+
+    def ended(self, exchange: Exchange, outcome: Outcome, result: bytes) -> None:
+        """A run is over, before its answer is."""
+
+
+class Unremembered:
+    """Nothing is kept over a restart."""
+
+    __slots__ = ()
+
+    def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
+        return []
+
+    def adopted(self) -> tuple[list[Exchange], int]:
+        return [], 0
+
+    def may_not_run(self, exchange: Exchange) -> bool:
+        return False
+
+    def prepare(self, ticket: Ticket) -> None: ...
+    def before_run(self, exchange: Exchange, run: Callable[[Exchange], None]) -> None:
+        run(exchange)
+
+    def ended(self, exchange: Exchange, outcome: Outcome, result: bytes) -> None: ...
+
+
+UNREMEMBERED = Unremembered()
--- a/sablewheel/state/log.py
+++ b/sablewheel/state/log.py
@@ -256,6 +256,18 @@
             freed += oldest.size
         return freed
 
+    def release_through(self, number: int) -> int:
+        """Whole segments whose records all have numbers up to this one go; the bytes freed."""
+        freed = 0
+        while self._segments and self._segments[0].sealed and self._segments[0].last <= number:
+            oldest = self._segments[0]
+            self._files.remove(oldest.name)
+            self._segments.pop(0)
+            self._dropped += 1
+            self.bytes -= oldest.size
+            freed += oldest.size
+        return freed
+
     def close(self) -> None:
         self._files.close()
 
--- a/sablewheel/state/store.py
+++ b/sablewheel/state/store.py
@@ -39,6 +39,7 @@
         self._under_way: list[bytes] = []
         self._bytes = 0
         self.fence = self.last = records.last
+        self._released = 0
 
     @property
     def idle(self) -> bool:
@@ -98,6 +99,16 @@
 
         self._bridge.submit(lambda: self._log.release(place, keep_bytes), over)
 
+    def release_through(self, number: int) -> None:
+        """Records up to this one may go."""
+
+        def over(_: Any, trouble: BaseException | None) -> None:
+            if trouble is not None:
+                log.error("log not released", extra={"pairs": {"reason": trouble}})
+
+        if number > self._released and self._bridge.submit(lambda: self._log.release_through(number), over):
+            self._released = number
+
     def close(self) -> None:
         """On the worker, behind all that was given to it."""
         self._bridge.submit(self._log.close, lambda _, __: None)
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -132,7 +132,8 @@
 
 @dataclass(eq=False, slots=True, weakref_slot=True)
 class Ticket:
-    """One try of a request. The fields below `repeats` are the controller's own notes."""
+    """One try of a request. The fields below `repeats` are the controller's own notes, but for the last two:
+    what a run waits for beside the cores, and how long until its label can be kept."""
 
     track: Track
     router: Router
@@ -156,6 +157,8 @@
     called: float = 0.0
     remembered: bool = False
     beyond: bool = False
+    overhead: float = 0.0
+    room_in: float = 0.0
 
 
 @dataclass(slots=True)
@@ -197,6 +200,14 @@
     ticket: Ticket
 
 
+@dataclass(slots=True)
+class Recalled:
+    """A ticket that is over is remembered from before the start; its label counts for `life` seconds more."""
+
+    ticket: Ticket
+    life: float
+
+
 @dataclass(slots=True)
 class Notice:
     """The server will be stopped after `left` seconds."""
@@ -212,7 +223,7 @@
     connections: float = inf
 
 
-Happening: TypeAlias = Arrived | Ended | CallNeeded | CallEnded | CallerGone | Notice | Bell
+Happening: TypeAlias = Arrived | Ended | CallNeeded | CallEnded | CallerGone | Recalled | Notice | Bell
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/sablewheel/trials/broken_server.py
@@ -0,0 +1,72 @@
+"""The server with recall broken on purpose; each of these must be caught by the trial.
+
+python -m sablewheel.trials.broken_server no-intent | answer-before-outcome | evict-intents | trust-clock
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+
+from ..recall import loading, recorder
+from ..recall.memory import Entry, Memory
+from ..recall.recorder import Recorder, Run
+from ..recall.windows import Moment
+from ..routing.exchange import Caller, Exchange
+
+
+def no_intent() -> None:
+    """Runs are sent at once; what is written is written after them."""
+
+    def before_run(self: Recorder, exchange: Exchange, run: Run) -> None:
+        run(exchange)
+
+    Recorder.before_run = before_run  # type: ignore[method-assign]
+
+
+def answer_before_outcome() -> None:
+    """Answers wait for nothing."""
+
+    def completed(self: Recorder, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        self._inner.completed(exchange, result, caller)
+
+    Recorder.completed = completed  # type: ignore[method-assign]
+
+
+def evict_intents() -> None:
+    """What is over the bound goes, the oldest first, and there is always room."""
+    intend = Memory.intend
+
+    def evicting(self: Memory, entry: Entry) -> None:
+        while len(self.entries) >= self._entries_most:
+            self._let_go(next(iter(self.entries.values())))
+        intend(self, entry)
+
+    def room_in(self: Memory, now: float, planned: int = 0) -> float:
+        return 0.0
+
+    Memory.intend = evicting  # type: ignore[method-assign]
+    Memory.room_in = room_in  # type: ignore[method-assign]
+
+
+def trust_clock() -> None:
+    """Windows are taken as the clock has them, whoever set it."""
+
+    def shift(then: Moment, now: Moment) -> float:
+        return 0.0
+
+    setattr(loading, "shift", shift)  # noqa: B010  a name that the module itself only imports
+
+
+VARIANTS = {
+    "no-intent": no_intent,
+    "answer-before-outcome": answer_before_outcome,
+    "evict-intents": evict_intents,
+    "trust-clock": trust_clock,
+}
+
+if __name__ == "__main__":
+    VARIANTS[sys.argv[1]]()
+    assert recorder.Recorder is Recorder
+    sys.argv = sys.argv[:1]
+    runpy.run_module("sablewheel", run_name="__main__")
--- a/sablewheel/trials/interpreter.py
+++ b/sablewheel/trials/interpreter.py
@@ -31,6 +31,8 @@
         self.fail = float(told.get("fail", 0.0))
         self.log = os.open(told["log"], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         self.born = time.monotonic()
+        self.outlives = bool(told.get("outlives"))  # runs and notices go on through a restart of the server
+        self.age = 1000 * float(told.get("age", 60.0))  # it says that it is so much older than it is
         self.line: deque[tuple[bytes, bytes, bytes]] = deque()
         self.running: dict[bytes, asyncio.Task[None]] = {}
         self.over: set[bytes] = set()
@@ -39,7 +41,7 @@
         self.link: asyncio.StreamWriter | None = None
 
     def note(self, word: str, name: bytes) -> None:
-        os.write(self.log, f"{word} {name.decode()}\n".encode())
+        os.write(self.log, f"{word} {name.decode()} {time.monotonic():.6f}\n".encode())
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -57,7 +59,9 @@
         match words:
             case [b"CONNECT", last]:
                 self.link = writer
-                if last == b"0":  # an app server that starts: what its predecessor began is nobody's now
+                if (
+                    last == b"0" and not self.outlives
+                ):  # an app server that starts: what its predecessor began is nobody's now
                     for name, task in self.running.items():
                         task.cancel()
                         self.note("left", name)
@@ -65,7 +69,7 @@
                     self.line.clear()
                     self.notices.clear()
                     self.number = 0
-                age = (time.monotonic() - self.born) * 1000 + 60_000
+                age = (time.monotonic() - self.born) * 1000 + self.age
                 writer.write(b"BANNER steady %d\r\n" % age)
                 missed = self.number - int(last)
                 writer.write(b"".join(list(self.notices)[-missed:] if missed > 0 else []))
--- a/sablewheel/trials/ledger.py
+++ b/sablewheel/trials/ledger.py
@@ -303,7 +303,7 @@
     totals_held: Counter[tuple[str, str, str]] = Counter()
     totals_billed: Counter[tuple[str, str, str]] = Counter()
     for server, tries in by_server.items():
-        ended = Counter(name for word, name in stage.rig.runs(server) if word == "success")
+        ended = Counter(name for word, name, _ in stage.rig.runs(server) if word == "success")
         held: dict[str, tuple[str, str]] = {}
         for one in tries:
             if one["how"] == "completed":
--- /dev/null
+++ b/sablewheel/trials/recall.py
@@ -0,0 +1,184 @@
+"""Recall's trial: servers under steady repeats, killed and started again at seeded instants, their clocks
+set.
+
+`n1`'s interpreter outlives it and keeps its notices; `n2`'s dies with it; `n3` has room for few labels. What
+the interpreters began is set against what routers sent: no label runs twice within its window, nothing that
+ran is denied, and a result that was held once is what every later repeat gets.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from .rig import Process, Rig, free_port
+from .verdict import Verdict
+
+BROKEN = ("no-intent", "answer-before-outcome", "evict-intents", "trust-clock")
+NAMES = ("n1", "n2", "n3")
+WITHIN = 4.0  # repeats come so long after the first; the window is six seconds
+HOUR = 3600.0
+SMALL = 100  # labels that n3 has room for
+
+
+def features(folder: Path, **more: object) -> str:
+    """A features file for a server of the trial."""
+    lines = ["version: 1", "recall:", f"  folder: {folder}", "  segment-kb: 64", "  disk-mb: 16"]
+    lines += [f"  {key.replace('_', '-')}: {value}" for key, value in more.items()]
+    return "\n".join([*lines, ""])
+
+
+@dataclass
+class Stage:
+    """The processes, and what happened to them."""
+
+    rig: Rig
+    broken: str
+    ports: dict[str, int] = field(default_factory=dict)
+    vms: dict[str, int] = field(default_factory=dict)
+    servers: dict[str, Process] = field(default_factory=dict)
+    interpreters: dict[str, Process] = field(default_factory=dict)
+    texts: dict[str, str] = field(default_factory=dict)
+    kills: Counter[str] = field(default_factory=Counter)
+    counts: Counter[str] = field(default_factory=Counter)
+    memory: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+
+    def start(self, name: str) -> None:
+        module = ("sablewheel.trials.broken_server", self.broken) if self.broken else ("sablewheel",)
+        self.servers[name] = self.rig.server(
+            name, self.ports[name], self.vms[name], self.texts[name], module=module, settings={"servers": 1}
+        )
+
+    def interpreter(self, name: str) -> None:
+        self.interpreters[name] = self.rig.interpreter(
+            name, self.vms[name], outlives=name != "n2", age=60.0 if name != "n2" else 0.0,
+            work={"lookup": 0.02, "record": 0.04},
+        )  # fmt: skip
+
+    def kill(self, name: str) -> None:
+        self.memory[name].append(self.servers[name].usage()[1])
+        self.servers[name].kill()
+        self.kills[name] += 1
+        if name == "n2":
+            self.interpreters[name].kill()
+
+
+def run(seed: int, quick: bool, broken: str = "") -> Verdict:
+    """The trial; `broken` names a fault put into the servers on purpose."""
+    verdict = Verdict("recall")
+    with Rig(seed) as rig:
+        stage = Stage(rig, broken)
+        for name in NAMES:
+            stage.ports[name], stage.vms[name] = free_port(), free_port()
+            more: dict[str, object] = {"interpreter_outlives": "true"} if name != "n2" else {}
+            if name == "n3":
+                more["entries_most"] = SMALL
+            stage.texts[name] = features(rig.folder / f"{name}-recall", **more)
+            stage.interpreter(name)
+            stage.start(name)
+        seconds = 24.0 if quick else 90.0
+        _play(stage, seed, seconds)
+        _judge(stage, verdict)
+    return verdict
+
+
+def _play(stage: Stage, seed: int, seconds: float) -> None:
+    rig, chance = stage.rig, random.Random(seed)
+    routers = [
+        rig.router(
+            f"r-{name}", [f"127.0.0.1:{stage.ports[name]}"], rate=70, seconds=seconds, repeats=0.6,
+            repeat_within=WITHIN, tracks={"record": {"share": 1.0, "labelled": True}}, cancels=0.03,
+            seed=seed + place,
+        )
+        for place, name in enumerate(NAMES)
+    ]  # fmt: skip
+    begun, clock = time.monotonic(), 0.0
+    turn = 0
+    while True:
+        moment = time.monotonic() - begun + chance.uniform(0.4, 1.1)
+        if moment > seconds - 2.0:
+            break
+        time.sleep(max(begun + moment - time.monotonic(), 0.0))
+        turn += 1
+        if turn % 6 == 5:  # all are down, and the clock is set meanwhile: an hour forward, later back again
+            for name in NAMES:
+                stage.kill(name)
+            clock = HOUR if not clock else 0.0
+            rig.shift(clock)
+            stage.counts["clock_steps"] += 1
+            stage.interpreter("n2")
+            for name in NAMES:
+                stage.start(name)
+        else:
+            name = chance.choice(NAMES)
+            stage.kill(name)
+            time.sleep(chance.choice((0.0, 0.0, 0.3)))
+            if name == "n2":
+                stage.interpreter("n2")
+            stage.start(name)
+    for one in routers:
+        one.popen.wait(30)
+    for name in NAMES:
+        stage.memory[name].append(stage.servers[name].usage()[1])
+        code = stage.servers[name].leave()
+        stage.counts["bad_exits"] += code != 0
+    time.sleep(0.2)
+
+
+def _judge(stage: Stage, verdict: Verdict) -> None:
+    second_runs = denied_ran = other_bytes = not_the_original = room_denials = advised = 0
+    completed = terminated = repeats = 0
+    for name in NAMES:
+        tries = list(stage.rig.held(f"r-{name}"))
+        labels = {one["name"]: one["label"] for one in tries}
+        begins: dict[str, list[float]] = defaultdict(list)
+        for word, ticket, when in stage.rig.runs(name):
+            if word == "begin" and ticket in labels:
+                begins[labels[ticket]].append(when)
+        second_runs += sum(len(each) - 1 for each in begins.values())
+        by_label: dict[str, list[dict[str, Any]]] = defaultdict(list)
+        for one in sorted(tries, key=lambda one: one["until"]):
+            by_label[one["label"]].append(one)
+        for label, each in by_label.items():
+            began = min(begins.get(label, [1e18]))
+            held = [one for one in each if one["how"] == "completed"]
+            other_bytes += len({one["result"] for one in held}) > 1
+            first = min((one["until"] for one in held), default=1e18)
+            for one in each:
+                denied_ran += one["how"] == "denied" and began < one["from"]
+                # Sent after somebody held the result: it must get just that, whatever was killed in between.
+                not_the_original += one["how"] in ("denied", "terminated") and one["from"] > first
+                repeats += one["how"] == "completed" and one["from"] > first
+        completed += sum(one["how"] == "completed" for one in tries)
+        terminated += sum(one["how"] == "terminated" for one in tries)
+        if name == "n3":
+            room_denials = sum(one["how"] == "denied" for one in tries)
+            advised = sum(one["how"] == "denied" and one.get("come_back", False) for one in tries)
+    verdict.check("no label ran twice within its window", second_runs == 0, second_runs)
+    verdict.check("nothing that ran was denied", denied_ran == 0, denied_ran)
+    verdict.check("all who got a result of a label got the same bytes", other_bytes == 0, other_bytes)
+    verdict.check(
+        "a result held once is what every later repeat got", not_the_original == 0, not_the_original
+    )
+    verdict.check("repeats came after restarts and got their results", repeats > 50, repeats)
+    verdict.check(
+        "with few labels' room, tickets are denied and told when to return", 0 < room_denials <= advised
+    )
+    growth = max(each[-1] - min(each) for each in stage.memory.values())
+    verdict.check("memory is flat over the restarts", growth < 8.0, f"{growth:.1f} MB")
+    verdict.check("all left in order at the end", stage.counts["bad_exits"] == 0, stage.counts["bad_exits"])
+    log = "".join((stage.rig.folder / f"{name}.log").read_text(errors="replace") for name in NAMES)
+    verdict.check("no fault of our own in the logs", "Traceback" not in log, log.count("Traceback"))
+    verdict.figures |= {
+        "kills": sum(stage.kills.values()),
+        "clock_steps": stage.counts["clock_steps"],
+        "completed": completed,
+        "repeats_after_the_first_was_held": repeats,
+        "terminated": terminated,
+        "denied_for_room": room_denials,
+        "memory_mb": round(max(max(each) for each in stage.memory.values()), 1),
+    }
--- a/sablewheel/trials/rig.py
+++ b/sablewheel/trials/rig.py
@@ -175,15 +175,22 @@
         return path
 
     def server(
-        self, name: str, port: int, vm: int, features: str | None, shifted: bool = True, **changes: Any
+        self,
+        name: str,
+        port: int,
+        vm: int,
+        features: str | None,
+        module: tuple[str, ...] = ("sablewheel",),
+        **changes: Any,
     ) -> Process:
-        """A server that is up; `features` is the text of its features file."""
+        """A server that is up; `features` is the text of its features file, `module` what is run, with words.
+        """
         environment = {"RELAY_CONFIG": str(self.configuration(name, port, vm, **changes))}
         if features is not None:
             path = self.folder / f"{name}.yaml"
             path.write_text(features)
             environment["SABLEWHEEL_FEATURES"] = str(path)
-        process = self.start(name, "sablewheel", shifted=shifted, **environment)
+        process = self.start(name, *module, shifted=True, **environment)
         self.wait_until_up(port, process)
         return process
 
@@ -214,14 +221,14 @@
             for line in file:
                 yield json.loads(line)
 
-    def runs(self, name: str) -> Iterator[tuple[str, str]]:
-        """What an interpreter did: word and ticket's name, in order."""
+    def runs(self, name: str) -> Iterator[tuple[str, str, float]]:
+        """What an interpreter did: word, ticket's name and when (monotonic), in order."""
         path = self.folder / f"{name}.runs"
         if path.exists():
             with path.open() as file:
                 for line in file:
-                    word, _, rest = line.strip().partition(" ")
-                    yield word, rest
+                    word, ticket, when = line.split()
+                    yield word, ticket, float(when)
 
     def counters(self, process: Process) -> dict[str, str]:
         """The last counters line of a server's log."""
--- a/sablewheel/trials/router.py
+++ b/sablewheel/trials/router.py
@@ -14,6 +14,7 @@
 import random
 import sys
 import time
+from collections import deque
 from typing import Any
 
 from ..protocol.resp import GarbledError, Parser
@@ -45,7 +46,9 @@
         self.chance = random.Random(told.get("seed", 1))
         self.links: dict[str, list[Link]] = {one: [] for one in told["servers"]}
         self.log = open(told["log"], "a", buffering=1 << 16)  # noqa: SIM115  kept until the end
-        self.labelled: dict[str, list[tuple[bytes, bytes, str]]] = {one: [] for one in told["servers"]}
+        self.labelled: dict[str, deque[tuple[bytes, bytes, str, float]]] = {
+            one: deque(maxlen=1000) for one in told["servers"]
+        }
         self.late: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -87,16 +90,18 @@
         customer, label, body = self.customer(now), b"", b"body of " + name
         if tracks[track].get("labelled"):
             known = self.labelled[server]
+            within = time.monotonic() - float(self.told.get("repeat_within", 1.0))
+            while known and known[0][3] < within:
+                known.popleft()
             if known and self.chance.random() < float(self.told.get("repeats", 0.0)):
-                label, body, customer = self.chance.choice(known[-20:])
+                label, body, customer, _ = self.chance.choice(known)
             else:
                 label = b"%032x" % self.chance.getrandbits(128)
-                known.append((label, body, customer))
-                del known[:-50]
+                known.append((label, body, customer, time.monotonic()))
         link.tag += 1
         one = {
             "name": name.decode(), "customer": customer, "track": track, "server": server,
-            "label": label.decode(), "sent": time.time(),
+            "label": label.decode(), "sent": time.time(), "from": time.monotonic(),
         }  # fmt: skip
         link.open[link.tag] = one
         link.writer.write(
@@ -166,7 +171,7 @@
         link.open.clear()
 
     def keep(self, one: dict[str, Any], how: str) -> None:
-        one["how"], one["at"] = how, time.time()
+        one["how"], one["at"], one["until"] = how, time.time(), time.monotonic()
         self.log.write(json.dumps(one) + "\n")
 
 
--- /dev/null
+++ b/tests/test_recall.py
@@ -0,0 +1,567 @@
+"""Recall: its memory, its windows, its log at every crash point, and the server with it on a made clock and
+disk.
+"""
+
+from __future__ import annotations
+
+import errno
+import random
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from made_disk import MadeFiles
+from test_ledger import MACHINE, SlowBridge
+from world import Town, Try
+
+from sablewheel.protocol.resp import Parser
+from sablewheel.recall import recall_pb2 as pb
+from sablewheel.recall import recorder as recording
+from sablewheel.recall.carrying import Carrier
+from sablewheel.recall.cold import may_have_run, up_at
+from sablewheel.recall.loading import Loaded
+from sablewheel.recall.memory import ENTRY_BYTES, Entry, Memory, State
+from sablewheel.recall.plan import RecallPlan, Start, Unreadable
+from sablewheel.recall.recorder import KIND, Recorder
+from sablewheel.recall.windows import Moment, shift, until_after
+from sablewheel.routing.seam import UNWITNESSED
+from sablewheel.state.log import Log
+from sablewheel.terms import Outcome
+from sablewheel.transport.background import Background
+
+BOOT = b"boot0001"
+
+
+def entry(label: bytes, until: float, name: bytes = b"n", arrived: float = 0.0) -> Entry:
+    return Entry(label, b"s" * 16, name, "record", arrived, until)
+
+
+# -- the memory against a model that forgets nothing
+
+
+class MemoryAgainstModel(RuleBasedStateMachine):
+    """No label whose window is open is ever lost, whatever fills up; results go first, the oldest first."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.memory = Memory(entries_most=6, bytes_most=6 * ENTRY_BYTES + 60)
+        self.model: dict[bytes, Entry] = {}
+        self.results: dict[bytes, bytes] = {}
+        self.turn = 0
+
+    @rule(label=st.integers(0, 9), window=st.floats(0.5, 20.0))
+    def intend(self, label: int, window: float) -> None:
+        name = b"%d" % label
+        if name in self.model and self.model[name].until >= self.now:
+            return  # a repeat: it does not run
+        self.memory.expire(self.now)
+        if self.memory.room_in(self.now):
+            assert len(self.memory.entries) >= 6
+            return  # told that there is no room, nobody runs it
+        self.turn += 1
+        one = entry(name, self.now + window, b"run%d" % self.turn)
+        self.memory.intend(one)
+        self.model[name] = one
+
+    @rule(label=st.integers(0, 9), size=st.integers(0, 50), worked=st.booleans())
+    def end(self, label: int, size: int, worked: bool) -> None:
+        one = self.model.get(b"%d" % label)
+        if one is None or one.state is not State.INTENDED:
+            return
+        result = b"r" * size
+        ended = self.memory.end(one.label, one.name, State.WORKED if worked else State.FAILED, result)
+        if one.until >= self.now:
+            assert ended is one
+            if worked:
+                self.results[one.name] = result
+
+    @rule(label=st.integers(0, 9))
+    def never_ran(self, label: int) -> None:
+        one = self.model.get(b"%d" % label)
+        if one is not None and one.state is State.INTENDED:
+            self.memory.forget(one.label, one.name)
+            del self.model[one.label]
+
+    @rule(span=st.floats(0.0, 5.0))
+    def wait(self, span: float) -> None:
+        self.now += span
+        self.memory.expire(self.now)
+
+    @rule(by=st.floats(-50.0, 50.0))
+    def set_clock(self, by: float) -> None:
+        self.memory.rebase(by, self.now + by + 20.0)
+        self.now += by
+        for one in self.model.values():
+            if self.memory.entries.get(one.label) is not one:
+                one.until += by
+
+    @rule()
+    def wait_for_room(self) -> None:
+        self.memory.expire(self.now)
+        span = self.memory.room_in(self.now)
+        if span:
+            self.now += span + 0.001
+            self.memory.expire(self.now)
+            assert self.memory.room_in(self.now) == 0.0
+
+    @invariant()
+    def open_windows_are_known(self) -> None:
+        for one in self.model.values():
+            if one.until >= self.now:
+                assert self.memory.entries.get(one.label) is one
+                if one.state is State.WORKED:
+                    assert one.result == self.results[one.name]
+        assert len(self.memory.entries) <= 6 and self.memory.bytes <= 6 * ENTRY_BYTES + 60
+        kept = [one for one in self.memory.entries.values()]
+        assert self.memory.bytes == sum(ENTRY_BYTES + len(one.result) for one in kept)
+
+
+TestMemory = MemoryAgainstModel.TestCase
+TestMemory.settings = settings(derandomize=True, max_examples=100, stateful_step_count=50, deadline=None)
+
+
+def test_results_go_before_labels_the_oldest_first() -> None:
+    memory = Memory(100, 3 * ENTRY_BYTES + 25)
+    for number in range(3):
+        memory.intend(entry(b"%d" % number, 50.0, b"run%d" % number))
+        memory.end(b"%d" % number, b"run%d" % number, State.WORKED, b"ten bytes!")
+    states = [memory.entries[b"%d" % number].state for number in range(3)]
+    assert states == [State.DROPPED, State.WORKED, State.WORKED] and memory.results_dropped == 1
+
+
+# -- windows and clocks
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    down=st.floats(0.0, 100.0),
+    step=st.floats(-4000.0, 4000.0),
+    left=st.floats(0.0, 13.0),
+    same_boot=st.booleans(),
+)
+def test_no_clock_cuts_a_window_short(down: float, step: float, left: float, same_boot: bool) -> None:
+    then = Moment(1_000_000.0, 500.0, BOOT)
+    now = Moment(then.unix + down + step, 500.0 + down if same_boot else 3.0, BOOT if same_boot else b"other")
+    until = until_after(then.unix + left, then, now, 13.5)
+    truly_left = left - down
+    assert until - now.unix >= truly_left - 1e-6
+    if same_boot:
+        assert until - now.unix <= max(truly_left, -100.0) + 1e-6  # nor makes it longer, where time is known
+    else:
+        assert until - now.unix <= min(left, 13.5) + 1e-6
+    assert shift(then, then) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("rule_", "arrived", "now", "terminated"),
+    [
+        (Start.RUN, 90.0, 101.0, False),
+        (Start.EARLY, 99.9, 101.0, True),
+        (Start.EARLY, 100.0, 101.0, False),
+        (Start.STRICT, 110.0, 113.0, True),
+        (Start.STRICT, 110.0, 113.5, False),
+        (Start.WAIT, 99.0, 101.0, False),
+    ],
+)
+def test_what_a_server_that_remembers_nothing_does(
+    rule_: Start, arrived: float, now: float, terminated: bool
+) -> None:
+    assert may_have_run(rule_, 100.0, arrived, 13.5, now) is terminated
+    assert up_at(rule_, 100.0, 13.5) == (113.5 if rule_ is Start.WAIT else 100.0)
+
+
+def a_record(at: float, boot: bytes = BOOT, **more: object) -> pb.Record:
+    moment = pb.Moment(unix_us=round(at * 1e6), boot_us=round((at - 900_000) * 1e6), boot=boot)
+    return pb.Record(moment=moment, **more)  # type: ignore[arg-type]
+
+
+def intent(label: bytes, until: float, name: bytes = b"n") -> pb.Intent:
+    return pb.Intent(
+        label=label, sameness=b"s" * 16, name=name, track="record", arrived_us=0, until_us=round(until * 1e6)
+    )
+
+
+def test_loading_follows_ends_restarts_of_the_machine_and_clocks_that_were_set() -> None:
+    loaded = Loaded(Memory(100, 1 << 20), longest=13.5)
+    loaded.take(1, a_record(1_000_000, intents=[intent(b"a", 1_000_010), intent(b"b", 1_000_012)]))
+    worked = pb.Outcome(label=b"a", name=b"n", how=pb.WORKED, result=b"bytes", notice=7)
+    loaded.take(2, a_record(1_000_001, outcomes=[worked], intents=[intent(b"c", 1_000_014)]))
+    loaded.take(3, a_record(1_000_002, outcomes=[pb.Outcome(label=b"c", name=b"n", how=pb.NEVER)]))
+    assert set(loaded.memory.entries) == {b"a", b"b"} and loaded.notice == 7
+    # The machine's clock is an hour ahead now, five seconds have truly passed.
+    now = Moment(1_000_007 + 3600, 100_007.0, BOOT)
+    loaded.finish(now)
+    assert loaded.written == pytest.approx(1_000_002 + 3600) and loaded.rebased == 1
+    assert loaded.memory.entries[b"a"].until == pytest.approx(1_000_010 + 3600)
+    assert loaded.memory.entries[b"a"].result == b"bytes" and loaded.numbers == {b"a": 1, b"b": 1}
+
+
+def test_what_was_over_before_the_machine_restarted_does_not_come_back() -> None:
+    loaded = Loaded(Memory(100, 1 << 20), longest=13.5)
+    loaded.take(1, a_record(1_000_000, intents=[intent(b"old", 1_000_005)]))
+    loaded.take(2, a_record(1_000_010, intents=[intent(b"new", 1_000_020)]))
+    loaded.finish(Moment(999_000.0, 1.0, b"another"))  # and its clock lost a quarter of an hour
+    assert set(loaded.memory.entries) == {b"new"} and loaded.written is None
+    assert loaded.memory.entries[b"new"].until == pytest.approx(999_010)
+
+
+# -- carrying forward
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(seed=st.integers(0, 10**6))
+def test_carrying_ends_and_never_lets_a_live_label_fall_behind_the_front(seed: int) -> None:
+    """A log as the recorder keeps it: each record has its size, the front up to `oldest` goes now and then.
+    """
+    chance, carrier, lies, log = random.Random(seed), Carrier(100), dict[bytes, int](), dict[int, int]()
+    carried = 0
+    for number in range(1, 600):
+        log[number] = 50
+        match chance.randrange(4):
+            case 0 | 1:
+                label = b"%d" % chance.randrange(30)
+                carrier.wrote(label, number, 50)
+                lies[label] = number
+            case 2 if lies:
+                label = chance.choice(list(lies))
+                carrier.gone(label)
+                del lies[label]
+        if carrier.look(sum(log.values()), number):
+            labels = carrier.step(sum(log.values()))
+            for label in labels:
+                carrier.wrote(label, number, 50)
+                lies[label] = number
+            log[number] += 50 * len(labels)
+            carried += len(labels)
+        assert carrier.oldest(number) <= min(lies.values(), default=number + 1)
+        log = {one: size for one, size in log.items() if one >= carrier.oldest(number)}
+        assert sum(log.values()) <= 3 * (2 * 50 * 30 + 400)
+    assert carried <= 600 * 4  # it is no work without end
+
+
+# -- the server with it
+
+
+@dataclass
+class Disk:
+    """What outlives the server: its files, the clocks, and the interpreter if it is to."""
+
+    files: MadeFiles
+    boot: float = 50_000.0
+
+
+class RecallTown(Town):
+    """The routing layer with recall over a made disk; `restart` is a kill and a new start."""
+
+    def __init__(
+        self, monkeypatch: pytest.MonkeyPatch, disk: Disk, before: RecallTown | None = None, **more: object
+    ) -> None:
+        super().__init__(MACHINE)
+        self.disk, self.patch, self.more = disk, monkeypatch, more
+        monkeypatch.setattr(recording, "DiskFiles", lambda _: disk.files)
+        plan = RecallPlan(Path("made"), commit_every=0.0, **more)  # type: ignore[arg-type]
+        outlived = before is not None and plan.interpreter_outlives
+        if before is not None:
+            self.scheduler.clock.now = before.now
+            self.tries = before.tries
+            if outlived:
+                self.interpreter = before.interpreter
+            else:
+                self.interpreter.over = set(before.interpreter.over) | set(before.interpreter.running)
+                self.interpreter.applied = before.interpreter.applied
+        bridge = SlowBridge()
+        self.bridge = bridge
+        tracks = {b"lookup": MACHINE.tracks[0], b"record": MACHINE.tracks[1]}
+        self.recorder = Recorder(
+            self.scheduler, Background(self.scheduler, lambda: 0), bridge, plan,  # type: ignore[arg-type]
+            b"inc%05d" % len(disk.files.names()), tracks, UNWITNESSED,
+            lambda one: self.dispatch.ended(one, Outcome.MOOT, 0.0, b""), self.counts.append, self.moment,
+        )  # fmt: skip
+        self.server.witness = self.recorder
+        self.dispatch._memory = self.recorder
+        # The town greeted its interpreter before: what a start would have told is told now.
+        born = self.now - (5000.0 if outlived or before is None else 0.0)
+        from sablewheel import terms
+
+        recalled = self.recorder.recalled(born, self.labels)
+        self.dispatch._happenings[:0] = [terms.Recalled(ticket, life) for ticket, life in recalled]
+        self.client.adopt(*self.recorder.adopted())
+        if outlived:
+            missed = b"".join(self.interpreter.notices[self.recorder.last_notice :])
+            if self.link is not None and missed:
+                self.link.feed(missed)
+        self.settle()
+
+    def moment(self) -> Moment:
+        return Moment(self.now, self.disk.boot + self.now - 1_764_576_000, BOOT)
+
+    def settle(self, deliver: bool = True) -> None:
+        super().settle(deliver)
+        if hasattr(self, "recorder"):
+            for _ in range(4):
+                self.recorder.end_round()
+                self.recorder._background.end_round()
+                self.bridge.work()
+                super().settle(deliver)
+
+    def restart(self, crash: random.Random | None = None) -> RecallTown:
+        """Killed: what was not synced may be gone, connections are, tries without an answer are lost."""
+        for one in self.tries:
+            one.cancelled = one.cancelled or not one.answers
+        if crash is not None:
+            self.disk.files = self.disk.files.crash(crash)
+        for one in self.tries:
+            one.tag = -abs(one.tag)
+        return RecallTown(self.patch, self.disk, self, **self.more)
+
+    def call(self, track: bytes, label: bytes = b"", ago: float = 0.0) -> Try:
+        one = super().call(track, label, ago)
+        self.answers = self.answers or Parser()
+        return one
+
+
+def run_one(town: RecallTown, label: bytes = b"label") -> Try:
+    one = town.call(b"record", label)
+    town.settle()
+    town.end(one.name)
+    town.settle()
+    return one
+
+
+def word(one: Try) -> bytes:
+    return one.answers[0][1] if one.answers else b""
+
+
+def test_a_run_is_sent_when_its_intent_is_durable_and_answered_when_its_outcome_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    town = RecallTown(monkeypatch, Disk(MadeFiles()))
+    town.bridge.open = False
+    one = town.call(b"record", b"label")
+    other = town.call(b"lookup")
+    town.settle()
+    assert [name for name, _, _ in town.interpreter.applied] == [
+        other.name
+    ]  # may run again: waits for nothing
+    town.bridge.open = True
+    town.settle()
+    assert town.interpreter.applied[-1][0] == one.name
+    town.bridge.open = False
+    town.end(one.name)
+    town.settle()
+    assert not one.answers
+    town.bridge.open = True
+    town.settle()
+    assert word(one) == b"OK"
+
+
+def test_after_a_kill_a_repeat_gets_the_original_bytes_and_never_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    town = RecallTown(monkeypatch, Disk(MadeFiles()))
+    first = run_one(town)
+    runs = len(town.interpreter.applied)
+    for turn in range(3):
+        town = town.restart(random.Random(turn))
+        repeat = town.call(b"record", b"label")
+        town.settle()
+        assert repeat.answers[0][3] == first.answers[0][3] and len(town.interpreter.applied) == runs
+    town.wait(MACHINE.tracks[1].window + 5.0)
+    later = town.call(b"record", b"label")
+    town.settle()
+    assert town.interpreter.applied[-1][0] == later.name  # its window is over: it may run again
+
+
+def test_killed_in_the_middle_of_a_run_it_is_waited_for_or_ended_but_not_run_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for outlives in (True, False):
+        town = RecallTown(monkeypatch, Disk(MadeFiles()), interpreter_outlives=outlives)
+        first = town.call(b"record", b"label")
+        town.settle()
+        town = town.restart(random.Random(1))
+        repeat = town.call(b"record", b"label")
+        town.settle()
+        assert len(town.interpreter.applied) == 1
+        if outlives:
+            assert not repeat.answers and "recall_adopted" in town.counts
+            town.end(first.name)
+            town.settle()
+            assert repeat.answers[0][3] == b"made of " + first.body
+        else:
+            assert word(repeat) == b"FAILED" and "recall_unknown" in town.counts
+
+
+def test_an_end_that_came_while_the_server_was_down_is_told_by_its_notice(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    town = RecallTown(monkeypatch, Disk(MadeFiles()), interpreter_outlives=True)
+    run_one(town, b"other")
+    first = town.call(b"record", b"label")
+    town.settle()
+    town.interpreter.end(first.name)  # nobody hears it
+    town = town.restart()
+    repeat = town.call(b"record", b"label")
+    town.settle()
+    assert repeat.answers[0][3] == b"made of " + first.body and len(town.interpreter.applied) == 2
+
+
+def test_a_label_with_another_body_is_terminated_after_a_restart_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    town = RecallTown(monkeypatch, Disk(MadeFiles()))
+    run_one(town)
+    town = town.restart()
+    copy = Try(len(town.tries) + 1, b"%016x" % 99, b"record", b"", town.now)
+    copy.body = b"another body"
+    town.tries.append(copy)
+    from world import call
+
+    town.router.feed(call(copy.tag, copy.name, b"record", town.now, copy.body, b"label"))
+    town.settle()
+    assert word(copy) == b"FAILED" and len(town.interpreter.applied) == 1
+
+
+def test_a_failing_disk_denies_new_labelled_tickets_before_they_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    disk = Disk(MadeFiles())
+    town = RecallTown(monkeypatch, disk)
+    first = run_one(town)
+    disk.files.fail = {"append": [OSError(errno.ENOSPC, "no space left on device")] * 10_000}
+    stuck = town.call(b"record", b"stuck")
+    town.settle()
+    denied = town.call(b"record", b"new")
+    repeat = town.call(b"record", b"label")
+    harmless = town.call(b"lookup")
+    town.settle()
+    assert word(denied) == b"BUSY" and word(repeat) == b"OK" and repeat.answers[0][3] == first.answers[0][3]
+    assert [name for name, _, _ in town.interpreter.applied] == [first.name, harmless.name]
+    town.wait(6.0)
+    assert word(stuck) == b"FAILED"  # in time, and it never ran
+    disk.files.fail = {}
+    town.wait(6.0)
+    assert run_one(town, b"after").answers[0][1] == b"OK"
+    assert stuck.name not in [name for name, _, _ in town.interpreter.applied]
+    again = run_one(town, b"stuck")
+    assert word(again) == b"OK"  # it is known never to have run, so its repeat may
+
+
+def test_a_slow_disk_denies_early_instead_of_answering_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    town = RecallTown(monkeypatch, Disk(MadeFiles()))
+    town.recorder._commits.extend([3.9] * 20)  # the last commits took nearly all that a caller waits
+    running = [town.call(b"lookup") for _ in range(12)]
+    town.settle()
+    one = town.call(b"record", b"label")
+    town.settle()
+    assert word(one) == b"BUSY" and running and not [
+        name for name, track, _ in town.interpreter.applied if track == b"record"
+    ]  # fmt: skip
+
+
+def test_no_room_for_labels_denies_and_tells_when_there_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    town = RecallTown(monkeypatch, Disk(MadeFiles()), entries_most=3)
+    for number in range(3):
+        run_one(town, b"%d" % number)
+    denied = town.call(b"record", b"one too many")
+    town.settle()
+    assert word(denied) == b"BUSY" and "recall_no_room" in town.counts
+    town.wait(MACHINE.tracks[1].window + 0.5)
+    assert word(run_one(town, b"one too many")) == b"OK"
+
+
+def test_random_days_with_kills_and_lost_writes_never_run_a_label_twice(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What Town checks after each step (no second run in the window, no denial of what ran, one answer in
+    time) holds over kills at any moment, with unsynced writes lost, torn or reordered.
+    """
+    for seed in range(14):
+        chance = random.Random(seed)
+        town = RecallTown(
+            monkeypatch, Disk(MadeFiles()), interpreter_outlives=seed % 2 == 0, segment_bytes=600
+        )
+        kills = 0
+        held: dict[bytes, bytes] = {}
+        for _ in range(70):
+            match chance.randrange(9):
+                case 0 | 1 | 2:
+                    town.call(b"record", b"%d" % chance.randrange(6))
+                case 3 | 4 if town.interpreter.running:
+                    town.end(chance.choice(list(town.interpreter.running)))
+                case 5 if town.tries and town.tries[-1].tag > 0:
+                    town.cancel(town.tries[-1])
+                case 6:
+                    town.bridge.open = chance.random() < 0.7
+                case 7 if chance.random() < 0.5:
+                    town = town.restart(chance)
+                    kills += 1
+                case _:
+                    town.wait(chance.uniform(0.0, 0.3))
+            town.settle()
+            for one in town.tries:
+                if word(one) == b"OK":
+                    assert held.setdefault(one.label, one.answers[0][3]) == one.answers[0][3]
+        assert kills
+
+
+def test_the_log_stays_near_what_is_alive(monkeypatch: pytest.MonkeyPatch) -> None:
+    disk = Disk(MadeFiles())
+    town = RecallTown(monkeypatch, disk, segment_bytes=500)
+    old = town.recorder._memory
+    run_one(town, b"lives long")
+    # One label that lives long must not hold all that comes after it: it is carried forward.
+    (entry_,) = old.entries.values()
+    entry_.until += 1000.0
+    old._lapses = [(entry_.until, entry_.label)]
+    sizes = []
+    for number in range(90):
+        run_one(town, b"%d" % number)
+        town.wait(0.3)
+        sizes.append(sum(map(len, disk.files.data.values())))
+    assert "recall_carried" in town.counts and max(sizes) <= 14_000 < 90 * 260
+    town = town.restart()
+    assert entry_.label in town.recorder._memory.entries
+
+
+def test_a_folder_that_can_not_be_read_is_a_reason_not_to_start(monkeypatch: pytest.MonkeyPatch) -> None:
+    disk = Disk(MadeFiles())
+    town = RecallTown(monkeypatch, disk)
+    for number in range(3):
+        run_one(town, b"%d" % number)
+    (name,) = disk.files.names()
+    disk.files.data[name][60] ^= 1
+    with pytest.raises(OSError, match="no record"):
+        town.restart()
+    cold = RecallTown(monkeypatch, disk, town, unreadable=Unreadable.COLD, cold=Start.STRICT)
+    for one in cold.tries:
+        one.cancelled = True
+    unknown = cold.call(b"record", b"never seen")
+    cold.settle()
+    assert word(unknown) == b"FAILED" and "recall_cold_terminated" in cold.counts
+
+
+def test_every_record_counts_at_every_crash_point() -> None:
+    """The log of a short day cut at each byte: what is loaded is just what its whole records say."""
+    files, records = MadeFiles(), []
+    log = Log(files, KIND, b"incarn01", 1 << 20)
+    for number in range(6):
+        some = [intent(b"%d" % number, 1_000_010, b"run%d" % number)]
+        ends = [
+            pb.Outcome(label=b"%d" % (number - 1), name=b"run%d" % (number - 1), how=pb.WORKED, result=b"r")
+        ]
+        records.append(a_record(1_000_000 + number / 10, intents=some, outcomes=ends if number else []))
+        log.commit([records[-1].SerializeToString()])
+    (name,) = files.names()
+    whole = bytes(files.data[name])
+    for cut in range(len(whole) + 1):
+        after = MadeFiles()
+        after.create(name)
+        after.append(name, whole[:cut])
+        loaded = Loaded(Memory(100, 1 << 20), 13.5)
+        Log(after, KIND, b"incarn02", 1 << 20).recover(
+            lambda number, payload, _, loaded=loaded: loaded.take(number, pb.Record.FromString(payload))  # type: ignore[misc]
+        )
+        assert len(loaded.memory.entries) == loaded.records
+        worked = [one for one in loaded.memory.entries.values() if one.state is State.WORKED]
+        assert len(worked) == max(loaded.records - 1, 0)
