--- /dev/null
+++ b/sablewheel/command/recall.py
@@ -0,0 +1,96 @@
+"""`sablewheel recall`: what a server's folder remembers, whether it is whole, and making it small."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from pathlib import Path
+
+import click
+
+from ..recall.recorder import read_moment
+from ..recall.written import compact_folder, load_folder
+from ..state.files import InUseError
+from .main import print_json
+
+folder_argument = click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+window_option = click.option(
+    "--longest-s", default=86400.0, show_default=True, help="The longest window of any track, in seconds."
+)
+
+
+@click.group()
+def recall() -> None:
+    """Look at what a server remembers of its labelled runs.
+
+    \b
+    sablewheel recall inspect /var/lib/sablewheel/recall
+    sablewheel recall verify /var/lib/sablewheel/recall
+    """
+
+
+@recall.command()
+@folder_argument
+@window_option
+@click.option("--labels", is_flag=True, help="Each label, as JSON.")
+def inspect(folder: Path, longest_s: float, labels: bool) -> None:
+    """How many labels are open, in which states, and how large the folder is. Takes no lock.
+
+    \b
+    sablewheel recall inspect /var/lib/sablewheel/recall --labels
+    """
+    now = read_moment()
+    loaded, notes = load_folder(folder, longest_s, now)
+    entries = sorted(loaded.memory.entries.values(), key=lambda one: one.until)
+    if labels:
+        for one in entries:
+            print_json(
+                {
+                    "label": one.label.decode("ascii", "replace"), "name": one.name.decode("ascii", "replace"),
+                    "track": one.track, "state": one.state.value, "result_bytes": len(one.result),
+                    "seconds_left": round(one.until - now.unix, 3),
+                }
+            )  # fmt: skip
+        return
+    states = Counter(one.state.value for one in entries)
+    size = sum(path.stat().st_size for path in folder.glob("*.seg"))
+    told = ", ".join(f"{count} {name}" for name, count in sorted(states.items())) or "-"
+    click.echo(f"{len(entries)} labels open: {told}")
+    click.echo(f"{loaded.records} records, {size} bytes; last notice {loaded.notice}")
+    for note in notes:
+        click.echo(f"note: {note}")
+
+
+@recall.command()
+@folder_argument
+@window_option
+def verify(folder: Path, longest_s: float) -> None:
+    """Read every record; each fault with its place. Exit 1 if there is any.
+
+    \b
+    sablewheel recall verify /var/lib/sablewheel/recall
+    """
+    loaded, notes = load_folder(folder, longest_s, read_moment())
+    for note in notes:
+        click.echo(note)
+    click.echo(
+        f"{len(notes)} faults in {loaded.records} records" if notes else f"in order, {loaded.records} records"
+    )
+    sys.exit(1 if notes else 0)
+
+
+@recall.command()
+@folder_argument
+@window_option
+def compact(folder: Path, longest_s: float) -> None:
+    """Write what is open anew and drop the rest; the server must not run.
+
+    \b
+    sablewheel recall compact /var/lib/sablewheel/recall
+    """
+    try:
+        before, after, labels = compact_folder(folder, longest_s, read_moment())
+    except InUseError as trouble:
+        click.echo(f"sablewheel recall: {trouble}", err=True)
+        sys.exit(1)
+    click.echo(f"{labels} labels kept, {before} bytes before, {after} after")
--- a/sablewheel/recall/recorder.py
+++ b/sablewheel/recall/recorder.py
@@ -27,6 +27,7 @@
 from ..transport.bridge import Bridge
 from ..transport.scheduler import Scheduler
 from . import recall_pb2 as pb
+from . import written
 from .carrying import Carrier
 from .cold import may_have_run, up_at
 from .loading import Loaded
@@ -39,7 +40,6 @@
 COMMITS_KEPT = 50  # times of the last commits, from which the wait for the next is told
 SWEEP = 0.25
 ENTRY_ON_DISK = 150  # about, of one that was loaded, without its result
-HOW = {State.WORKED: pb.WORKED, State.DROPPED: pb.WORKED, State.FAILED: pb.FAILED}
 
 log = logging.getLogger(__name__)
 Run = Callable[[Exchange], None]
@@ -167,7 +167,7 @@
                 continue
             if entry.state is State.INTENDED and not outlived:
                 entry.state = State.FAILED
-                self._outcomes.append(self._outcome(entry))
+                self._outcomes.append(written.outcome(entry))
                 self._count("recall_unknown")
             exchange = self._exchange(entry, track)
             if entry.state is State.INTENDED:
@@ -272,7 +272,7 @@
             entry = self._memory.end(exchange.label, exchange.name, state, result)
             if entry is None:
                 return
-            told = self._outcome(entry)
+            told = written.outcome(entry)
             told.notice = exchange.notice
             if state is State.WORKED:
                 told.result = result
@@ -281,12 +281,6 @@
             exchange.ticket.ended = outcome
         self._mark += 1
 
-    def _outcome(self, entry: Entry) -> pb.Outcome:
-        return pb.Outcome(
-            label=entry.label, name=entry.name, how=HOW[entry.state], result=entry.result,
-            dropped=entry.state is State.DROPPED,
-        )  # fmt: skip
-
     # -- the witness: answers wait for outcomes
 
     def completed(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
@@ -329,7 +323,7 @@
     def _write(self, store: Store, now: float) -> None:
         record = pb.Record(moment=self._moment(), anew=self._anew)
         self._anew = False
-        record.intents.extend(self._intent(entry) for entry in self._intents)
+        record.intents.extend(written.intent(entry) for entry in self._intents)
         record.outcomes.extend(self._outcomes)
         number = store.append(record.SerializeToString())
         assert number is not None  # the store was idle
@@ -342,16 +336,8 @@
         self._intents, self._outcomes, self._waiting = [], [], []
         self._commit_at = self._given_at = now
 
-    @staticmethod
-    def _intent(entry: Entry) -> pb.Intent:
-        return pb.Intent(
-            label=entry.label, sameness=entry.sameness, name=entry.name, track=entry.track,
-            arrived_us=round(entry.arrived * 1e6), until_us=round(entry.until * 1e6),
-        )  # fmt: skip
-
     def _moment(self) -> pb.Moment:
-        now = self._read_moment()
-        return pb.Moment(unix_us=round(now.unix * 1e6), boot_us=round(now.since_boot * 1e6), boot=now.boot)
+        return written.moment(self._read_moment())
 
     def _fenced(self, number: int) -> None:
         now = self._scheduler.clock.now
@@ -411,11 +397,11 @@
         sizes = {}
         for label in labels:
             entry = self._memory.entries[label]
-            intent = self._intent(entry)
+            intent = written.intent(entry)
             record.intents.append(intent)
             sizes[label] = intent.ByteSize()
             if entry.state is not State.INTENDED:
-                outcome = self._outcome(entry)
+                outcome = written.outcome(entry)
                 record.outcomes.append(outcome)
                 sizes[label] += outcome.ByteSize()
         number = store.append(record.SerializeToString())
--- /dev/null
+++ b/sablewheel/trials/recall_cost.py
@@ -0,0 +1,120 @@
+"""What recall costs: labelled tickets on servers with it and without, side by side; and how long a start
+takes.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from ..recall import recall_pb2 as pb
+from ..recall.loading import Loaded
+from ..recall.memory import Entry, Memory, State
+from ..recall.recorder import KIND, read_moment
+from ..recall.written import intent, moment, outcome
+from ..state.files import DiskFiles
+from ..state.log import Log
+from .paired import Rounds, side_by_side
+from .recall import features
+from .rig import Rig
+from .verdict import Verdict
+
+CPU, THROUGHPUT, READY = 1.5, 0.85, 1.2
+LIVE, WINDOWS = 100_000, 10
+GOAL = 0.8
+TRACKS = {"record": {"share": 1.0, "labelled": True}}
+
+
+def run(seed: int, quick: bool) -> Verdict:
+    verdict = Verdict("recall-cost")
+    turns, seconds = (1, 6.0) if quick else (3, 15.0)
+    calm, pressed = Rounds(), Rounds()
+    kinds = {"off": lambda _: None, "on": lambda rig: features(rig.folder / "on-recall")}
+    for turn in range(turns):
+        for rounds, rate in ((calm, 90), (pressed, 200)):
+            with Rig(seed + turn) as rig:
+                load = {"rate": rate, "repeats": 0.1, "tracks": TRACKS, "seed": seed + turn}
+                rounds.add(side_by_side(rig, kinds, seconds, GOAL, **load))
+    for figure in ("cpu_us", "p50_ms", "p99_ms", "memory_mb"):
+        for kind in kinds:
+            verdict.figures[f"{figure}_{kind}"] = round(calm.median(kind, figure), 2)
+    for kind in kinds:
+        verdict.figures[f"in_goal_a_second_pressed_{kind}"] = round(
+            pressed.median(kind, "in_goal_a_second"), 1
+        )
+    cpu, kept = calm.ratio("on", "cpu_us"), pressed.ratio("on", "in_goal_a_second")
+    verdict.check(f"CPU a labelled ticket, on / off, at most {CPU}", cpu <= CPU, cpu)
+    verdict.check(f"completed within the goal, on / off, at least {THROUGHPUT}", kept >= THROUGHPUT, kept)
+    _starts(verdict, seed, LIVE // 10 if quick else LIVE)
+    return verdict
+
+
+def _starts(verdict: Verdict, seed: int, live: int) -> None:
+    """Load what is open, alone and beside ten windows of what is over, as the recorder leaves a folder."""
+    with Rig(seed) as rig:
+        times = {}
+        for name, windows in (("live", 0), ("dead", WINDOWS)):
+            folder = rig.folder / name
+            _write(folder, live, windows)
+            words = [sys.executable, "-m", "sablewheel.trials.recall_cost", str(folder)]
+            runs = []
+            for _ in range(3):
+                done = subprocess.run(words, capture_output=True, text=True, timeout=120, check=True)
+                told = json.loads(done.stdout.splitlines()[-1])
+                runs.append(told["seconds"])
+            times[name] = min(runs)
+            verdict.figures[f"load_s_{name}"] = round(times[name], 3)
+            verdict.figures[f"load_mb_{name}"] = round(told["memory"], 1)
+            verdict.figures[f"folder_mb_{name}"] = round(
+                sum(one.stat().st_size for one in folder.glob("*.seg")) / 1e6, 1
+            )
+            verdict.check(f"{name}: all that is open is loaded", told["labels"] == live, told["labels"])
+        ratio = times["dead"] / times["live"]
+        verdict.figures["labels"] = live
+        verdict.check(
+            f"start beside {WINDOWS} dead windows / without, at most {READY}", ratio <= READY, f"{ratio:.2f}"
+        )
+
+
+def _write(folder: Path, live: int, windows: int) -> None:
+    """A folder as it stands after so many windows of the same load: each window's segments go when it is
+    over.
+    """
+    now, window = read_moment(), 3600.0
+    log = Log(DiskFiles(folder), KIND, b"12345678", 1 << 40, 4 << 20)
+    group = 100
+    for turn in range(windows, -1, -1):
+        released = log.last
+        until = now.unix + 0.5 * window - turn * window
+        for first in range(0, live, group):
+            record = pb.Record(moment=moment(now))
+            for number in range(first, min(first + group, live)):
+                label = b"%016x%016x" % (turn, number)
+                entry = Entry(label, b"s" * 16, label[:16], "record", until - window, until)
+                record.intents.append(intent(entry))
+                entry.state, entry.result = State.WORKED, b"r" * 200
+                record.outcomes.append(outcome(entry))
+            log.commit([record.SerializeToString()])
+        log.release_through(released)  # what the sweep does once a window is over
+    log.close()
+
+
+def main() -> None:
+    begun = time.perf_counter()
+    loaded = Loaded(Memory(1 << 30, 1 << 40), 3600.0)
+    Log(DiskFiles(Path(sys.argv[1])), KIND, os.urandom(8), 1 << 40).recover(
+        lambda number, payload, _: loaded.take(number, pb.Record.FromString(payload))
+    )
+    loaded.finish(read_moment())
+    seconds = time.perf_counter() - begun
+    with open("/proc/self/statm") as file:
+        memory = int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+    print(json.dumps({"seconds": seconds, "labels": len(loaded.memory.entries), "memory": memory}))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -17,9 +18,11 @@
 from test_ledger import MACHINE, SlowBridge
 from world import Town, Try
 
+from sablewheel.command.main import main
 from sablewheel.protocol.resp import Parser
 from sablewheel.recall import recall_pb2 as pb
 from sablewheel.recall import recorder as recording
+from sablewheel.recall import written
 from sablewheel.recall.carrying import Carrier
 from sablewheel.recall.cold import may_have_run, up_at
 from sablewheel.recall.loading import Loaded
@@ -28,6 +31,7 @@
 from sablewheel.recall.recorder import KIND, Recorder
 from sablewheel.recall.windows import Moment, shift, until_after
 from sablewheel.routing.seam import UNWITNESSED
+from sablewheel.state.files import DiskFiles
 from sablewheel.state.log import Log
 from sablewheel.terms import Outcome
 from sablewheel.transport.background import Background
@@ -565,3 +569,43 @@
         assert len(loaded.memory.entries) == loaded.records
         worked = [one for one in loaded.memory.entries.values() if one.state is State.WORKED]
         assert len(worked) == max(loaded.records - 1, 0)
+
+
+def test_the_command_inspects_verifies_and_compacts_a_folder(tmp_path: Path) -> None:
+    now = recording.read_moment()
+    log = Log(DiskFiles(tmp_path), KIND, b"incarn01", 1 << 30, 4000)
+    for number in range(200):
+        over = number % 4 > 0
+        one = entry(b"%d" % number, now.unix + (-5.0 if over else 500.0), b"run%d" % number, now.unix - 10.0)
+        record = pb.Record(moment=written.moment(now), intents=[written.intent(one)])
+        if number % 8 == 0:
+            one.state, one.result = State.WORKED, b"result %d" % number
+            record.outcomes.append(written.outcome(one))
+            record.outcomes[-1].notice = number
+        log.commit([record.SerializeToString()])
+    runner = CliRunner()
+
+    def call(*words: str) -> tuple[int, str]:
+        done = runner.invoke(main, ["recall", *words, str(tmp_path)])
+        return done.exit_code, done.output
+
+    assert (
+        "50 labels open: 25 intended, 25 worked" in call("inspect")[1]
+        and "last notice 192" in call("inspect")[1]
+    )
+    assert len(call("inspect", "--labels")[1].splitlines()) == 50
+    assert call("verify") == (0, "in order, 200 records\n")
+    code, text = call("compact")
+    assert code == 1 and "in use" in text  # its writer is still there
+    log.close()
+    code, text = call("compact")
+    assert code == 0 and text.startswith("50 labels kept")
+    assert (
+        "50 labels open: 25 intended, 25 worked" in call("inspect")[1]
+        and "last notice 192" in call("inspect")[1]
+    )
+    path = max(tmp_path.glob("*.seg"))
+    data = bytearray(path.read_bytes())
+    data[100] ^= 1
+    path.write_bytes(data)
+    assert "50 labels" not in call("inspect")[1]
