Recall loads on the worker: what may run again is served meanwhile, labelled tries wait

Need: a start with much to remember must not keep the redoable tickets out; a folder that can't be read ends the process with exit 1 and its place in the log, or starts cold.

Change: loading is a job of the bridge; labelled tries wait as before the greeting; where the interpreter outlives the server its link waits for the last notice.

--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -41,8 +41,7 @@
         return 1
     application.prepare()
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    application.run()
-    return 0
+    return application.run()
 
 
 if __name__ == "__main__":
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -63,7 +63,14 @@
             from .parts import Parts
 
             self._feature = Parts(
-                features, posting, scheduler, lambda: self._dispatch.batches, self._never_begun, count
+                features,
+                posting,
+                scheduler,
+                lambda: self._dispatch.batches,
+                self._never_begun,
+                lambda: self._dispatch.remembered(),
+                self._fail,
+                count,
             )
         self._dispatch = Dispatch(
             scheduler,
@@ -98,6 +105,7 @@
         self._dispatch.attach(self._server, self._client)
         self._post = Post(posting.naming)
         self._stop_at = 0.0
+        self._failed = False
 
     def prepare(self) -> None:
         """From here on signals are taken; what they ask for is done in `run`."""
@@ -110,8 +118,8 @@
         scheduler.after_round.append(self._feature.end_round)
         scheduler.after_round.append(self._look_for_end)
 
-    def run(self) -> None:
-        """Serve until told to leave, then leave in order."""
+    def run(self) -> int:
+        """Serve until told to leave, then leave in order; the process's exit code."""
         self._report()
         gc.collect()
         gc.freeze()
@@ -122,6 +130,7 @@
         )
         self._server.flush()
         self._print("exit")
+        return 1 if self._failed else 0
 
     # -- the phases
 
@@ -203,6 +212,13 @@
 
         return linked
 
+    def _fail(self, reason: str) -> None:
+        """A feature can't start, and is set not to go on without."""
+        log.error("not started", extra={"pairs": {"reason": reason}})
+        self._failed = True
+        self._listener.close()
+        self._end()
+
     def _never_begun(self, exchange: Exchange) -> None:
         """A run that a feature held back and nobody waits for any more."""
         self._dispatch.ended(exchange, Outcome.MOOT, 0.0, b"")
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -31,6 +31,8 @@
         scheduler: Scheduler,
         moved: Callable[[], int],
         never_begun: Callable[[Exchange], None],
+        remembered: Callable[[], None],
+        fail: Callable[[str], None],
         count: Callable[[str], None],
     ) -> None:
         self._background = Background(scheduler, moved)
@@ -70,6 +72,8 @@
                 posting.tracks,
                 self.witness,
                 never_begun,
+                remembered,
+                fail,
                 count,
             )
 
--- a/sablewheel/recall/recorder.py
+++ b/sablewheel/recall/recorder.py
@@ -12,6 +12,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from math import inf
 from pathlib import Path
 
 from ..routing.exchange import Caller, Exchange, Place, digest
@@ -77,11 +78,13 @@
         tracks: dict[bytes, Track],
         inner: Witness,
         never_begun: Run,
+        remembered: Callable[[], None],
+        fail: Callable[[str], None],
         count: Callable[[str], None],
         moment: Callable[[], Moment] = read_moment,
     ) -> None:
         self._scheduler, self._plan, self._count, self._inner = scheduler, plan, count, inner
-        self._never_begun = never_begun
+        self._never_begun, self._remembered, self._fail = never_begun, remembered, fail
         self._tracks, self._read_moment, self._bridge = tracks, moment, bridge
         labelled = [one for one in tracks.values() if one.nature is Nature.LABELLED]
         self._longest = max((one.window for one in labelled), default=0.0)
@@ -103,7 +106,7 @@
         self._adopted: dict[bytes, Exchange] = {}
         self.last_notice = 0
         self._written: float | None = None  # when the last record was, by the clock of now
-        self.load_seconds = 0.0
+        self.ready = plan.folder is None
         self._damaged = False
         if plan.folder is not None:
             self._load(plan.folder, incarnation)
@@ -114,28 +117,37 @@
     # -- the start
 
     def _load(self, folder: Path, incarnation: bytes) -> None:
-        """Read what is remembered. What can't be read is a reason not to start, unless it is set otherwise.
+        """Read what is remembered, on the worker: what may run again is served meanwhile.
+
+        What can't be read is a reason not to go on, unless it is set otherwise.
         """
         assert self._bridge is not None
-        begun = time.perf_counter()
-        plan = self._plan
+        plan, begun = self._plan, time.perf_counter()
         records = durable.Log(DiskFiles(folder), KIND, incarnation, plan.disk_bytes_most, plan.segment_bytes)
         loaded = Loaded(self._memory, self._longest)
 
-        def visit(number: int, payload: bytes, _: durable.Place) -> None:
-            loaded.take(number, pb.Record.FromString(payload))
-
-        found = records.recover(visit)
-        if found.damage and plan.unreadable is Unreadable.REFUSE:
-            raise OSError(None, f"recall: {found.damage[0]}", str(folder))
-        for damage in found.damage:
-            self._count("recall_damage")
-            log.error("recall damaged", extra={"pairs": {"where": damage}})
-        self._damaged = bool(found.damage)
-        now = self._read_moment()
-        loaded.finish(now)
+        def job() -> durable.Recovery:
+            return records.recover(
+                lambda number, payload, _: loaded.take(number, pb.Record.FromString(payload))
+            )
+
+        def done(found: durable.Recovery | None, trouble: BaseException | None) -> None:
+            damage = found.damage if found is not None else [f"{trouble}"]
+            if damage and plan.unreadable is Unreadable.REFUSE:
+                return self._fail(f"recall: {folder}: {damage[0]}")
+            self._damaged = bool(damage)
+            for one in damage[:20]:
+                self._count("recall_damage")
+                log.error("recall damaged", extra={"pairs": {"where": one}})
+            self._loaded(records, loaded, found or durable.Recovery(), time.perf_counter() - begun)
+
+        self._bridge.submit(job, done)
+
+    def _loaded(self, records: durable.Log, loaded: Loaded, found: durable.Recovery, took: float) -> None:
+        assert self._bridge is not None
+        loaded.finish(self._read_moment())
         self._written = loaded.written
-        self.last_notice = loaded.notice if plan.interpreter_outlives else 0
+        self.last_notice = loaded.notice if self._plan.interpreter_outlives else 0
         for label in sorted(loaded.numbers, key=loaded.numbers.__getitem__):
             size = ENTRY_ON_DISK + len(self._memory.entries[label].result)
             self._carrier.wrote(label, loaded.numbers[label], size)
@@ -143,12 +155,13 @@
         self._store = Store(
             self._scheduler, self._bridge, records, SLOW_AFTER, self._fenced, self._disk_changed
         )
-        self.load_seconds = time.perf_counter() - begun
         pairs = {
             "records": found.records, "labels": len(self._memory.entries), "rebased": loaded.rebased,
-            "torn_bytes": found.torn_bytes, "damaged": len(found.damage), "took": round(self.load_seconds, 4),
+            "torn_bytes": found.torn_bytes, "damaged": len(found.damage), "took": round(took, 4),
         }  # fmt: skip
         log.info("recall loaded", extra={"pairs": pairs})
+        self.ready = True
+        self._remembered()
 
     def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
         """The interpreter is up, since `born`: put what is remembered into the table of labels.
@@ -200,6 +213,8 @@
 
     def up_at(self) -> float:
         """From when on the server may say that it is up."""
+        if not self.ready and (self._plan.interpreter_outlives or self._plan.cold is Start.WAIT):
+            return inf  # what to ask the interpreter for, or whether to wait, is not known yet
         remembers = self._store is not None and self._written is not None and not self._damaged
         return self.started if remembers else up_at(self._plan.cold, self.started, self._longest)
 
@@ -378,7 +393,8 @@
 
     def _sweep(self) -> None:
         now = self._scheduler.clock.now
-        self._expire(now)
+        if self.ready:
+            self._expire(now)
         if self._store is not None and self._log is not None:
             self._store.release_through(self._carrier.oldest(self._store.fence) - 1)
             if self._carrier.look(self._store.size, self._store.last):
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -87,12 +87,12 @@
         if self._ready:
             self._apply(run)
 
-    def adopt(self, exchanges: list[Exchange], last: int) -> None:
+    def adopt(self, exchanges: list[Exchange], last: int | None) -> None:
         """Runs that a predecessor of this server began: not applied again, but their ends are waited for.
 
-        `last` is the number of the last notice that anybody here has read.
+        `last` is the number of the last notice that anybody here has read; None: as it is known.
         """
-        self._last = last
+        self._last = self._last if last is None else last
         for exchange in exchanges:
             run = self._runs[exchange.name] = Run(exchange)
             run.fence = ADOPTED
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -43,6 +43,7 @@
         self._happenings: list[Happening] = []
         self._undecided: set[bytes] = set()  # labels among them
         self.batches = 0  # decided so far: whether rounds carry tickets
+        self._born = 0.0  # when the interpreter was
         self._early: dict[Exchange, None] = {}  # read before there was a controller
         self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
         self._names: set[bytes] = set()  # theirs
@@ -65,14 +66,24 @@
             self._controller = Controller(machine, self._seed)
             since = self._clock.now - age
             self._carry_out(self._controller.decide(since, []), since)
-            recalled = self._memory.recalled(since, self._labels)
-            self._happenings[:0] = [terms.Recalled(ticket, life) for ticket, life in recalled]
-            self._client.adopt(*self._memory.adopted())
-            early, self._early = self._early, {}
-            for exchange in early:
-                self.arrived(exchange)
+            self._born = since
+            self.remembered(at_greeting=True)
             self._opened()
 
+    def remembered(self, at_greeting: bool = False) -> None:
+        """The interpreter is up, or all that is remembered is known: when both are, nothing waits any longer.
+        """
+        if self._controller is None:
+            return
+        if self._memory.ready:
+            recalled = self._memory.recalled(self._born, self._labels)
+            self._happenings[:0] = [terms.Recalled(ticket, life) for ticket, life in recalled]
+            exchanges, last = self._memory.adopted()
+            self._client.adopt(exchanges, last if at_greeting else None)
+        early, self._early = self._early, {}
+        for exchange in early:
+            self.arrived(exchange)
+
     # -- what happens
 
     def arrived(self, exchange: Exchange) -> None:
@@ -82,9 +93,9 @@
         and changes nothing for the true one. Guards against clients that copy or mix up names and labels;
         might hurt a true ticket only where a copy of its label came first and is still open.
         """
-        if self._controller is None:
-            return self._wait_for_interpreter(exchange)
         ticket, label = exchange.ticket, exchange.label
+        if self._controller is None or (not self._memory.ready and ticket.track.nature is Nature.LABELLED):
+            return self._wait_for_start(exchange)
         if exchange.name in self._names:
             return exchange.terminate()
         if label is not None and ticket.track.nature is Nature.LABELLED:
@@ -105,7 +116,7 @@
         self._names.add(exchange.name)
         self._happenings.append(terms.Arrived(ticket))
 
-    def _wait_for_interpreter(self, exchange: Exchange) -> None:
+    def _wait_for_start(self, exchange: Exchange) -> None:
         """Nothing is decided before the interpreter is up and all that is remembered is known.
 
         Guards against tries of one label that come before that: neither would know of the other, nor of a
--- a/sablewheel/routing/seam.py
+++ b/sablewheel/routing/seam.py
@@ -48,6 +48,10 @@
 class Memory(Protocol):
     """Who remembers labelled runs over restarts."""
 
+    @property
+    def ready(self) -> bool:
+        """Whether all that is remembered is known; until then labelled tries wait, others are served."""
+
     def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
         """The interpreter is up, since `born`: fill the table of labels. Tickets and how long their labels
         count.
@@ -77,6 +81,7 @@
     """Nothing is kept over a restart."""
 
     __slots__ = ()
+    ready = True
 
     def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
         return []
