Intents go out when a label is kept: the commit passes while the ticket waits for a core

Change: written at Remember, taken back at Release (unwritten if nobody heard of it); commits 40 ms apart.

--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -188,7 +188,7 @@
     memory_mb: Annotated[int, Field(ge=1, le=1 << 16)] = 64
     disk_mb: Annotated[int, Field(ge=8, le=1 << 20)] = 512
     segment_kb: Annotated[int, Field(ge=64, le=1 << 20)] = 4096
-    commit_every_s: Annotated[float, Field(ge=0, le=1)] = 0.02
+    commit_every_s: Annotated[float, Field(ge=0, le=1)] = 0.04
     hold_most_s: Annotated[float, Field(gt=0, le=5)] = 0.25
     interpreter_outlives: bool = False
 
--- a/sablewheel/recall/memory.py
+++ b/sablewheel/recall/memory.py
@@ -26,7 +26,7 @@
     DROPPED = "dropped"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Entry:
     """One label; `until` in seconds by the clock of this incarnation. `result` only if it is WORKED."""
 
@@ -38,6 +38,7 @@
     until: float
     state: State = State.INTENDED
     result: bytes = b""
+    record: int = 0  # the log's record that holds its intent; 0: it is not written yet
 
 
 class Memory:
--- a/sablewheel/recall/plan.py
+++ b/sablewheel/recall/plan.py
@@ -41,6 +41,6 @@
     bytes_most: int = 64 << 20
     disk_bytes_most: int = 512 << 20
     segment_bytes: int = 4 << 20
-    commit_every: float = 0.02
+    commit_every: float = 0.04
     hold_most: float = 0.25
     interpreter_outlives: bool = False
--- a/sablewheel/recall/recorder.py
+++ b/sablewheel/recall/recorder.py
@@ -101,6 +101,7 @@
         self._commit_at = self._given_at = 0.0
         self._commits: deque[float] = deque(maxlen=COMMITS_KEPT)
         self._leaving = False
+        self._prepared = 0  # in this round: who may want room beside those that are remembered
         self._anew = False  # the next record says that notices are numbered anew
         self._holding = Holding(scheduler, plan.hold_most, self._release)
         self._adopted: dict[bytes, Exchange] = {}
@@ -243,7 +244,8 @@
         if self._store.disk in (Disk.FULL, Disk.FAILING):
             ticket.room_in = 1.0
         else:
-            ticket.room_in = self._memory.room_in(now, len(self._intents) + len(self._waiting))
+            ticket.room_in = self._memory.room_in(now, self._prepared)
+            self._prepared += 1
         if ticket.room_in:
             self._count("recall_no_room")
 
@@ -255,18 +257,49 @@
         under_way = now - self._given_at if self._given_at else 0.0
         return max(usual, under_way) + self._plan.commit_every
 
-    def before_run(self, exchange: Exchange, run: Run) -> None:
-        """Send the run when its intent is durable; at once if it needs none."""
+    def remember(self, exchange: Exchange) -> None:
+        """Its label is kept from now on: the intent goes out at once, so that its commit passes while the
+        ticket waits for a core.
+        """
         ticket = exchange.ticket
         if self._store is None or exchange.label is None or ticket.track.nature is not Nature.LABELLED:
-            return run(exchange)
+            return
         until = ticket.arrived + ticket.track.window
         sameness = digest(exchange.track, exchange.body)
         track = exchange.track.decode("utf-8", "replace")
         entry = Entry(exchange.label, sameness, exchange.name, track, ticket.arrived, until)
         self._memory.intend(entry)
         self._intents.append(entry)
-        self._waiting.append(Waiting(exchange, run))
+
+    def release(self, exchange: Exchange) -> None:
+        """It will never run here: its label is free again."""
+        entry = self._entry(exchange)
+        if entry is None or entry.state is not State.INTENDED:
+            return
+        if entry in self._intents:
+            self._intents.remove(entry)  # nobody was told of it
+        else:
+            never = pb.Outcome(label=entry.label, name=entry.name, how=pb.NEVER, notice=exchange.notice)
+            self._outcomes.append(never)
+        self._memory.forget(entry.label, entry.name)
+        self._carrier.gone(entry.label)
+
+    def _entry(self, exchange: Exchange) -> Entry | None:
+        if self._store is None or exchange.label is None:
+            return None
+        entry = self._memory.entries.get(exchange.label)
+        return entry if entry is not None and entry.name == exchange.name else None
+
+    def before_run(self, exchange: Exchange, run: Run) -> None:
+        """Send the run when its intent is durable; at once if that is so, or if it needs none."""
+        entry = self._entry(exchange)
+        if entry is None or self._store is None or 0 < entry.record <= self._store.fence:
+            return run(exchange)
+        waiting = self._waiting
+        for number, _, runs in self._marks:
+            if number == entry.record:
+                waiting = runs
+        waiting.append(Waiting(exchange, run))
 
     def ended(self, exchange: Exchange, outcome: Outcome, result: bytes) -> None:
         """A labelled run is over, or never began."""
@@ -278,10 +311,7 @@
         ):
             return
         if outcome is Outcome.MOOT:
-            self._memory.forget(exchange.label, exchange.name)
-            self._carrier.gone(exchange.label)
-            never = pb.Outcome(label=exchange.label, name=exchange.name, how=pb.NEVER, notice=exchange.notice)
-            self._outcomes.append(never)
+            self.release(exchange)
         else:
             state = State.WORKED if outcome is Outcome.WORKED else State.FAILED
             entry = self._memory.end(exchange.label, exchange.name, state, result)
@@ -324,7 +354,7 @@
     # -- rounds and the disk
 
     def end_round(self) -> None:
-        store = self._store
+        store, self._prepared = self._store, 0
         if store is None:
             return
         now = self._scheduler.clock.now
@@ -343,6 +373,7 @@
         number = store.append(record.SerializeToString())
         assert number is not None  # the store was idle
         for entry, told in zip(self._intents, record.intents, strict=True):
+            entry.record = number
             if self._memory.entries.get(entry.label) is entry:
                 self._carrier.wrote(entry.label, number, told.ByteSize())
         for outcome in self._outcomes:
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -139,6 +139,8 @@
             del self._early[exchange]
             return
         self._happenings.append(terms.CallerGone(exchange.ticket))
+        if exchange.place is Place.HELD:
+            self._memory.release(exchange)
         if exchange.place in (Place.HELD, Place.JOINED):
             self._over(exchange)
 
@@ -225,8 +227,10 @@
                 self._answered(exchange)
             case terms.Remember(_, life):
                 self._labels.remember(exchange, self._clock.now, life)
+                self._memory.remember(exchange)
             case terms.Release():
                 self._labels.release(exchange)
+                self._memory.release(exchange)
             case terms.Join():
                 if exchange.place is Place.HELD:
                     self._join(exchange)
--- a/sablewheel/routing/seam.py
+++ b/sablewheel/routing/seam.py
@@ -70,6 +70,12 @@
         room.
         """
 
+    def remember(self, exchange: Exchange) -> None:
+        """The controller keeps its label from now on: it may run."""
+
+    def release(self, exchange: Exchange) -> None:
+        """It will not run, and its label is free."""
+
     def before_run(self, exchange: Exchange, run: Callable[[Exchange], None]) -> None:
         """Call `run` now, or when it may be sent, or report that it never began."""
 
@@ -93,6 +99,8 @@
         return False
 
     def prepare(self, ticket: Ticket) -> None: ...
+    def remember(self, exchange: Exchange) -> None: ...
+    def release(self, exchange: Exchange) -> None: ...
     def before_run(self, exchange: Exchange, run: Callable[[Exchange], None]) -> None:
         run(exchange)
 
--- a/sablewheel/trials/broken_server.py
+++ b/sablewheel/trials/broken_server.py
@@ -16,12 +16,16 @@
 
 
 def no_intent() -> None:
-    """Runs are sent at once; what is written is written after them."""
+    """Runs are sent at once, and nothing is written before them."""
 
     def before_run(self: Recorder, exchange: Exchange, run: Run) -> None:
         run(exchange)
 
+    def remember(self: Recorder, exchange: Exchange) -> None:
+        pass
+
     Recorder.before_run = before_run  # type: ignore[method-assign]
+    Recorder.remember = remember  # type: ignore[method-assign]
 
 
 def answer_before_outcome() -> None:
--- a/sablewheel/trials/recall_cost.py
+++ b/sablewheel/trials/recall_cost.py
@@ -62,7 +62,7 @@
             _write(folder, live, windows)
             words = [sys.executable, "-m", "sablewheel.trials.recall_cost", str(folder)]
             runs = []
-            for _ in range(3):
+            for _ in range(5):
                 done = subprocess.run(words, capture_output=True, text=True, timeout=120, check=True)
                 told = json.loads(done.stdout.splitlines()[-1])
                 runs.append(told["seconds"])
@@ -85,7 +85,7 @@
     over.
     """
     now, window = read_moment(), 3600.0
-    log = Log(DiskFiles(folder), KIND, b"12345678", 1 << 40, 4 << 20)
+    log = Log(DiskFiles(folder), KIND, b"12345678", 1 << 40, 40 * live)  # some nine segments a window
     group = 100
     for turn in range(windows, -1, -1):
         released = log.last
