The export's index forgets what has left the log

Cause: found on rereading: Positions.forget_before was never called, so the index of exported blocks kept a note for every 256 KB ever written, without a bound.

Change: what lies before the log's front is forgotten as blocks settle; the front is the log's own figure.

--- a/sablewheel/ledger/sources.py
+++ b/sablewheel/ledger/sources.py
@@ -136,6 +136,7 @@
             self._places.popleft()
             if (incarnation, number) == (block.incarnation, block.number):
                 break
+        self._positions.forget_before(self._store.front)  # or the index would grow with all that ever was
         if place is not None and place.segment > self._released:
             self._released = place.segment
             self._store.release(place, self._keep_bytes)
--- a/sablewheel/state/log.py
+++ b/sablewheel/state/log.py
@@ -256,6 +256,11 @@
             freed += oldest.size
         return freed
 
+    @property
+    def front(self) -> int:
+        """The first segment that is still there, as places count them."""
+        return self._dropped
+
     def release_through(self, number: int) -> int:
         """Whole segments whose records all have numbers up to this one go; the bytes freed."""
         freed = 0
--- a/sablewheel/state/store.py
+++ b/sablewheel/state/store.py
@@ -56,6 +56,11 @@
     def disk(self) -> Disk:
         return self._told
 
+    @property
+    def front(self) -> int:
+        """The first segment that is still there."""
+        return self._log.front
+
     @property
     def size(self) -> int:
         """Bytes on disk."""
--- a/tests/test_ledger_decisions.py
+++ b/tests/test_ledger_decisions.py
@@ -582,6 +582,8 @@
     start = positions.start(had)
     if lacking:
         assert (start.segment, start.offset) <= (lacking[0][0].segment, lacking[0][0].offset)
+    positions.forget_before(1)
+    assert all(place.segment >= 1 for place, _, _ in positions.notes)
     assert Positions().start({}) == START
 
 
