--- a/sablewheel/benchlink/host.py
+++ b/sablewheel/benchlink/host.py
@@ -34,7 +34,7 @@
         if line.verb == "bell":
             whole(parts[0])
             told = wire.gauges(parts[1])
-            return terms.Bell(told.get("cpu_busy", inf), told.get("sockets", inf))
+            return terms.Bell(told.get("cpu_busy", inf), told.get("sockets", inf), told.get("runnable", inf))
         if line.verb == "drain":
             return terms.Notice(number(parts[0], 0.0))
         ticket = self.tickets.get(whole(parts[0]))
--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -95,6 +95,7 @@
         self.had_connections = -inf  # open ones at the last iteration
         self.idle = machine.idle  # how long an unused connection is kept
         self.armed = inf
+        self.on_cores_seen = Samples()  # of the running tickets, the share that demands a core, as gauged
 
     # -- the one entry point
 
@@ -123,9 +124,10 @@
                     self._keep_label(ticket, life)
                 case terms.Notice(left):
                     self._notice(left)
-                case terms.Bell(busy, connections):
+                case terms.Bell(busy, connections, runnable):
                     self.armed = inf
                     self.busy, self.connections = busy, connections
+                    self._learn_waits(runnable)
         self._make_calls()
         while self.dues and (self.dues[0][0] <= now or self.dues[0][2].answered):
             self._give_up(heappop(self.dues)[2])
@@ -256,7 +258,19 @@
         """
         if not self._survives_run(ticket):
             return False
-        return self.on_cores < self.machine.cores or len(self.running) + 1 <= self.credit
+        on_share = self.on_cores_seen.at(0.5, 1.0)
+        return self.on_cores * on_share < self.machine.cores or len(self.running) + 1 <= self.credit
+
+    def _learn_waits(self, runnable: float) -> None:
+        """What share of the running tickets demand a core, from the gauge of all work that does.
+
+        Departure, acts where runs wait beside the cores (disk, services below) without an event: the pool's
+        floor of one a core counts those on the cores only. Guards against idle cores behind a full pool. A
+        high share of the samples is taken, since a gauge rung between an end and the next start reads low
+        where runs do hold their cores; the guards still bound what runs.
+        """
+        if runnable < inf and self.on_cores >= self.machine.cores:
+            self.on_cores_seen.add(min(max(runnable, 1.0) / self.on_cores, 1.0))
 
     def _run(self, ticket: Ticket) -> None:
         ticket.stage, ticket.begun, ticket.since = Stage.RUNNING, True, self.now
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -217,10 +217,12 @@
 
 @dataclass(slots=True)
 class Bell:
-    """An alarm rang; how much of the cores is busy and how many connections are open, where told."""
+    """An alarm rang; how much of the cores is busy, how many connections are open and how much work demands a
+    core (runs, reading, checks), where told."""
 
     busy: float = inf
     connections: float = inf
+    runnable: float = inf
 
 
 Happening: TypeAlias = Arrived | Ended | CallNeeded | CallEnded | CallerGone | Recalled | Notice | Bell
