Settings taken by a running server on SIGHUP, both ways; the runnable gauge read by the program

The module now reads the runnable gauge, and the new deployments differ in settings (an irreversible track, runs that can't be stopped): a running server must take them without a restart, lose nothing and go back by the same step.

Change: configuration.TAKEN_ANEW holds settings; gauge places carry runnable (absent: as before). On SIGHUP the application hands the new Machine to Dispatch.retune and Controller.retune: tickets taken in keep their track, new ones get the new tracks, which share the old rows of samples.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -97,6 +97,15 @@
         self.armed = inf
         self.on_cores_seen = Samples()  # of the running tickets, the share that demands a core, as gauged
 
+    def retune(self, machine: Machine) -> None:
+        """New settings in a running server: tickets taken in keep their track; new ones share its row."""
+        for old, new in zip(self.machine.tracks, machine.tracks, strict=True):
+            self.table.setdefault(new, self.table[old])
+        for was, now in zip(self.machine.customers, machine.customers, strict=True):
+            self.customers.setdefault(now, self.customers[was])
+        self.longest = max(self.longest, *(track.abandon for track in machine.tracks))
+        self.machine = machine
+
     # -- the one entry point
 
     def decide(self, now: float, happenings: list[Happening]) -> list[Deed]:
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -186,7 +186,12 @@
             log.error("configuration not taken", extra={"pairs": {"reason": trouble}})
             return
         keys = list(configuration.differing(held.told, told.told))
-        taken = [key for key in keys if key in configuration.TAKEN_ANEW]
+        # Tickets in flight name their track and customer: settings that rename them wait for a restart.
+        same_names = [*held.tracks, *held.customers] == [*told.tracks, *told.customers]
+        if not same_names:
+            told = replace(told, told={**told.told, "settings": held.told["settings"]})
+        anew = configuration.TAKEN_ANEW
+        taken = [key for key in keys if top(key) in anew and (same_names or top(key) != "settings")]
         waiting = [key for key in keys if key not in taken]
         pairs = {"taken": ",".join(taken), "need_restart": ",".join(waiting)}
         log.info("configuration read anew", extra={"pairs": pairs})
@@ -196,6 +201,11 @@
             naming=told.naming,
             told={**held.told, **{key: told.told[key] for key in configuration.TAKEN_ANEW}},
         )
+        if any(top(key) == "settings" for key in taken):
+            self._dispatch.retune(told.machine, told.gauge_places)
+            held.tracks.update(told.tracks)  # the dicts that the server reads names by
+            held.customers.update(told.customers)
+            self._posting = replace(self._posting, machine=told.machine, gauge_places=told.gauge_places)
         if told.naming != held.naming:
             self._post.move(told.naming)
             self._send_report()
@@ -244,3 +254,8 @@
             said=self._standing.said,
             **self._feature.gauges(),
         )
+
+
+def top(key: str) -> str:
+    """The first part of a key's path: `settings` of `settings.extra.halt`."""
+    return key.split(".", 1)[0]
--- a/sablewheel/program/configuration.py
+++ b/sablewheel/program/configuration.py
@@ -21,7 +21,7 @@
 SPEECHES = {"off": Speech.SILENT, "tokens": Speech.CREDIT, "min_rank": Speech.LEVEL, "bias": Speech.CHANCE}
 LEVELS = {"debug": "DEBUG", "info": "INFO", "warning": "WARNING", "error": "ERROR"}
 RESERVED = 12  # descriptors that routers' connections don't get: standard ones, links, some in hand
-TAKEN_ANEW = ("vm", "naming")  # the keys that a running server takes from a new configuration
+TAKEN_ANEW = ("vm", "naming", "settings")  # the keys that a running server takes from a new configuration
 
 Choice = TypeVar("Choice")
 
@@ -45,7 +45,7 @@
     machine: Machine
     tracks: dict[bytes, Track]
     customers: dict[bytes, Customer]
-    gauge_places: tuple[int | None, int | None]
+    gauge_places: tuple[int | None, int | None, int | None]  # cpu_busy, sockets, runnable
     level: str
     told: Mapping[str, Any]  # the configuration as it was read
 
@@ -177,6 +177,7 @@
         gauge_places=(
             gauges.index("cpu_busy") if "cpu_busy" in gauges else None,
             gauges.index("sockets") if "sockets" in gauges else None,
+            gauges.index("runnable") if "runnable" in gauges else None,
         ),
         level=Section(environment).choice("SABLEWHEEL_LOG", LEVELS, "info"),
         told=told,
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -28,7 +28,7 @@
         scheduler: Scheduler,
         machine: Machine,
         seed: int,
-        gauge_places: tuple[int | None, int | None],
+        gauge_places: tuple[int | None, int | None, int | None],
         standing: Standing,
         labels: Labels,
         opened: Callable[[], None],
@@ -37,7 +37,7 @@
         self._memory = memory
         self._scheduler, self._clock = scheduler, scheduler.clock
         self._machine, self._seed = machine, seed
-        self._busy_place, self._connections_place = gauge_places
+        self._places = gauge_places
         self._standing, self._labels, self._opened = standing, labels, opened
         self._controller: Controller | None = None
         self._happenings: list[Happening] = []
@@ -58,6 +58,14 @@
     def open_count(self) -> int:
         return len(self._exchanges) + len(self._early)
 
+    def retune(self, machine: Machine, gauge_places: tuple[int | None, int | None, int | None]) -> None:
+        """New settings while it serves: what was taken in goes on as it was, new tickets go by these."""
+        self._places = gauge_places
+        if self._controller is not None:
+            machine = replace(machine, fresh_start=self._controller.machine.fresh_start)
+            self._controller.retune(machine)
+        self._machine = machine
+
     def greeted(self, cold: bool, age: float) -> None:
         """The interpreter is up, for `age` seconds: the controller opens the server as of then."""
         log.info("interpreter up", extra={"pairs": {"cold": cold, "age": age}})
@@ -170,7 +178,7 @@
             value = told[place] if place is not None and place < len(told) else None
             return inf if value is None else value
 
-        self._happenings.append(terms.Bell(gauge(self._busy_place), gauge(self._connections_place)))
+        self._happenings.append(terms.Bell(*(gauge(place) for place in self._places)))
 
     # -- the batch
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -548,3 +548,37 @@
     assert bound.filter(record)
     said = 'from=routing.server event="faulty frame" tag=7 reason="a \\"b\\"\\nc" empty="" left_out=30'
     assert form.format(record).endswith(said)
+
+
+def test_new_settings_are_taken_under_load_and_the_way_back_is_the_same(place: Place) -> None:
+    """The move's switch: new settings without a restart, what was taken in answered once, and back again."""
+    process = place.start()
+    peer = place.ready()
+    place.engine.at_once = False
+    tags = iter(range(500, 600))
+
+    def told(settings: dict[str, Any]) -> None:
+        place.file.write_text(json.dumps(place.told | {"settings": settings}))
+        process.send_signal(signal.SIGHUP)
+        peer.ask(tag := next(tags), frame(b"RPC.HEALTH", b"%d" % tag, b""))
+
+    moved = json.loads(json.dumps(SETTINGS))
+    moved["classes"][0]["repeat"] = "unsafe"
+    moved["extra"]["halt"] = "off"
+    renamed = json.loads(json.dumps(SETTINGS))
+    renamed["classes"][0]["name"] = "consult"
+    faulty = json.loads(json.dumps(SETTINGS))
+    faulty["classes"][0]["repeat"] = "odd"
+    for number, settings in enumerate([moved, renamed, faulty, SETTINGS], start=1):
+        peer.send(peer.call(number))
+        wait_until(lambda: place.engine.core.running)
+        told(settings)
+        place.engine.end(next(iter(place.engine.core.running)))
+        assert peer.read(number)[1] == b"OK"
+    place.engine.at_once = True
+    assert peer.ask(9, peer.call(9))[1] == b"OK"
+    peer.sock.close()
+    text = leave(process)
+    assert text.count("taken=settings.classes,settings.extra.halt") == 2  # there and back
+    assert "need_restart=settings.classes" in text and "settings.classes[0].repeat" in text
+    assert "runs_sent_again" not in text
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -352,3 +352,39 @@
 def test_a_batch_costs_no_more_behind_a_thousand_routers() -> None:
     """The share of each caller was summed over all routers ever heard of, in each batch."""
     assert cost_of_a_batch(1000) < 2 * cost_of_a_batch(20)
+
+
+def test_runs_that_wait_beside_the_cores_let_more_start_within_the_guards() -> None:
+    """Runs that waited 1.1 s for disk without an event kept two-core boxes at two running and idle cores."""
+    plain = replace(PLAIN, tracks=(Track(Nature.REDOABLE, 3.0, 6.0),), crowd_multiple=6.0, memory_kb=4000.0)
+    for runnable, most in [(float("inf"), 2), (1.0, 4)]:  # one of two running demands a core: four may run
+        world = World(plain)
+        flood = [world.arrive(0) for _ in range(2)]
+        deeds(world)
+        world.batch([terms.Bell(0.3, 3.0, runnable)] * 3)
+        flood += [world.arrive(0) for _ in range(14)]
+        deeds(world)
+        running = [one for one in flood if one.place == RUNNING]
+        assert len(running) == most
+
+
+def test_new_settings_keep_what_was_taken_in_and_the_way_back_is_the_same() -> None:
+    """A move of settings in a running server: a track turns irreversible and back, runs can't be stopped."""
+    world = World(PLAIN)
+    before = [world.arrive(0) for _ in range(4)]
+    deeds(world)
+    moved = replace(
+        PLAIN, tracks=(replace(PLAIN.tracks[0], nature=Nature.IRREVERSIBLE), *PLAIN.tracks[1:]), halting=Halting.NEVER
+    )
+    for machine in (moved, PLAIN):
+        world.controller.retune(machine)
+        world.machine = machine
+        after = [world.arrive(0) for _ in range(2)]
+        deeds(world)
+        for fact in [*before, *after]:
+            if fact.place == RUNNING:
+                world.finish(fact, Outcome.WORKED)
+        world.wait(0.5)
+        before = after
+    world.wait(8.0)
+    assert all(one.answered for one in world.facts.values())
--- a/tests/world.py
+++ b/tests/world.py
@@ -391,7 +391,8 @@
         self.counts: list[str] = []
         self.standing = Standing()
         self.labels = Labels(4.0, machine.slack, 1 << 16)
-        self.dispatch = Dispatch(self.scheduler, machine, 7, (0, 3), self.standing, self.labels, lambda: None)
+        places = (0, 3, 1)  # cpu_busy, sockets, runnable
+        self.dispatch = Dispatch(self.scheduler, machine, 7, places, self.standing, self.labels, lambda: None)
         names = (b"lookup", b"record")
         self.server = Server(
             self.scheduler,
