--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -374,7 +374,9 @@
     before = [world.arrive(0) for _ in range(4)]
     deeds(world)
     moved = replace(
-        PLAIN, tracks=(replace(PLAIN.tracks[0], nature=Nature.IRREVERSIBLE), *PLAIN.tracks[1:]), halting=Halting.NEVER
+        PLAIN,
+        tracks=(replace(PLAIN.tracks[0], nature=Nature.IRREVERSIBLE), *PLAIN.tracks[1:]),
+        halting=Halting.NEVER,
     )
     for machine in (moved, PLAIN):
         world.controller.retune(machine)
