--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self.service = Samples()
         self.first_wait = 0.0  # how long callers wait for a first try
+        self.calls = self.runs = 1  # calls made and runs that worked: a run may call more than once
 
 
 class Controller:
@@ -311,6 +312,7 @@
         ticket.ended = outcome
         if outcome is Outcome.WORKED and not joined:
             self.table[ticket.track].service.add(took)
+            self.table[ticket.track].runs += 1
         if outcome in (Outcome.WORKED, Outcome.ERROR):
             if not ticket.answered:
                 self.trips.add(self.now - ticket.read_at)
@@ -364,7 +366,8 @@
         ledger = self.machine.ledger
         if track.skip_share or ledger is None or not ledger.in_hand:
             return 0.0
-        ahead = sum(one.track.calls for one in self.running)
+        rows = self.table
+        ahead = sum(rows[one.track].calls / rows[one.track].runs for one in self.running if one.track.calls)
         return ahead * self._call_lately() / min(self._calls_most(ledger.in_hand), ledger.in_hand)
 
     def _call_lately(self) -> float:
@@ -384,6 +387,7 @@
                 ticket.stage, ticket.called = Stage.CALLING, self.now
                 self.calls[ticket] = allow
                 self.deeds.append(terms.Call(ticket, allow))
+                self.table[ticket.track].calls += 1
             self.at_call.popleft()
 
     def _returned(self, ticket: Ticket, took: float, outcome: Outcome) -> None:
