No connection is closed over bytes not yet read: a ticket crossing a farewell is answered

Both closed whatever the socket held unread: a ticket that a router sent before it read the farewell lies in the socket between the poll's readiness and the reader's turn, and the close dropped it. A probe on loopback: after a send, recv(1, MSG_PEEK) on the non-blocking socket sees it; after the read and after the peer's close it does not.

--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -243,7 +243,7 @@
         on the other side; a router whose next ticket crosses the close has to send it again.
         """
         before = self.scheduler.clock.now - ROOM_LEAST
-        idle = [one for one in self.connections if one.idle and one.used <= before]
+        idle = [one for one in self.connections if one.idle and one.used <= before and not one.stream.unread]
         idle.sort(key=lambda one: (one.heard, one.used))
         for connection in idle[: self._connections_most // ROOM_PARTS]:
             self.count("connections_crowded_out")
@@ -273,7 +273,7 @@
             elif not connection.idle:
                 continue
             elif connection.leaving:
-                if connection.finished or now > connection.used + PARTING:
+                if (connection.finished or now > connection.used + PARTING) and not connection.stream.unread:
                     connection.close()
             elif self._unused_most is not None and now > connection.used + self._unused_most:
                 connection.farewell()
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -77,6 +77,20 @@
     def all_sent(self) -> bool:
         return not self._unsent
 
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have come that were not read yet, as between a readiness and the reader's turn.
+
+        Guards against closing a connection over a ticket that crossed a farewell or a crowding out: the close
+        would lose it unread, though it reached the machine.
+        """
+        if not self.open:
+            return False
+        try:
+            return bool(self._socket.recv(1, socket.MSG_PEEK))
+        except OSError:  # nothing yet (BlockingIOError) or the stream is broken: nothing to lose
+            return False
+
     def close(self) -> None:
         if self.open:
             self.open = False
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -259,6 +259,23 @@
     assert not town.router.open and town.dispatch.open_count <= 33
 
 
+def test_a_ticket_that_crosses_the_farewell_unread_is_answered_before_the_close() -> None:
+    """A drain on the fleet days closed a connection over a ticket that had come after the farewell."""
+    town = Town(MACHINE)
+    town.server.close_unused(1.0)
+    town.wait(2.0)
+    connection = next(iter(town.server.connections))
+    assert connection.leaving
+    reader, town.router.reader = town.router.reader, None  # the bytes come, the reader's turn has not
+    late = town.call(b"lookup")
+    town.wait(2.0)
+    assert town.router.open and connection in town.server.connections
+    town.router.reader = reader
+    town.router.wake()
+    town.wait(0.5)
+    assert late.name in town.interpreter.running or late.answers
+
+
 def test_unused_connections_get_a_farewell() -> None:
     town = Town(MACHINE)
     town.server.close_unused(1.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -353,6 +353,10 @@
     def flush(self) -> None:
         pass
 
+    @property
+    def unread(self) -> bool:
+        return self.open and bool(self.fed)
+
     def close(self) -> None:
         self.open = False
         self.wake()
