--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -577,6 +577,11 @@
         assert peer.read(number)[1] == b"OK"
     place.engine.at_once = True
     assert peer.ask(9, peer.call(9))[1] == b"OK"
+    peer.sock.settimeout(0.3)
+    with contextlib.suppress(TimeoutError):
+        peer.frames += peer.parser.feed(peer.sock.recv(65536))
+    answered = {b"%d" % number for number in range(1, 10)}
+    assert not [one for one in peer.frames if one[0] in answered]  # a second answer to any of them
     peer.sock.close()
     text = leave(process)
     assert text.count("taken=settings.classes,settings.extra.halt") == 2  # there and back
