--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -99,7 +99,11 @@
         self.on_cores_seen = Samples()  # of the running tickets, the share that demands a core, as gauged
 
     def retune(self, machine: Machine) -> None:
-        """New settings in a running server: tickets taken in keep their track; new ones share its row."""
+        """New settings in a running server: tickets taken in keep their track; new ones share its row.
+
+        The rows and customers of earlier settings stay, one for each track and customer at each switch, since
+        a ticket taken in before may still end under them; switches are an operator's steps, not traffic.
+        """
         for old, new in zip(self.machine.tracks, machine.tracks, strict=True):
             self.table.setdefault(new, self.table[old])
         for was, now in zip(self.machine.customers, machine.customers, strict=True):
@@ -275,9 +279,9 @@
         """What share of the running tickets demand a core, from the gauge of all work that does.
 
         Departure, acts where runs wait beside the cores (disk, services below) without an event: the pool's
-        floor of one a core counts those on the cores only. Guards against idle cores behind a full pool. A
-        high share of the samples is taken, since a gauge rung between an end and the next start reads low
-        where runs do hold their cores; the guards still bound what runs.
+        floor of one a core counts those on the cores only. Guards against idle cores behind a full pool. The
+        median of the samples is taken, not a running mean: a gauge rung between an end and the next start
+        reads low where runs do hold their cores. The guards still count every running ticket.
         """
         if runnable < inf and self.on_cores >= self.machine.cores:
             self.on_cores_seen.add(min(max(runnable, 1.0) / self.on_cores, 1.0))
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable
+from itertools import islice
 from math import inf
 from typing import Protocol
 
@@ -243,9 +244,11 @@
         on the other side; a router whose next ticket crosses the close has to send it again.
         """
         before = self.scheduler.clock.now - ROOM_LEAST
-        idle = [one for one in self.connections if one.idle and one.used <= before and not one.stream.unread]
+        idle = [one for one in self.connections if one.idle and one.used <= before]
         idle.sort(key=lambda one: (one.heard, one.used))
-        for connection in idle[: self._connections_most // ROOM_PARTS]:
+        # Only those to go are looked into for unread bytes: a peek is a system call, and the table is full.
+        going = (one for one in idle if not one.stream.unread)
+        for connection in islice(going, self._connections_most // ROOM_PARTS):
             self.count("connections_crowded_out")
             connection.close()
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -587,3 +587,24 @@
     assert text.count("taken=settings.classes,settings.extra.halt") == 2  # there and back
     assert "need_restart=settings.classes" in text and "settings.classes[0].repeat" in text
     assert "runs_sent_again" not in text
+
+
+@pytest.mark.parametrize(
+    ("gauges", "places"),
+    [
+        ([], (None, None, None)),
+        (["cpu_busy", "runnable", "mem_used", "sockets"], (0, 3, 1)),
+        (["sockets"], (None, 0, None)),
+    ],
+)
+def test_the_gauges_are_found_by_name_and_runnable_is_absent_by_default(
+    tmp_path: Path, gauges: list[str], places: tuple[int | None, ...]
+) -> None:
+    place = Place(tmp_path)
+    told = json.loads(json.dumps(place.told))
+    told["settings"]["extra"]["gauges"] = gauges
+    place.file.write_text(json.dumps(told))
+    try:
+        assert configuration.posting({"RELAY_CONFIG": str(place.file)}).gauge_places == places
+    finally:
+        place.end()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -553,3 +553,21 @@
     assert town.counts.count("links") == 1 and not town.interpreter.running
     town.wait(1.0)
     assert town.counts.count("links") == 2 and one.name in town.interpreter.running
+
+
+def test_a_full_table_crowds_out_the_idle_but_not_one_with_a_ticket_unread() -> None:
+    """Crowding out closed connections whatever lay unread in them; those go next time, once read."""
+    town = Town(MACHINE)
+    town.wait(1.0)
+    first = town.router
+    others = [MadeStream(town.scheduler) for _ in range(7)]
+    for number, stream in enumerate(others):
+        town.server.accepted(stream)
+        stream.feed(frame(b"RPC.HEALTH", b"%d" % number, b""))  # all have been heard: the oldest goes first
+    town.wait(1.0)
+    first.reader = None  # a ticket has come on the oldest connection, the reader's turn has not
+    town.call(b"lookup")
+    staying = [one for one in others if one.open]
+    assert len(staying) >= 5
+    town.server.make_room()  # forty connections, a part in eight: five may go
+    assert first.open and sum(not one.open for one in staying) == min(5, len(staying))
