Every denial says when to come back, also before any trip is known

Lines at fault: choice.py _deny, 'or self.trips.at(0.5)'. Found by a new check in the four-rules world (every denial advised where retry-after is on), whose first shrunk case was one ticket arriving past its goal at a fresh server.

Change: the track's goal stands in when nothing else is known. Deny carries its reason (draining, no_room, memory, wait, held_out); the server counts denied_<reason> and denied_without_advice. The recall trial's check prints both counts and the tickets not advised.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -13,7 +13,7 @@
 from math import inf, sqrt
 
 from . import terms
-from .terms import Deed, Happening, Machine, Nature, Outcome, Router, Speech, Stage, Ticket
+from .terms import Deed, Denial, Happening, Machine, Nature, Outcome, Router, Speech, Stage, Ticket
 
 SLOPE_LEAST = 0.1  # t_e: the least extra output per extra intake that still counts as a gain
 DROPS_MOST = 1.0  # t_d: drops per ticket taken in
@@ -180,10 +180,12 @@
             return self._join(ticket, first)
         # Guards: what came too late for a server that leaves, and what memory has no room for.
         if ticket.arrived > self.notice_at + machine.drain_grace:
-            return self._deny(ticket)
+            return self._deny(ticket, Denial.DRAINING)
         labelled = track.nature is Nature.LABELLED
-        if ticket.room_in or not self._memory_fits(machine.label_kb if labelled else 0.0):
-            return self._deny(ticket)
+        if ticket.room_in:
+            return self._deny(ticket, Denial.NO_ROOM)
+        if not self._memory_fits(machine.label_kb if labelled else 0.0):
+            return self._deny(ticket, Denial.MEMORY)
         if labelled and ticket.arrived + track.window > now:
             self._remember(ticket, ticket.arrived + track.window - now)
         elif self._may_share(ticket):
@@ -207,7 +209,7 @@
         if track.calls:  # the queue before the ledger is ahead of it as well
             oldest = max(oldest, self._oldest(self.at_call, Stage.AT_CALL), self._wait_to_call(track))
         if oldest > ticket.budget or patience < 0:
-            return self._deny(ticket)
+            return self._deny(ticket, Denial.WAIT)
         ticket.since = now
         self.hold[over].append(ticket)
         heappush(self.dues, (now + patience, -self.read, ticket))
@@ -444,7 +446,7 @@
         if ticket.answered or ticket.stage is Stage.OVER:
             return
         if ticket.stage is Stage.HELD and not ticket.begun:
-            return self._deny(ticket)
+            return self._deny(ticket, Denial.HELD_OUT)
         if self.now >= ticket.due:
             self._drop_begun(ticket)
         elif ticket.stage is Stage.AT_CALL and self.now >= ticket.since + ticket.budget:
@@ -462,19 +464,22 @@
         if can and ticket.track.nature is Nature.REDOABLE:
             self.deeds.append(terms.Stop(ticket))
 
-    def _deny(self, ticket: Ticket) -> None:
+    def _deny(self, ticket: Ticket, why: Denial) -> None:
         """Final answer to a ticket that never ran, with when to come back.
 
         Departure, acts while further tries are more than a fifth of what is read: denied tickets are asked
         to stay, as a further try always is. Guards against any fleet that is full all over, where each walk
         costs a reading; it may keep a ticket from a sibling that had room. Unmarked tries count as further.
         """
-        oldest = max(self._oldest(line, Stage.HELD) for line in self.hold) or self.trips.at(0.5)
+        # The goal stands in while nothing is held and no trip took time, as just after a start: guards
+        # against a denial with no advice, which a caller takes as leave to come back at once.
+        oldest = max(self._oldest(line, Stage.HELD) for line in self.hold)
+        oldest = oldest or self.trips.at(0.5) or ticket.track.goal
         full = not self.machine.marks_again or sum(self.marks) > WALKS_MOST * len(self.marks)
         self.drops += 1
         self._release(ticket)
         rest = min(max(oldest, ticket.room_in), self.machine.advice_limit)
-        self.deeds.append(terms.Deny(ticket, rest, ticket.again or full))
+        self.deeds.append(terms.Deny(ticket, rest, ticket.again or full, why))
         self._answer(ticket)
         self._leave(ticket)
 
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -252,6 +252,7 @@
             open_tickets=self._dispatch.open_count,
             open_connections=len(self._server.connections),
             said=self._standing.said,
+            **self._dispatch.denials,
             **self._feature.gauges(),
         )
 
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -46,6 +46,7 @@
         self._born = 0.0  # when the interpreter was
         self._early: dict[Exchange, None] = {}  # read before there was a controller
         self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
+        self.denials: dict[str, int] = {}  # by reason, and those told no time to come back
         self._names: set[bytes] = set()  # theirs
         self._server: Server
         self._client: Client
@@ -217,6 +218,11 @@
                     elif isinstance(deed, terms.Run):  # its caller left in this very batch
                         self._happenings.append(terms.Ended(deed.ticket, 0.0, Outcome.MOOT))
 
+    def _count_denial(self, why: terms.Denial, come_back: float) -> None:
+        names = [f"denied_{why.value}"] + ([] if come_back > 0 else ["denied_without_advice"])
+        for name in names:
+            self.denials[name] = self.denials.get(name, 0) + 1
+
     def _act(self, deed: Deed, exchange: Exchange) -> None:
         """A deed on a ticket that is not over."""
         match deed:
@@ -227,8 +233,9 @@
             case terms.Stop():
                 if exchange.place is Place.RUNNING:
                     self._client.halt(exchange)
-            case terms.Deny(_, come_back, nowhere):
+            case terms.Deny(_, come_back, nowhere, why):
                 exchange.deny(come_back, nowhere)
+                self._count_denial(why, come_back)
                 self._answered(exchange)
             case terms.Terminate():
                 exchange.terminate()
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -242,6 +242,16 @@
     ticket: Ticket
 
 
+class Denial(Enum):
+    """Why a ticket was denied; each is counted apart."""
+
+    DRAINING = "draining"  # it came after the drain's grace
+    NO_ROOM = "no_room"  # its label has no room yet
+    MEMORY = "memory"  # the memory guard
+    WAIT = "wait"  # its wait would pass its budget, or its goal is out of reach
+    HELD_OUT = "held_out"  # held until its time was up
+
+
 @dataclass(slots=True)
 class Deny:
     """Final answer: it never ran. `come_back`: when to return; `nowhere`: try no other server."""
@@ -249,6 +259,7 @@
     ticket: Ticket
     come_back: float = 0.0
     nowhere: bool = False
+    why: Denial = Denial.WAIT
 
 
 @dataclass(slots=True)
--- a/sablewheel/trials/recall.py
+++ b/sablewheel/trials/recall.py
@@ -133,6 +133,7 @@
 def _judge(stage: Stage, verdict: Verdict) -> None:
     second_runs = denied_ran = other_bytes = not_the_original = room_denials = advised = 0
     completed = terminated = repeats = 0
+    unadvised: list[str] = []
     for name in NAMES:
         tries = list(stage.rig.held(f"r-{name}"))
         labels = {one["name"]: one["label"] for one in tries}
@@ -159,6 +160,10 @@
         if name == "n3":
             room_denials = sum(one["how"] == "denied" for one in tries)
             advised = sum(one["how"] == "denied" and one.get("come_back", False) for one in tries)
+            unadvised = [
+                f"{one['name']}@{one['from']:.3f}" for one in tries
+                if one["how"] == "denied" and not one.get("come_back", False)
+            ]  # fmt: skip
     verdict.check("no label ran twice within its window", second_runs == 0, second_runs)
     verdict.check("nothing that ran was denied", denied_ran == 0, denied_ran)
     verdict.check("all who got a result of a label got the same bytes", other_bytes == 0, other_bytes)
@@ -167,7 +172,8 @@
     )
     verdict.check("repeats came after restarts and got their results", repeats > 50, repeats)
     verdict.check(
-        "with few labels' room, tickets are denied and told when to return", 0 < room_denials <= advised
+        "with few labels' room, tickets are denied and told when to return", 0 < room_denials <= advised,
+        f"{advised} of {room_denials} advised" + (f"; not: {', '.join(unadvised[:8])}" if unadvised else ""),
     )
     growth = max(each[-1] - min(each) for each in stage.memory.values())
     verdict.check("memory is flat over the restarts", growth < 8.0, f"{growth:.1f} MB")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -390,3 +390,14 @@
         before = after
     world.wait(8.0)
     assert all(one.answered for one in world.facts.values())
+
+
+@pytest.mark.parametrize("waited", [5.0, 0.0])
+def test_a_server_that_knows_no_trip_yet_still_says_when_to_come_back(waited: float) -> None:
+    """Just after a start nothing is held and no trip is known: a denial said come back in 0 ms."""
+    world = World(replace(PLAIN, memory_kb=60.0 if not waited else PLAIN.memory_kb))
+    facts = [world.arrive(0, waited=waited) for _ in range(1 if waited else 8)]
+    denied = [deed for deed in deeds(world) if isinstance(deed, terms.Deny)]
+    assert denied and all(0 < deed.come_back <= PLAIN.advice_limit for deed in denied)
+    assert {deed.why for deed in denied} == {terms.Denial.WAIT if waited else terms.Denial.MEMORY}
+    assert all(fact.answered for fact in facts if fact.place == OVER)
--- a/tests/world.py
+++ b/tests/world.py
@@ -185,6 +185,8 @@
                 if isinstance(deed, terms.Deny):
                     assert not (nature in NOT_AGAIN and ran_here), "denied what has run"
                     assert fact.place in (HELD, JOINED) and 0 <= deed.come_back <= self.machine.advice_limit
+                    # Every denial says when to come back wherever the settings let it say anything.
+                    assert deed.come_back > 0 or not self.machine.advice_limit, "denied without advice"
                 fact.answered = True
                 if fact.place in (HELD, JOINED, PAUSED):
                     fact.place = OVER
