--- /dev/null
+++ b/sablewheel/membership/codec.py
@@ -0,0 +1,217 @@
+"""Membership's messages as datagrams (protobuf, `membership.proto`), bounded in size and checked coming in.
+
+A packet that is too large, of another version, garbled or foreign raises `BadPacketError` with what was
+wrong; the shell counts it and drops it, and nothing else happens.
+"""
+
+from __future__ import annotations
+
+from google.protobuf.message import DecodeError
+
+from . import membership_pb2 as pb
+from .messages import (
+    FAST,
+    Accept,
+    Accepted,
+    Ack,
+    Alert,
+    Alive,
+    Ask,
+    Ballot,
+    Body,
+    Envelope,
+    Join,
+    Leave,
+    Message,
+    Nack,
+    News,
+    Ping,
+    PingReq,
+    Prepare,
+    Promise,
+    Suspect,
+    Sync,
+    Vote,
+)
+from .view import Change, Kind, Member, Proposal, View, proposal
+
+VERSION = 1
+PACKET_MOST = 60_000  # under a UDP datagram's 65,507 bytes on IPv4
+NAME_MOST = 128
+
+
+class BadPacketError(ValueError):
+    """Not one of ours, or not whole; the reason is its text."""
+
+
+def encode(message: Message) -> bytes:
+    packet = pb.Packet(version=VERSION, sender=message.envelope.sender, epoch=message.envelope.epoch)
+    body = message.body
+    match body:
+        case Ping(seq, news):
+            packet.ping.seq = seq
+            packet.ping.news.extend(_news_out(one) for one in news)
+        case PingReq(seq, target, address):
+            packet.ping_req.CopyFrom(pb.PingReq(seq=seq, target=target, address=address))
+        case Ack(seq, of, incarnation, news):
+            packet.ack.CopyFrom(pb.Ack(seq=seq, of=of, incarnation=incarnation))
+            packet.ack.news.extend(_news_out(one) for one in news)
+        case Nack(seq):
+            packet.nack.seq = seq
+        case Join(member, relayed):
+            packet.join.CopyFrom(pb.Join(member=_member_out(member), relayed=relayed))
+        case Leave(member):
+            packet.leave.member.CopyFrom(_member_out(member))
+        case Sync(view, incarnations, reply):
+            packet.sync.reply = reply
+            packet.sync.has_view = view is not None
+            if view is not None:
+                packet.sync.view.CopyFrom(_view_out(view))
+            packet.sync.incarnations.extend(pb.Incarnation(name=n, incarnation=i) for n, i in incarnations)
+        case Vote(cut):
+            packet.vote.proposal.CopyFrom(_proposal_out(cut))
+        case Prepare(ballot):
+            packet.prepare.ballot.CopyFrom(_ballot_out(ballot))
+        case Promise(ballot, voted, value):
+            packet.promise.ballot.CopyFrom(_ballot_out(ballot))
+            packet.promise.voted.CopyFrom(_ballot_out(voted))
+            packet.promise.has_value = value is not None
+            if value is not None:
+                packet.promise.value.CopyFrom(_proposal_out(value))
+        case Accept(ballot, value):
+            packet.accept.CopyFrom(pb.Accept(ballot=_ballot_out(ballot), value=_proposal_out(value)))
+        case Accepted(ballot, value):
+            packet.accepted.CopyFrom(pb.Accepted(ballot=_ballot_out(ballot), value=_proposal_out(value)))
+        case Ask(nonce):
+            packet.ask.nonce = nonce
+    data = packet.SerializeToString()
+    if len(data) > PACKET_MOST:
+        raise BadPacketError(f"{len(data)} bytes, over {PACKET_MOST}")
+    return data
+
+
+def decode(data: bytes) -> Message:
+    if len(data) > PACKET_MOST:
+        raise BadPacketError(f"{len(data)} bytes, over {PACKET_MOST}")
+    packet = pb.Packet()
+    try:
+        packet.ParseFromString(data)
+    except DecodeError as error:
+        raise BadPacketError(f"garbled: {error}") from None
+    if packet.version != VERSION:
+        raise BadPacketError(f"version {packet.version}, this member speaks {VERSION}")
+    which = packet.WhichOneof("body")
+    if which is None:
+        raise BadPacketError("no body")
+    _name(packet.sender, "sender")
+    envelope = Envelope(packet.sender, packet.epoch)
+    return Message(envelope, _body(packet, which))
+
+
+def _body(packet: pb.Packet, which: str) -> Body:
+    match which:
+        case "ping":
+            return Ping(packet.ping.seq, tuple(_news_in(one) for one in packet.ping.news))
+        case "ping_req":
+            one = packet.ping_req
+            return PingReq(one.seq, _name(one.target, "target"), one.address)
+        case "ack":
+            ack = packet.ack
+            news = tuple(_news_in(one) for one in ack.news)
+            return Ack(ack.seq, _name(ack.of, "of"), ack.incarnation, news)
+        case "nack":
+            return Nack(packet.nack.seq)
+        case "join":
+            return Join(_member_in(packet.join.member), packet.join.relayed)
+        case "leave":
+            return Leave(_member_in(packet.leave.member))
+        case "sync":
+            sync = packet.sync
+            view = _view_in(sync.view) if sync.has_view else None
+            pairs = tuple((_name(one.name, "name"), one.incarnation) for one in sync.incarnations)
+            return Sync(view, pairs, sync.reply)
+        case "vote":
+            return Vote(_proposal_in(packet.vote.proposal))
+        case "prepare":
+            return Prepare(_ballot_in(packet.prepare.ballot))
+        case "promise":
+            promise = packet.promise
+            value = _proposal_in(promise.value) if promise.has_value else None
+            return Promise(_ballot_in(promise.ballot), _ballot_in(promise.voted), value)
+        case "accept":
+            return Accept(_ballot_in(packet.accept.ballot), _proposal_in(packet.accept.value))
+        case "accepted":
+            return Accepted(_ballot_in(packet.accepted.ballot), _proposal_in(packet.accepted.value))
+        case "ask":
+            return Ask(packet.ask.nonce)
+    raise BadPacketError(f"unknown body {which}")
+
+
+def _name(text: str, field: str) -> str:
+    if not text or len(text) > NAME_MOST:
+        raise BadPacketError(f"{field}: a name of 1 to {NAME_MOST} characters is wanted")
+    return text
+
+
+def _member_out(member: Member) -> pb.Member:
+    return pb.Member(
+        name=member.name, address=member.address, zone=member.zone, region=member.region,
+        incarnation=member.incarnation,
+    )  # fmt: skip
+
+
+def _member_in(one: pb.Member) -> Member:
+    return Member(_name(one.name, "member"), one.address, one.zone, one.region, one.incarnation)
+
+
+def _view_out(view: View) -> pb.View:
+    return pb.View(epoch=view.epoch, members=[_member_out(one) for one in view.members])
+
+
+def _view_in(one: pb.View) -> View:
+    try:
+        return View(one.epoch, tuple(_member_in(member) for member in one.members))
+    except ValueError as error:
+        raise BadPacketError(f"view: {error}") from None
+
+
+def _proposal_out(cut: Proposal) -> pb.Proposal:
+    return pb.Proposal(
+        changes=[pb.Change(join=one.kind is Kind.JOIN, member=_member_out(one.member)) for one in cut]
+    )
+
+
+def _proposal_in(one: pb.Proposal) -> Proposal:
+    changes = [Change(Kind.JOIN if c.join else Kind.REMOVE, _member_in(c.member)) for c in one.changes]
+    return proposal(changes)
+
+
+def _ballot_out(ballot: Ballot) -> pb.Ballot:
+    return pb.Ballot(round=ballot[0], by=ballot[1])
+
+
+def _ballot_in(one: pb.Ballot) -> Ballot:
+    return (one.round, one.by) if one.round else FAST
+
+
+def _news_out(item: News) -> pb.News:
+    match item:
+        case Alive(name, incarnation):
+            return pb.News(alive=pb.Alive(name=name, incarnation=incarnation))
+        case Suspect(name, incarnation, by):
+            return pb.News(suspect=pb.Suspect(name=name, incarnation=incarnation, by=by))
+        case Alert(epoch, by, join, member):
+            return pb.News(alert=pb.Alert(epoch=epoch, by=by, join=join, member=_member_out(member)))
+
+
+def _news_in(one: pb.News) -> News:
+    match one.WhichOneof("item"):
+        case "alive":
+            return Alive(_name(one.alive.name, "alive"), one.alive.incarnation)
+        case "suspect":
+            sus = one.suspect
+            return Suspect(_name(sus.name, "suspect"), sus.incarnation, _name(sus.by, "by"))
+        case "alert":
+            alert = one.alert
+            return Alert(alert.epoch, _name(alert.by, "by"), alert.join, _member_in(alert.member))
+    raise BadPacketError("news without an item")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,8 +8,29 @@
 
 import pytest
 
+from sablewheel.membership import codec
 from sablewheel.membership.agree import Agreement
-from sablewheel.membership.messages import Accept, Accepted, Body, Vote
+from sablewheel.membership.messages import (
+    Accept,
+    Accepted,
+    Ack,
+    Alert,
+    Alive,
+    Ask,
+    Body,
+    Envelope,
+    Join,
+    Leave,
+    Message,
+    Nack,
+    Ping,
+    PingReq,
+    Prepare,
+    Promise,
+    Suspect,
+    Sync,
+    Vote,
+)
 from sablewheel.membership.node import Got, Mode, Node, Note, Part, Send, Settings, Tick
 from sablewheel.membership.view import Change, Kind, Member, View, fingerprint, observers, proposal, subjects
 
@@ -286,3 +307,25 @@
         decided = {one.decided for one in agreements.values() if one.decided is not None}
         assert len(decided) <= 1, seed
     assert isinstance(Accepted((1, "m0"), values[0]), Accepted)
+
+
+
+def test_every_message_goes_through_the_codec_and_bad_packets_are_refused() -> None:
+    member = Member("m1", "127.0.0.1:1", "z", "r", 7)
+    cut = proposal([Change(Kind.REMOVE, member)])
+    news = (Alive("m1", 3), Suspect("m2", 1, "m1"), Alert(2, "m3", True, member))
+    view = View(3, (member, Member("m2", "127.0.0.1:2")))
+    bodies: list[Body] = [
+        Prepare((2, "m1")), Promise((2, "m1"), (0, ""), cut), Promise((1, "a"), (1, "a"), None),
+        Accept((3, "x"), cut), Accepted((3, "x"), cut), Vote(cut), Ask(5), Ping(1, news),
+        PingReq(2, "m2", "127.0.0.1:2"), Ack(1, "m2", 4, news), Nack(3), Join(member, True), Leave(member),
+        Sync(view, (("m1", 2),), True), Sync(None),
+    ]  # fmt: skip
+    for body in bodies:
+        message = Message(Envelope("m0", 4), body)
+        assert codec.decode(codec.encode(message)) == message
+    whole = codec.encode(Message(Envelope("m0", 1), Nack(1)))
+    foreign = whole.replace(b"\x08\x01", b"\x08\x02", 1)  # version 2
+    for bad in [b"", b"\xff\xff\xff", whole[:-1], foreign, b"x" * 70000]:
+        with pytest.raises(codec.BadPacketError):
+            codec.decode(bad)
