Unused connections closed at once where routers come back later than they keep them

At fault: _tend_connections, which shortened the keeping only while the cores were under a quarter busy and by half each iteration. Now: where routers over reads a second is longer than the routers' own keeping, what is unused longer than an answer's slack goes; the old rule is folded into it.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -23,7 +23,6 @@
 SAMPLES = 100  # raw samples kept of each measure: enough for a 99th percentile
 RECENT = 10  # samples that tell how things are now
 WALKS_MOST = 0.2  # further tries among the tickets read, past which denied tickets are asked to stay
-IDLE, BUSY = 0.25, 0.9  # shares of the cores below and above which they count as idle and busy
 SLOW_CALLS = 3.0  # median of the recent over lower quartile of all: about 2 for times that scatter evenly
 DONT_RUN_AGAIN = (Nature.LABELLED, Nature.IRREVERSIBLE)
 ROUTERS_KNOWN = 32  # whose patience is kept, or four times those there are: numbers may never come again
@@ -79,7 +78,7 @@
         self.patience: dict[Router, Samples] = {}  # how long its tickets were waited for, by router
         self.senders = 0  # routers with tickets out here
         self.read = 0
-        self.marks: deque[bool] = deque(maxlen=SAMPLES // 2)  # whether the last tickets were further tries
+        self.reads: deque[tuple[float, bool]] = deque(maxlen=SAMPLES // 2)  # when; whether a further try
         self.unread = 0.0  # how long the last ticket read had waited for that
         self.on_cores = 0
         self.kb = 0.0
@@ -94,7 +93,6 @@
         self.leave_at = self.notice_at = inf
         self.said: float | None = None
         self.busy = self.connections = inf  # share of the cores, open ones: when last told
-        self.had_connections = -inf  # open ones at the last iteration
         self.idle = machine.idle  # how long an unused connection is kept
         self.armed = inf
         self.on_cores_seen = Samples()  # of the running tickets, the share that demands a core, as gauged
@@ -175,7 +173,7 @@
             if not oldest_heard.out:
                 del self.patience[oldest_heard]
         self.read += 1
-        self.marks.append(ticket.again)
+        self.reads.append((now, ticket.again))
         self.unread = now - ticket.arrived
         heappush(self.dues, (ticket.due, self.read, ticket))
         # A repeat of what ran, or may still run here, gets that one's result.
@@ -486,7 +484,8 @@
         # against a denial with no advice, which a caller takes as leave to come back at once.
         oldest = max(self._oldest(line, Stage.HELD) for line in self.hold)
         oldest = oldest or self.trips.at(0.5) or ticket.track.goal
-        full = not self.machine.marks_again or sum(self.marks) > WALKS_MOST * len(self.marks)
+        again = sum(mark for _, mark in self.reads)
+        full = not self.machine.marks_again or again > WALKS_MOST * len(self.reads)
         self.drops += 1
         self._release(ticket)
         rest = min(max(oldest, ticket.room_in), self.machine.advice_limit)
@@ -622,17 +621,16 @@
     def _tend_connections(self) -> None:
         """How long unused connections stay open.
 
-        Departure, acts while cores stand idle, most routers hold no connection and no more come: a table
-        full of unused ones keeps out tickets that the cores could run, so they are kept half as long each
-        iteration. Once the cores are busy a full table is the cheapest denial there is, and they stay as long
-        as may be. Guards against any crowd of rare senders; costs a handshake where a router comes back.
+        Departure, acts where routers come back here, on average, later than they would close a connection
+        themselves: each is then used once, and a table of used-up ones taxes the cores and keeps out tickets
+        that they could run. It is closed as soon as an answer's slack has passed. Guards against any fleet in
+        which each of many routers sees each server seldom; a router that sends far more than the others pays
+        a handshake for each of its tickets.
         """
-        machine, before, had = self.machine, self.idle, self.had_connections
-        self.had_connections = self.connections
-        if self.busy > BUSY:
-            self.idle = machine.idle
-        elif self.busy < IDLE and self.connections <= min(had, machine.routers / 2):
-            self.idle = max(self.idle / 2, min(machine.said_for, machine.idle))
+        machine, before = self.machine, self.idle
+        span = self.now - self.reads[0][0] if self.reads else 0.0
+        rare = machine.routers * span > machine.idle * len(self.reads)
+        self.idle = min(max(machine.slack, machine.tick), machine.idle) if rare else machine.idle
         if self.idle != before:
             self.deeds.append(terms.CloseIdle(self.idle))
 
