--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -54,10 +54,38 @@
 
     def __init__(self) -> None:
         self.service = Samples()
+        self.stretch = Samples()  # how much longer than foretold from their hints runs took
+        self.hinted: deque[tuple[float, float]] = deque(maxlen=SAMPLES)  # hints of past runs, and what they took
         self.first_wait = 0.0  # how long callers wait for a first try
         self.calls = self.runs = 1  # calls made and runs that worked: a run may call more than once
 
 
+    def learn(self, estimate: float | None, took: float) -> None:
+        """A run worked, and took so long."""
+        self.service.add(took)
+        self.runs += 1
+        if estimate:
+            if len(self.hinted) >= RECENT:
+                self.stretch.add(took / max(self._line(estimate), 1e-6))
+            self.hinted.append((estimate, took))
+
+    def takes(self, estimate: float | None, share: float) -> float:
+        """How long a run stays below with this likelihood: by its hint where there is one, else by all runs."""
+        if not estimate or len(self.stretch.raw) < RECENT:
+            return self.service.at(share)
+        return self._line(estimate) * self.stretch.at(share)
+
+    def _line(self, estimate: float) -> float:
+        """The straight line through past runs, from hints to what they took; never falling."""
+        many = len(self.hinted)
+        mean_hint = sum(hint for hint, _ in self.hinted) / many
+        mean_took = sum(took for _, took in self.hinted) / many
+        spread = sum((hint - mean_hint) ** 2 for hint, _ in self.hinted)
+        both = sum((hint - mean_hint) * (took - mean_took) for hint, took in self.hinted)
+        slope = min(max(both / spread if spread else 0.0, 0.0), mean_took / mean_hint)
+        return mean_took + slope * (estimate - mean_hint)
+
+
 class Controller:
     """One server's decisions, from its own events alone."""
 
@@ -239,7 +267,7 @@
             elif left + waited > row.first_wait:
                 age = max(age, track.abandon - left)  # a last try is given all that the client has left
         goal = min(track.goal + track.goal_stretch * (ticket.estimate or 0.0), wait)
-        return budget - row.service.at(0.99), goal - age - row.service.at(0.75)
+        return budget - row.takes(ticket.estimate, 0.99), goal - age - row.takes(ticket.estimate, 0.75)
 
     def _over_share(self, ticket: Ticket) -> bool:
         """Whether this server ran more for its customer lately than an even part of its quota.
@@ -326,8 +354,7 @@
         joined = ticket.stage is Stage.JOINED
         ticket.ended = outcome
         if outcome is Outcome.WORKED and not joined:
-            self.table[ticket.track].service.add(took)
-            self.table[ticket.track].runs += 1
+            self.table[ticket.track].learn(ticket.estimate, took)
         if outcome in (Outcome.WORKED, Outcome.ERROR):
             if not ticket.answered:
                 self.trips.add(self.now - ticket.read_at)
