Waits by each ticket's hint, half of the goal's; tables emptied where few return

Waits by each ticket's hint, half of the goal's at most; tables emptied where few come back.

Unused connections: kept until no more come, then closed at once where few of the tickets are from routers heard within the keeping time (drawn out half way soon after the start), and kept where retries come back in numbers near those that run.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -23,6 +23,7 @@
 SAMPLES = 100  # raw samples kept of each measure: enough for a 99th percentile
 RECENT = 10  # samples that tell how things are now
 WALKS_MOST = 0.2  # further tries among the tickets read, past which denied tickets are asked to stay
+FEW_KNOWN, MANY_KNOWN = 0.4, 0.5  # shares of the tickets that are from routers heard not long before
 SLOW_CALLS = 3.0  # median of the recent over lower quartile of all: about 2 for times that scatter evenly
 DONT_RUN_AGAIN = (Nature.LABELLED, Nature.IRREVERSIBLE)
 ROUTERS_KNOWN = 32  # whose patience is kept, or four times those there are: numbers may never come again
@@ -33,7 +34,7 @@
     """The last few raw samples of one measure."""
 
     def __init__(self) -> None:
-        self.raw: deque[float] = deque(maxlen=SAMPLES)
+        self.raw: deque[float] = deque(maxlen=SAMPLES // 2)
         self.ranked: list[float] | None = None
 
     def add(self, value: float) -> None:
@@ -55,7 +56,7 @@
     def __init__(self) -> None:
         self.service = Samples()
         self.stretch = Samples()  # how much longer than foretold from their hints runs took
-        self.hinted: deque[tuple[float, float]] = deque(maxlen=SAMPLES)  # hints of past runs, and what they took
+        self.hinted: deque[tuple[float, float]] = deque(maxlen=SAMPLES)  # hints, and what the runs took
         self.first_wait = 0.0  # how long callers wait for a first try
         self.calls = self.runs = 1  # calls made and runs that worked: a run may call more than once
 
@@ -70,7 +71,7 @@
             self.hinted.append((estimate, took))
 
     def takes(self, estimate: float | None, share: float) -> float:
-        """How long a run stays below with this likelihood: by its hint where there is one, else by all runs."""
+        """How long a run takes, or less, with this likelihood: by its hint, or else by all runs."""
         if not estimate or len(self.stretch.raw) < RECENT:
             return self.service.at(share)
         return self._line(estimate) * self.stretch.at(share)
@@ -99,6 +100,7 @@
         self.longest = max(track.abandon for track in machine.tracks)
         self.customers: dict[terms.Customer, deque[float]] = {one: deque() for one in machine.customers}
         self.hold: tuple[deque[Ticket], deque[Ticket]] = (deque(), deque())  # within, beyond their share
+        self.came = [0.0, 0.0]  # how long all that ever came into each line should run
         self.running: dict[Ticket, None] = {}  # in order of their starts: a set's order is chance
         self.at_call: deque[Ticket] = deque()
         self.joining: list[tuple[Ticket, Ticket]] = []  # repeats, and what they repeat, that wait for room
@@ -106,7 +108,11 @@
         self.patience: dict[Router, Samples] = {}  # how long its tickets were waited for, by router
         self.senders = 0  # routers with tickets out here
         self.read = 0
-        self.reads: deque[tuple[float, bool]] = deque(maxlen=SAMPLES // 2)  # when; whether a further try
+        self.marks: deque[bool] = deque(maxlen=SAMPLES // 2)  # whether the last tickets were further tries
+        # When tickets were read, how long after their routers' last ones, and how many had begun by then.
+        self.reads: deque[tuple[float, float, int]] = deque(maxlen=SAMPLES)
+        self.tend_at = inf
+        self.begun = 0
         self.unread = 0.0  # how long the last ticket read had waited for that
         self.on_cores = 0
         self.kb = 0.0
@@ -120,7 +126,8 @@
         self.taken = self.taken_last = self.put = self.put_last = self.drops = 0
         self.leave_at = self.notice_at = inf
         self.said: float | None = None
-        self.busy = self.connections = inf  # share of the cores, open ones: when last told
+        self.connections = inf  # open ones, when last told
+        self.had_connections = -inf  # open ones at the last iteration
         self.idle = machine.idle  # how long an unused connection is kept
         self.armed = inf
         self.on_cores_seen = Samples()  # of the running tickets, the share that demands a core, as gauged
@@ -144,7 +151,8 @@
         """What is to be done now that these things have happened."""
         self.now, self.deeds = now, []
         if self.opened < 0:
-            self.opened, self.turn_at = now, now + self.machine.said_for
+            self.opened = now
+            self.turn_at = self.tend_at = now + self.machine.said_for
             self.deeds.append(terms.Health(True, True))
         # Entries expire by themselves: a release would cut off a repeat that came before and is read after.
         while self.labels and self.labels[0][0] <= now:
@@ -165,9 +173,9 @@
                     self._keep_label(ticket, life)
                 case terms.Notice(left):
                     self._notice(left)
-                case terms.Bell(busy, connections, runnable):
+                case terms.Bell(_, connections, runnable):
                     self.armed = inf
-                    self.busy, self.connections = busy, connections
+                    self.connections = connections
                     self._learn_waits(runnable)
         self._make_calls()
         while self.dues and (self.dues[0][0] <= now or self.dues[0][2].answered):
@@ -179,6 +187,8 @@
         self._start_held()
         if now >= self.turn_at:
             self._turn()
+        if now >= self.tend_at:
+            self._tend_connections()
         self._speak()
         self._set_clock()
         return self.deeds
@@ -193,6 +203,8 @@
         self.kb += ticket.kb
         self.senders += not ticket.router.out
         ticket.router.out += 1
+        self.marks.append(ticket.again)
+        self.reads.append((now, now - ticket.router.heard, self.begun))
         ticket.router.heard = ticket.read_at = now
         known = self.patience.pop(ticket.router) if ticket.router in self.patience else Samples()
         self.patience[ticket.router] = known  # whom it heard last comes last
@@ -201,7 +213,6 @@
             if not oldest_heard.out:
                 del self.patience[oldest_heard]
         self.read += 1
-        self.reads.append((now, ticket.again))
         self.unread = now - ticket.arrived
         heappush(self.dues, (ticket.due, self.read, ticket))
         # A repeat of what ran, or may still run here, gets that one's result.
@@ -221,10 +232,12 @@
             self._remember(ticket, ticket.arrived + track.window - now)
         elif self._may_share(ticket):
             self._remember(ticket, left)
-        # The budget for waiting, in the hold and before each call.
+        # The budget for waiting. Departure, acts where the p99 takes nearly all of the page's budget, as with
+        # few samples and a bad spell among them: half of the wait that the goal allows is always budget. In
+        # the hold it is no more than that either: under a lasting excess all that start have waited as long
+        # as may be, and what starts at the last moment is late as often as not. Guards against any standing
+        # queue; it may deny what a short burst's end would have saved.
         ticket.budget, patience = self._budgets(ticket, left)
-        # Departure, acts where the p99 takes nearly all of the page's budget, as with few samples and a bad
-        # spell among them: half of the wait that the goal allows is always budget.
         ticket.budget = max(ticket.budget, patience / 2)
         # Departure, acts when reading is behind by more than a run takes: what waited unread beyond its goal
         # is denied even by idle cores, so that the reading catches up with tickets that can still be in time.
@@ -237,11 +250,13 @@
         # Its own line only: an in-share ticket starts before any that wait beyond their share.
         ticket.beyond = over = self._over_share(ticket)
         oldest = max(waits) if over else waits[0]
+        oldest = max(oldest, self._wait_to_start(over))
         if track.calls:  # the queue before the ledger is ahead of it as well
             oldest = max(oldest, self._oldest(self.at_call, Stage.AT_CALL), self._wait_to_call(track))
-        if oldest > ticket.budget or patience < 0:
+        if oldest > patience / 2:
             return self._deny(ticket, Denial.WAIT)
-        ticket.since = now
+        ticket.since, ticket.ahead = now, self.came[over]
+        self.came[over] += self.table[track].takes(ticket.estimate, 0.5)
         self.hold[over].append(ticket)
         heappush(self.dues, (now + patience, -self.read, ticket))
 
@@ -266,9 +281,23 @@
                 row.first_wait = left + waited
             elif left + waited > row.first_wait:
                 age = max(age, track.abandon - left)  # a last try is given all that the client has left
+            else:
+                age = max(age, row.first_wait - left)  # under way for at least what its wait is short
         goal = min(track.goal + track.goal_stretch * (ticket.estimate or 0.0), wait)
         return budget - row.takes(ticket.estimate, 0.99), goal - age - row.takes(ticket.estimate, 0.75)
 
+    def _wait_to_start(self, beyond: bool) -> float:
+        """How long those ahead will keep the places of those that run, by their hints or their tracks.
+
+        Departure, acts while tickets are held: the oldest one's age tells the wait of those that came before,
+        not of the next. Guards against bursts, which would fill the hold before any of them had grown old.
+        """
+        ahead = 0.0
+        for line, came in zip(self.hold[: 1 + beyond], self.came, strict=False):
+            if line:
+                ahead += came - line[0].ahead
+        return ahead / max(len(self.running), self.machine.cores)
+
     def _over_share(self, ticket: Ticket) -> bool:
         """Whether this server ran more for its customer lately than an even part of its quota.
 
@@ -325,6 +354,7 @@
         self.on_cores += 1
         self.kb += self._more_kb(ticket)
         self.taken += 1
+        self.begun += 1
         if ticket.customer is not None:
             ticket.beyond = self._over_share(ticket)
             self.customers[ticket.customer].append(self.now)
@@ -511,8 +541,7 @@
         # against a denial with no advice, which a caller takes as leave to come back at once.
         oldest = max(self._oldest(line, Stage.HELD) for line in self.hold)
         oldest = oldest or self.trips.at(0.5) or ticket.track.goal
-        again = sum(mark for _, mark in self.reads)
-        full = not self.machine.marks_again or again > WALKS_MOST * len(self.reads)
+        full = not self.machine.marks_again or sum(self.marks) > WALKS_MOST * len(self.marks)
         self.drops += 1
         self._release(ticket)
         rest = min(max(oldest, ticket.room_in), self.machine.advice_limit)
@@ -640,7 +669,6 @@
         else:
             self.credit *= 1 - CUT
         self.credit = min(max(self.credit, self.machine.cores), self._credit_most())
-        self._tend_connections()
         self.taken_last, self.put_last = self.taken, self.put
         self.taken = self.put = self.drops = 0
         self.turn_at = self.now + max(TRIPS * self.trips.at(0.5, self.machine.said_for), self.machine.tick)
@@ -648,16 +676,29 @@
     def _tend_connections(self) -> None:
         """How long unused connections stay open.
 
-        Departure, acts where routers come back here, on average, later than they would close a connection
-        themselves: each is then used once, and a table of used-up ones taxes the cores and keeps out tickets
-        that they could run. It is closed as soon as an answer's slack has passed. Guards against any fleet in
-        which each of many routers sees each server seldom; a router that sends far more than the others pays
-        a handshake for each of its tickets.
+        Departure, acts where routers come back, on average, later than they keep a connection. Then most may
+        be used once, and a table of used-up ones taxes the cores and keeps out tickets that they could run:
+        once no more come (the table is full, or few send) and few of the tickets read are from routers that
+        were heard within that time, each goes as soon as an answer's slack has passed. Where many come again,
+        or soon again in numbers near those that run (retries), a full table is the cheapest denial there is,
+        and they stay. Guards against any crowd of routers that each see each server seldom; the few that
+        come often pay a handshake for each of their tickets.
         """
-        machine, before = self.machine, self.idle
-        span = self.now - self.reads[0][0] if self.reads else 0.0
-        rare = machine.routers * span > machine.idle * len(self.reads)
-        self.idle = min(max(machine.slack, machine.tick), machine.idle) if rare else machine.idle
+        machine, before, reads = self.machine, self.idle, self.reads
+        no_more, self.had_connections = self.connections <= self.had_connections, self.connections
+        self.tend_at = self.now + max(machine.said_for, machine.tick)
+        if len(reads) >= SAMPLES // 2:
+            since, _, begun = reads[0]
+            rare = machine.routers * (self.now - since) > machine.idle * len(reads)
+            # Soon after the start nobody can have been heard long ago: what was seen is drawn out, half way.
+            seen = sum(min(when - self.opened, machine.idle) for when, _, _ in reads) / len(reads)
+            strange = sum(gap > machine.idle for _, gap, _ in reads) / len(reads)
+            known = 1 - strange ** sqrt(machine.idle / max(seen, machine.tick))
+            back = sum(gap < self.longest for _, gap, _ in reads) / max(self.begun - begun, 1)
+            if not rare or known > MANY_KNOWN or back > 1:
+                self.idle = machine.idle
+            elif no_more and known < FEW_KNOWN and back < FEW_KNOWN:
+                self.idle = min(max(machine.slack, machine.tick), machine.idle)
         if self.idle != before:
             self.deeds.append(terms.CloseIdle(self.idle))
 
@@ -696,7 +737,7 @@
 
     def _set_clock(self) -> None:
         """One alarm for the earliest need; an older, later one may still ring."""
-        need = self.turn_at
+        need = min(self.turn_at, self.tend_at)
         if self.dues:
             need = min(need, self.dues[0][0])
         if self.at_call and self.past_calls:
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -95,7 +95,7 @@
     """Someone who sends tickets here; the controller notes its open tickets and when it was last heard."""
 
     out: int = 0
-    heard: float = 0.0
+    heard: float = -inf
 
 
 @dataclass(frozen=True, eq=False)
@@ -157,6 +157,7 @@
     called: float = 0.0
     remembered: bool = False
     beyond: bool = False
+    ahead: float = 0.0
     overhead: float = 0.0
     room_in: float = 0.0
 
