Features are declared once in a list; routing's circle of imports is gone

Change: each feature has one entry in DECLARED (section, how it is made, whether it blocks) and gives a Part with its seams and hooks; the list's order is that of making and of wrapping, later moments go the other way round. What a section needs of others stands with its keys and is checked with its line. Witness stands beside Exchange, so imports go exchange, labels, seam. The desk that routers' tries go to may be wrapped by a feature; with nothing on it is the dispatch itself, so the ticket's path is as it was, without one call more.

Measured: recall, ledger, program, routing, adapter tests pass unchanged but for one import line; new test_layers.py finds no circle of modules or packages (and finds one put in).

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -87,7 +87,7 @@
             posting.tracks,
             posting.customers,
             self._standing,
-            self._dispatch,
+            self._feature.desk(self._dispatch),
             count,
             posting.connections_most,
             self._feature.witness,
--- a/sablewheel/program/feature.py
+++ b/sablewheel/program/feature.py
@@ -1,10 +1,15 @@
-"""What the application knows of features: one seam, and the object that stands there when none is on."""
+"""What the application knows of features: one seam, the object that stands there when none is on, and what a
+feature fills in to be part of it."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
-from ..routing.seam import UNREMEMBERED, UNWITNESSED, Memory, Witness
+from ..routing.exchange import UNWITNESSED, Witness
+from ..routing.seam import UNREMEMBERED, Memory
+from ..routing.server import Desk
 
 
 class Feature(Protocol):
@@ -22,6 +27,9 @@
     def last_notice(self) -> int:
         """The last notice of the interpreter that a predecessor has read."""
 
+    def desk(self, inner: Desk) -> Desk:
+        """Who is told what routers sent: `inner`, the dispatch, or who stands in front of it."""
+
     def end_round(self) -> None: ...
     def leaving(self) -> None:
         """The notice to leave has come; the grace begins."""
@@ -46,6 +54,9 @@
     up_at = 0.0
     last_notice = 0
 
+    def desk(self, inner: Desk) -> Desk:
+        return inner
+
     def end_round(self) -> None: ...
     def leaving(self) -> None: ...
     def parting(self) -> None: ...
@@ -55,3 +66,24 @@
     def close(self, most: float) -> None: ...
     def gauges(self) -> dict[str, object]:
         return {}
+
+
+@dataclass(frozen=True)
+class Part:
+    """One feature that is on: its seams, and what it does at the program's moments. What it leaves out costs
+    nothing.
+
+    A seam that is filled in replaces what stood there, so it must pass on to what it was given of it.
+    """
+
+    witness: Witness | None = None
+    memory: Memory | None = None
+    desk: Callable[[Desk], Desk] | None = None
+    up_at: Callable[[], float] | None = None
+    last_notice: Callable[[], int] | None = None
+    end_round: Callable[[], None] | None = None
+    leaving: Callable[[], None] | None = None
+    parting: Callable[[], None] | None = None
+    settled: Callable[[], bool] | None = None
+    close: Callable[[float], None] | None = None
+    gauges: Callable[[], dict[str, object]] | None = None
--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -9,9 +9,9 @@
 
 import difflib
 import ipaddress
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, ClassVar, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
 from ruamel.yaml import YAML
@@ -25,6 +25,7 @@
 
 VERSION = 1
 VARIABLE = "SABLEWHEEL_FEATURES"
+APART = ("collector",)  # sections of programs of their own
 
 
 @dataclass(frozen=True)
@@ -46,7 +47,7 @@
 
 @dataclass(frozen=True)
 class Features:
-    """What is switched on."""
+    """What is switched on: the plan of each section that is there, under the section's name."""
 
     ledger: LedgerPlan | None = None
     recall: RecallPlan | None = None
@@ -56,7 +57,11 @@
     @property
     def any(self) -> bool:
         """Whether anything is on that the server itself must do."""
-        return self.ledger is not None or self.recall is not None or self.membership is not None
+        return any(self.plan(one.name) is not None for one in fields(self) if one.name not in APART)
+
+    def plan(self, section: str) -> Any:
+        """The section's plan; None if it is off."""
+        return getattr(self, section)
 
 
 def _address(text: str) -> str:
@@ -87,7 +92,10 @@
 
 
 class Section(BaseModel):
-    """Keys are written with hyphens; unknown ones are faults."""
+    """Keys are written with hyphens; unknown ones are faults. `needs`: other sections that it can't be on
+    without."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
 
     model_config = ConfigDict(
         extra="forbid", strict=True, frozen=True, alias_generator=lambda name: name.replace("_", "-")
@@ -341,16 +349,16 @@
     collector: CollectorSection | None = None
     membership: MembershipSection | None = None
 
+    def sections(self) -> dict[str, Any]:
+        """Those that are there, under the names that `Features` has for their plans."""
+        told = {name: getattr(self, name) for name in type(self).model_fields if name != "version"}
+        return {name: section for name, section in told.items() if section is not None}
+
 
 def read(file: str | Path) -> Features:
     """The features of a file; raises `FaultyFeaturesError` with all of its faults."""
     top = check(str(file), _text(str(file)))
-    return Features(
-        ledger=top.ledger.plan() if top.ledger is not None else None,
-        recall=top.recall.plan() if top.recall is not None else None,
-        collector=top.collector.plan() if top.collector is not None else None,
-        membership=top.membership.plan() if top.membership is not None else None,
-    )
+    return Features(**{name: section.plan() for name, section in top.sections().items()})
 
 
 def _text(file: str) -> str:
@@ -375,10 +383,19 @@
     if not isinstance(told, CommentedMap):
         raise FaultyFeaturesError(file, [Fault(1, "file", "keys are wanted, `version: 1` first")])
     try:
-        return Top.model_validate(_plain(told))
+        top = Top.model_validate(_plain(told))
     except ValidationError as trouble:
         faults = [_fault(told, one) for one in trouble.errors(include_url=False)]
         raise FaultyFeaturesError(file, sorted(faults, key=lambda one: one.line)) from None
+    there = top.sections()
+    if faults := [
+        Fault(_line(told, (name,)), name, f"needs the section {needed}, which is absent")
+        for name, section in there.items()
+        for needed in section.needs
+        if needed not in there
+    ]:
+        raise FaultyFeaturesError(file, faults)
+    return top
 
 
 def _plain(value: Any) -> Any:
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -1,25 +1,139 @@
-"""Makes the features that are switched on, and only then imports them."""
+"""Makes the features that are switched on, and only then imports them.
+
+Each is declared once, in `DECLARED`: its section of the features file, how it is made, whether it has work
+for the worker thread. What it needs of other sections stands with its section's keys in `features.py`. The
+order of the list is the order in which they are made, so what stands on another comes after it; and it is the
+order in which seams wrap each other: the witness of a later one is told first and passes on to that of an
+earlier one. At the program's later moments the last made comes first, as it stands on the others.
+"""
 
 from __future__ import annotations
 
 import os
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING
-
-from ..ledger.plan import Depth
-from ..routing.seam import UNREMEMBERED, UNWITNESSED, Memory, Witness
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from ..ledger.plan import Depth, LedgerPlan
+from ..membership.plan import MembershipPlan
+from ..recall.plan import RecallPlan
+from ..routing.exchange import UNWITNESSED, Exchange, Witness
+from ..routing.seam import UNREMEMBERED, Memory
+from ..routing.server import Desk
 from ..transport.background import Background
 from ..transport.bridge import Bridge
 from ..transport.scheduler import Scheduler
 from .configuration import Posting
+from .feature import Part
 from .features import Features
 
 if TYPE_CHECKING:
-    from ..ledger.keeper import Keeper
     from ..membership.shell import Fleet
+
+
+@dataclass
+class Ground:
+    """What features stand on: the server's, and what features made before have put down for later ones.
+
+    `bridge` is there if any feature has work for it; the program closes it, behind all who use it.
+    """
+
+    scheduler: Scheduler
+    background: Background
+    posting: Posting
+    incarnation: bytes
+    bridge: Bridge | None
+    never_begun: Callable[[Exchange], None]
+    remembered: Callable[[], None]
+    fail: Callable[[str], None]
+    count: Callable[[str], None]
+    witness: Witness = UNWITNESSED
+    memory: Memory = UNREMEMBERED
+    fleet: Fleet | None = None  # by membership
+
+
+def _nothing(plan: Any) -> bool:
+    return False
+
+
+@dataclass(frozen=True)
+class Declared:
+    """One feature. `make` gets the ground and the section's plan, and imports the feature's package."""
+
+    section: str
+    make: Callable[[Ground, Any], Part]
+    blocks: Callable[[Any], bool] = _nothing  # whether it has work for the worker thread
+
+
+def _ledger(ground: Ground, plan: LedgerPlan) -> Part:
+    from ..ledger.keeper import Keeper
+
+    posting = ground.posting
+    names = {one: name.decode("utf-8", "replace") for name, one in posting.customers.items()}
+    keeper = Keeper(
+        ground.scheduler,
+        ground.background,
+        plan,
+        posting.name,
+        ground.incarnation,
+        names,
+        random.Random(posting.seed).random,
+        ground.count,
+        ground.bridge,
+    )
+    return Part(
+        witness=keeper,
+        end_round=keeper.end_round,
+        parting=keeper.parting,
+        settled=keeper.settled,
+        close=keeper.close,
+        gauges=keeper.gauges,
+    )
+
+
+def _recall(ground: Ground, plan: RecallPlan) -> Part:
     from ..recall.recorder import Recorder
-    from ..routing.exchange import Exchange
+
+    recorder = Recorder(
+        ground.scheduler,
+        ground.background,
+        ground.bridge,
+        plan,
+        ground.incarnation,
+        ground.posting.tracks,
+        ground.witness,
+        ground.never_begun,
+        ground.remembered,
+        ground.fail,
+        ground.count,
+    )
+    return Part(
+        witness=recorder,
+        memory=recorder,
+        up_at=recorder.up_at,
+        last_notice=lambda: recorder.last_notice,
+        end_round=recorder.end_round,
+        parting=recorder.parting,
+        settled=recorder.settled,
+        close=lambda _: recorder.close(),
+        gauges=recorder.gauges,
+    )
+
+
+def _membership(ground: Ground, plan: MembershipPlan) -> Part:
+    from ..membership.shell import Fleet
+
+    posting = ground.posting
+    fleet = ground.fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed)
+    return Part(leaving=fleet.leave, close=lambda _: fleet.close(), gauges=fleet.gauges)
+
+
+DECLARED = (
+    Declared("ledger", _ledger, blocks=lambda plan: plan.depth is Depth.DURABLE),
+    Declared("recall", _recall, blocks=lambda plan: plan.folder is not None),
+    Declared("membership", _membership),
+)
 
 
 class Parts:
@@ -37,93 +151,75 @@
         count: Callable[[str], None],
     ) -> None:
         self._background = Background(scheduler, moved)
-        self.witness: Witness = UNWITNESSED
-        self.memory: Memory = UNREMEMBERED
-        self._keeper: Keeper | None = None
-        self._recorder: Recorder | None = None
-        self._fleet: Fleet | None = None
-        ledger, recall = features.ledger, features.recall
+        self._on = [(one, plan) for one in DECLARED if (plan := features.plan(one.section)) is not None]
         incarnation = round(scheduler.clock.now * 1000).to_bytes(6, "big") + os.urandom(2)
-        on_disk = (ledger and ledger.depth is Depth.DURABLE) or (recall and recall.folder)
-        self._bridge = Bridge(scheduler) if on_disk else None
-        if ledger is not None:
-            from ..ledger.keeper import Keeper
-
-            names = {one: name.decode("utf-8", "replace") for name, one in posting.customers.items()}
-            chance = random.Random(posting.seed).random
-            self.witness = self._keeper = Keeper(
-                scheduler,
-                self._background,
-                ledger,
-                posting.name,
-                incarnation,
-                names,
-                chance,
-                count,
-                self._bridge,
-            )
-        if recall is not None:
-            from ..recall.recorder import Recorder
-
-            self.witness = self.memory = self._recorder = Recorder(
-                scheduler,
-                self._background,
-                self._bridge,
-                recall,
-                incarnation,
-                posting.tracks,
-                self.witness,
-                never_begun,
-                remembered,
-                fail,
-                count,
-            )
-
-        if features.membership is not None:
-            from ..membership.shell import Fleet
-
-            self._fleet = Fleet(scheduler, features.membership, posting.name, posting.seed)
+        self._bridge = Bridge(scheduler) if any(one.blocks(plan) for one, plan in self._on) else None
+        ground = Ground(
+            scheduler,
+            self._background,
+            posting,
+            incarnation,
+            self._bridge,
+            never_begun,
+            remembered,
+            fail,
+            count,
+        )
+        made: list[Part] = []
+        for one, plan in self._on:
+            part = one.make(ground, plan)
+            ground.witness = part.witness or ground.witness
+            ground.memory = part.memory or ground.memory
+            made.append(part)
+        self.witness, self.memory = ground.witness, ground.memory
+        self._made = made
+        made = made[::-1]  # the last made comes first
+        self._end_round = [part.end_round for part in made if part.end_round is not None]
+        self._leaving = [part.leaving for part in made if part.leaving is not None]
+        self._parting = [part.parting for part in made if part.parting is not None]
+        self._settled = [part.settled for part in made if part.settled is not None]
+        self._close = [part.close for part in made if part.close is not None]
+        self._up_at = [part.up_at for part in made if part.up_at is not None]
 
     @property
     def up_at(self) -> float:
-        return self._recorder.up_at() if self._recorder is not None else 0.0
+        return max((up_at() for up_at in self._up_at), default=0.0)
 
     @property
     def last_notice(self) -> int:
-        return self._recorder.last_notice if self._recorder is not None else 0
+        return max((part.last_notice() for part in self._made if part.last_notice is not None), default=0)
+
+    def desk(self, inner: Desk) -> Desk:
+        for part in self._made:
+            if part.desk is not None:
+                inner = part.desk(inner)
+        return inner
 
     def end_round(self) -> None:
-        if self._recorder is not None:
-            self._recorder.end_round()
-        if self._keeper is not None:
-            self._keeper.end_round()
+        for end_round in self._end_round:
+            end_round()
         self._background.end_round()
 
     def leaving(self) -> None:
-        if self._fleet is not None:
-            self._fleet.leave()
+        for leaving in self._leaving:
+            leaving()
 
     def parting(self) -> None:
-        for one in (self._recorder, self._keeper):
-            if one is not None:
-                one.parting()
+        for parting in self._parting:
+            parting()
 
     def settled(self) -> bool:
-        return all(one is None or one.settled() for one in (self._recorder, self._keeper))
+        return all(settled() for settled in self._settled)
 
     def close(self, most: float) -> None:
-        if self._fleet is not None:
-            self._fleet.close()
-        if self._recorder is not None:
-            self._recorder.close()
-        if self._keeper is not None:
-            self._keeper.close(most)
+        for close in self._close:
+            close(most)
         if self._bridge is not None:
             self._bridge.close(most)
 
     def gauges(self) -> dict[str, object]:
         told: dict[str, object] = {}
-        for one in (self._recorder, self._keeper, self._fleet):
-            if one is not None:
-                told |= one.gauges()
+        for part in self._made:
+            if part.gauges is not None:
+                told |= part.gauges()
         return told
--- a/sablewheel/recall/recorder.py
+++ b/sablewheel/recall/recorder.py
@@ -15,10 +15,9 @@
 from math import inf
 from pathlib import Path
 
-from ..routing.exchange import Caller, Exchange, Place, digest
+from ..routing.exchange import Caller, Exchange, Place, Witness, digest
 from ..routing.holding import Held, Holding
 from ..routing.labels import Labels
-from ..routing.seam import Witness
 from ..state import log as durable
 from ..state.files import DiskFiles
 from ..state.health import Disk
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -2,6 +2,8 @@
 
 The routers' side makes it, the interpreter's side runs it, the dispatch decides on it. It keeps what goes on
 unchanged as the bytes that came, and takes care that there is one final answer, or none if nobody waits.
+Here an outcome becomes final, once; it tells its witness. A completed answer leaves through the witness, who
+may hold it back until what it wrote is durable, for a bounded time; all others leave at once.
 """
 
 from __future__ import annotations
@@ -11,7 +13,6 @@
 from typing import Protocol
 
 from ..terms import Ticket
-from .seam import UNWITNESSED, Witness
 
 
 def digest(track: bytes, body: bytes) -> bytes:
@@ -29,6 +30,34 @@
     def terminated(self, exchange: Exchange) -> None: ...
 
 
+class Witness(Protocol):
+    """Who is told of each final outcome, exactly once a ticket, before its answer is written."""
+
+    def completed(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        """Must hand the result to `caller.completed`, now or soon; `exchange.first` is what it repeats."""
+
+    def denied(self, exchange: Exchange) -> None: ...
+    def terminated(self, exchange: Exchange) -> None: ...
+    def gone(self, exchange: Exchange) -> None:
+        """Nobody waits any more, so there is no answer."""
+
+
+class Unwitnessed:
+    """No feature is on: answers go straight on."""
+
+    __slots__ = ()
+
+    def completed(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        caller.completed(exchange, result)
+
+    def denied(self, exchange: Exchange) -> None: ...
+    def terminated(self, exchange: Exchange) -> None: ...
+    def gone(self, exchange: Exchange) -> None: ...
+
+
+UNWITNESSED = Unwitnessed()
+
+
 @dataclass(slots=True)
 class Standing:
     """What goes with every answer from now on, and what health checks are told."""
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -12,8 +12,7 @@
 from ..terms import Customer, Nature, Router, Ticket, Track
 from ..transport.scheduler import Scheduler
 from ..transport.stream import Stream
-from .exchange import Exchange, Standing
-from .seam import UNWITNESSED, Witness
+from .exchange import UNWITNESSED, Exchange, Standing, Witness
 
 OPEN_MOST = 32  # tries that the protocol allows on one connection at a time
 SWEEP = 0.25  # how often unused connections are looked for
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,92 @@
+"""Imports go one way: no circle of modules nor of packages, those for the type checker counted as well."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from collections.abc import Iterator
+from graphlib import CycleError, TopologicalSorter
+from pathlib import Path
+
+import pytest
+
+import sablewheel
+from sablewheel.program.features import Features, Section, Top
+from sablewheel.program.parts import DECLARED
+
+ROOT = Path(sablewheel.__file__).parent
+
+
+def imports(file: Path) -> Iterator[str]:
+    """The modules of ours that a file names in any import, wherever in it that stands."""
+    package = ("sablewheel", *file.relative_to(ROOT).parent.parts)
+    for node in ast.walk(ast.parse(file.read_text())):
+        if isinstance(node, ast.ImportFrom):
+            base = list(package[: len(package) + 1 - node.level]) if node.level else []
+            full = [*base, *(node.module.split(".") if node.module else [])]
+            if full[:1] == ["sablewheel"]:
+                for one in node.names:
+                    path = ROOT.joinpath(*full[1:], one.name)
+                    deeper = path.is_dir() or path.with_suffix(".py").exists()
+                    yield ".".join([*full, one.name] if deeper else full)
+        elif isinstance(node, ast.Import):
+            yield from (one.name for one in node.names if one.name.startswith("sablewheel."))
+
+
+def graph() -> dict[str, set[str]]:
+    found = {}
+    for file in sorted(ROOT.rglob("*.py")):
+        name = ".".join(["sablewheel", *file.relative_to(ROOT).with_suffix("").parts])
+        found[name.removesuffix(".__init__")] = set(imports(file))
+    return found
+
+
+def rooms(modules: dict[str, set[str]]) -> dict[str, set[str]]:
+    """The same between the packages; a module that lies in none is one of its own."""
+    found: dict[str, set[str]] = {}
+    for name, used in modules.items():
+        here = ".".join(name.split(".")[:2])
+        found.setdefault(here, set()).update(".".join(one.split(".")[:2]) for one in used)
+        found[here] -= {here, "sablewheel"}
+    return found
+
+
+def circle(of: dict[str, set[str]]) -> list[str]:
+    try:
+        TopologicalSorter(of).prepare()
+    except CycleError as trouble:
+        return list(trouble.args[1])
+    return []
+
+
+def test_no_circle_of_modules_nor_of_packages() -> None:
+    modules = graph()
+    assert "sablewheel.routing.exchange" in modules["sablewheel.routing.labels"]
+    assert circle(modules) == [] and circle(rooms(modules)) == []
+    modules["sablewheel.routing.exchange"].add("sablewheel.routing.labels")
+    assert circle(modules)  # the check finds one that is there
+    modules["sablewheel.routing.exchange"].add("sablewheel.program.parts")
+    assert circle(rooms(modules))
+
+
+def test_what_a_feature_needs_is_made_before_it() -> None:
+    order = [one.section for one in DECLARED]
+    for name in order:
+        section = next(
+            kind for kind in Top.model_fields[name].annotation.__args__  # type: ignore[union-attr]
+            if isinstance(kind, type) and issubclass(kind, Section)
+        )  # fmt: skip
+        assert name in Features.__dataclass_fields__
+        assert all(order.index(needed) < order.index(name) for needed in section.needs)
+
+
+@pytest.mark.parametrize("section", [one.section for one in DECLARED])
+def test_a_section_that_is_off_is_not_imported(section: str) -> None:
+    """The parts know their features by name only, until they are made; plans are plain values."""
+    program = (
+        "import sys, sablewheel.program.parts;"
+        f"sys.exit(any(one.startswith('sablewheel.{section}.') and not one.endswith(('.plan', '.periods'))"
+        " for one in sys.modules))"
+    )
+    assert subprocess.run([sys.executable, "-c", program], timeout=30).returncode == 0
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -30,7 +30,7 @@
 from sablewheel.recall.plan import RecallPlan, Start, Unreadable
 from sablewheel.recall.recorder import KIND, Recorder
 from sablewheel.recall.windows import Moment, shift, until_after
-from sablewheel.routing.seam import UNWITNESSED
+from sablewheel.routing.exchange import UNWITNESSED
 from sablewheel.state.files import DiskFiles
 from sablewheel.state.log import Log
 from sablewheel.terms import Outcome
