Members say something of themselves in the view, and each view is told once in order

What is built on membership needs to know of each member where its forward path is reached and what its hardware can do, agreed in the same epochs as the members, and needs to hear of views. Member.says: at most 8 pairs, 200 bytes a value (class 600), refused beyond, also in a packet; a packet without them decodes as before. Fleet has view, me, judge and on_view; views pass as an effect of the node, so that two installed in one step are both told.

--- a/sablewheel/membership/codec.py
+++ b/sablewheel/membership/codec.py
@@ -45,7 +45,7 @@
 VERSION = 1
 PACKET_MOST = 60_000  # under a UDP datagram's 65,507 bytes on IPv4
 NAME_MOST = 128
-FRAME_MOST = 4 << 20  # full state over TCP; about 40,000 members
+FRAME_MOST = 4 << 20  # full state over TCP; about 40,000 members that say nothing, 1,700 that say the most
 LENGTH = struct.Struct(">I")
 
 
@@ -210,12 +210,16 @@
 def _member_out(member: Member) -> pb.Member:
     return pb.Member(
         name=member.name, address=member.address, zone=member.zone, region=member.region,
-        incarnation=member.incarnation,
+        incarnation=member.incarnation, says=[pb.Said(key=key, value=value) for key, value in member.says],
     )  # fmt: skip
 
 
 def _member_in(one: pb.Member) -> Member:
-    return Member(_name(one.name, "member"), one.address, one.zone, one.region, one.incarnation)
+    says = tuple((said.key, said.value) for said in one.says)
+    try:
+        return Member(_name(one.name, "member"), one.address, one.zone, one.region, one.incarnation, says)
+    except ValueError as error:
+        raise BadPacketError(f"member: {error}") from None
 
 
 def _view_out(view: View) -> pb.View:
--- a/sablewheel/membership/node.py
+++ b/sablewheel/membership/node.py
@@ -45,7 +45,7 @@
     Votes,
 )
 from .plan import Mode, Settings
-from .view import Change, Fact, Kind, Member, Proposal, View, fingerprint, proposal, rings
+from .view import SAYS_CUT_MOST, Change, Fact, Kind, Member, Proposal, View, fingerprint, proposal, rings
 
 NEWS_KEPT = 512  # rumours held at once
 RELAYED_MOST = 64  # probes under way for others; one more is left to its asker's other helpers
@@ -95,8 +95,15 @@
     fact: Fact
 
 
+@dataclass(frozen=True)
+class Viewed:
+    """This view was installed: each is told once, in their order."""
+
+    view: View
+
+
 Event = Tick | Got | Part | Judge
-Effect = Send | Note
+Effect = Send | Note | Viewed
 
 
 @dataclass
@@ -497,7 +504,7 @@
         if name in self._subjects() or self.settings.broken == "one-observer":
             member = self.view.get(name)
             assert member is not None
-            said = replace(member, incarnation=incarnation)
+            said = replace(member.silent, incarnation=incarnation)
             self._alert(now, Alert(self.view.epoch, self.me.name, False, said))
 
     def _refute(self, incarnation: int) -> None:
@@ -608,6 +615,8 @@
         """Its own judgement, said when it is another than before and again for each new view."""
         if self.judged.get(fact.key) == fact.value:
             return
+        if fact.key not in self.judged and len(self.judged) >= FACTS_MOST:
+            return self._count("facts_refused")
         self.judged[fact.key] = fact.value
         self._say_judged(fact)
 
@@ -707,7 +716,7 @@
         for (subject, join), those in counted.items():
             if (subject, join) not in chosen and len(those) >= self._marks(subject, join)[1]:
                 unstable = True
-        stable += self._agreed_facts(view)
+        stable = _fitting(stable) + self._agreed_facts(view)
         if not stable:
             self.unstable_since = None
             return
@@ -794,6 +803,7 @@
     def _install(self, view: View, cause: object) -> None:
         old = self.view
         self.view = view
+        self.effects.append(Viewed(view))
         if old is None:
             self.since, self.in_since = {}, self.last
         else:
@@ -942,7 +952,7 @@
         if those.keys() >= set(self._observers_of(view.names, member.name)):
             return  # said before
         for name in self._observers_of(view.names, member.name):
-            those[name] = member
+            those[name] = member.silent
         self.reported = True
         if member.incarnation > self._incarnation(member.name):
             self.raised[member.name] = member.incarnation
@@ -1118,6 +1128,17 @@
         self.counts[name] = self.counts.get(name, 0) + 1
 
 
+def _fitting(changes: list[Change]) -> list[Change]:
+    """Those that a proposal has room for. Guards votes against growing past a datagram when many join who
+    say much of themselves: the rest ask again and come with a later view."""
+    room, kept = SAYS_CUT_MOST, []
+    for one in sorted(changes, key=lambda one: one.order):
+        room -= one.member.says_bytes
+        if room >= 0 or not one.member.says:
+            kept.append(one)
+    return kept
+
+
 def _same_subject(one: News, other: News) -> bool:
     match one, other:
         case Suspect(a, incarnation, by), Suspect(b, incarnation2, by2):
--- a/sablewheel/membership/plan.py
+++ b/sablewheel/membership/plan.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from .view import Says
+
 Address = tuple[str, int]
 
 BROKEN = ("no-suspicion", "no-incarnation", "one-observer")
@@ -56,6 +58,7 @@
     region: str
     seeds: tuple[str, ...]
     settings: Settings = field(default_factory=Settings)
+    says: Says = ()  # what the member tells the fleet of itself; parts that build on membership add to it
 
 
 def address_of(text: str) -> Address | None:
--- a/sablewheel/membership/shell.py
+++ b/sablewheel/membership/shell.py
@@ -9,6 +9,7 @@
 import logging
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -17,9 +18,9 @@
 from ..transport.stream import Listener, Stream, connect
 from . import codec
 from .messages import Ask, Envelope, Message, Sync
-from .node import Event, Got, Node, Note, Part, Send, Tick
+from .node import Event, Got, Judge, Node, Note, Part, Send, Tick, Viewed
 from .plan import MembershipPlan, address_of
-from .view import Member, fingerprint
+from .view import Fact, Member, Says, View, fingerprint
 
 FRAMES_OUT_MOST = 8  # full states on their way at once; one more is dropped, the next exchange heals it
 FRAMES_IN_MOST = 32
@@ -40,11 +41,14 @@
         name: str,
         seed: int,
         clock: Callable[[], float] = time.monotonic,
+        says: Says = (),
     ) -> None:
+        """`says` goes with the plan's: pairs of key and value; ValueError past the bounds of `Member`."""
         self._scheduler, self._plan, self._clock = scheduler, plan, clock
         self._counts: dict[str, int] = {}
         incarnation = round(scheduler.clock.now * 1000)
-        me = Member(name, plan.advertise, plan.zone, plan.region, incarnation)
+        told = tuple(sorted(plan.says + tuple(says)))
+        me = Member(name, plan.advertise, plan.zone, plan.region, incarnation, told)
         chance = random.Random(f"{seed}-{name}-{incarnation}")
         # The node's clock is the machine's steady one: a clock that is set moves no timeout.
         self.node = Node(me, plan.seeds, plan.settings, chance, clock())
@@ -52,6 +56,10 @@
         self._timer_at = 0.0
         self._frames_out = self._frames_in = 0
         self._open = True
+        self._listeners: list[Callable[[View], None]] = []
+        self._views: deque[View] = deque()  # installed, and not told yet; what is told may install more
+        self._told: View | None = None
+        self._telling = False
         self._mail = Mailbox(scheduler, plan.listen, codec.PACKET_MOST, self._datagram)
         try:
             self._listener = Listener(
@@ -68,6 +76,31 @@
 
     # -- what the program and other features ask
 
+    @property
+    def me(self) -> str:
+        """This member's name."""
+        return self.node.me.name
+
+    @property
+    def view(self) -> View | None:
+        """The agreed view; None until this member is let in."""
+        return self.node.view
+
+    def on_view(self, callback: Callable[[View], None]) -> None:
+        """Each view this member installs, once and in order, and at once the last one if there is one.
+
+        A fault in a callback is logged and counted (`members_faults`), and the others still hear.
+        """
+        self._listeners.append(callback)
+        if self._told is not None:
+            self._tell(callback, self._told)
+
+    def judge(self, fact: Fact) -> None:
+        """What this member holds to be due; the fleet's value is `View.fact`. ValueError past the bounds."""
+        if not 0 < len(fact.key) <= codec.NAME_MOST or len(fact.value) > codec.NAME_MOST:
+            raise ValueError(f"fact {fact.key!r}: over {codec.NAME_MOST} characters, or without a key")
+        self._step(Judge(fact))
+
     def leave(self) -> None:
         """The notice to leave: said at once, while what is open is still answered."""
         self._step(Part())
@@ -99,15 +132,38 @@
         try:
             effects = self.node.step(self._clock(), event)
             for effect in effects:
-                if isinstance(effect, Send):
-                    self._send(effect)
-                else:
-                    self._note(effect)
+                match effect:
+                    case Send():
+                        self._send(effect)
+                    case Viewed(view):
+                        self._views.append(view)
+                    case Note():
+                        self._note(effect)
         except Exception:
             # A fault of ours in here must not take the server's tickets along.
             self._count("faults")
             log.exception("membership step ended by a fault")
         self._arm()
+        self._tell_views()
+
+    def _tell_views(self) -> None:
+        if self._telling:
+            return  # by whoever began: a callback that judges, or waits, must not turn the order round
+        self._telling = True
+        try:
+            while self._views:
+                self._told = view = self._views.popleft()
+                for callback in list(self._listeners):
+                    self._tell(callback, view)
+        finally:
+            self._telling = False
+
+    def _tell(self, callback: Callable[[View], None], view: View) -> None:
+        try:
+            callback(view)
+        except Exception:
+            self._count("faults")
+            log.exception("callback of a view ended by a fault", extra={"pairs": {"epoch": view.epoch}})
 
     def _arm(self) -> None:
         """One timer at the node's next wake; one that is set for sooner is left and finds nothing due."""
--- a/sablewheel/membership/view.py
+++ b/sablewheel/membership/view.py
@@ -8,20 +8,59 @@
 
 import bisect
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from functools import cached_property, lru_cache
 
+SAYS_MOST = 8  # pairs that a member says of itself
+SAYS_KEY_MOST = 32  # bytes of a key
+SAYS_VALUE_MOST = 200  # bytes of a value
+SAYS_LONG_MOST = {"class": 600}  # keys whose values may be longer: a hardware class is a small document
+SAYS_CUT_MOST = 12_000  # bytes said by all who join in one proposal: four proposals must fit a datagram
+
+Says = tuple[tuple[str, str], ...]
+
 
 @dataclass(frozen=True, order=True)
 class Member:
-    """One app server as the view knows it. `incarnation` is its own: only it raises it."""
+    """One app server as the view knows it. `incarnation` is its own: only it raises it.
+
+    `says` is what it tells the fleet of itself, pairs of key and value in the order of their keys, the same
+    for one incarnation. Raises ValueError for more than the bounds above allow.
+    """
 
     name: str
     address: str
     zone: str = ""
     region: str = ""
     incarnation: int = 0
+    says: Says = ()
+
+    def __post_init__(self) -> None:
+        if not self.says:
+            return
+        keys = [key for key, _ in self.says]
+        if len(keys) > SAYS_MOST or len(set(keys)) != len(keys) or keys != sorted(keys):
+            raise ValueError(f"{self.name} says: at most {SAYS_MOST} pairs are wanted, once a key, in order")
+        for key, value in self.says:
+            if not 0 < len(key.encode()) <= SAYS_KEY_MOST:
+                raise ValueError(f"{self.name} says: a key of 1 to {SAYS_KEY_MOST} bytes is wanted")
+            most = SAYS_LONG_MOST.get(key, SAYS_VALUE_MOST)
+            if len(value.encode()) > most:
+                raise ValueError(f"{self.name} says {key}: at most {most} bytes are wanted")
+
+    def said(self, key: str) -> str:
+        """What it says of itself under this key; empty if nothing."""
+        return next((value for one, value in self.says if one == key), "")
+
+    @property
+    def silent(self) -> Member:
+        """The same without what it says: a removal need not carry it."""
+        return replace(self, says=()) if self.says else self
+
+    @property
+    def says_bytes(self) -> int:
+        return sum(len(key.encode()) + len(value.encode()) for key, value in self.says)
 
 
 class Kind(Enum):
@@ -123,6 +162,7 @@
     """A short digest of who is in at which epoch, to compare views across members in logs and trials."""
     text = f"{view.epoch}|" + "|".join(one.name for one in view.members)
     text += "".join(f"|{one.key}={one.value}" for one in view.facts)
+    text += "".join(f"|{one.name}:{key}={value}" for one in view.members for key, value in one.says)
     return hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
 
 
--- a/sablewheel/trials/made_net.py
+++ b/sablewheel/trials/made_net.py
@@ -6,11 +6,11 @@
 
 import heapq
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..membership.node import Got, Node, Note, Send, Tick
 from ..membership.plan import Settings
-from ..membership.view import Member, Proposal, View
+from ..membership.view import Member, Proposal, Says, View
 
 
 @dataclass
@@ -35,12 +35,12 @@
     def __post_init__(self) -> None:
         self.chance = random.Random(self.seed)
 
-    def add(self, name: str, zone: str = "z1") -> Node:
+    def add(self, name: str, zone: str = "z1", says: Says = ()) -> Node:
         address = f"127.0.0.1:{7000 + len(self.names)}"
         self.names[address] = name
         seeds = ("127.0.0.1:7000", "127.0.0.1:7001")  # the first two; the first founds the view
-        node = Node(Member(name, address, zone, "r1", int(self.now * 1000) + 7200_000), seeds, self.settings,
-                    random.Random(f"{self.seed}-{name}"), self.now)  # fmt: skip
+        me = Member(name, address, zone, "r1", int(self.now * 1000) + 7200_000, says)
+        node = Node(me, seeds, self.settings, random.Random(f"{self.seed}-{name}"), self.now)
         self.nodes[name] = node
         self.dead.discard(name)
         self._wake(name)
@@ -50,7 +50,7 @@
         """A new process under the old name and address, its clock off by so much; the old one is dead."""
         old = self.nodes[name]
         incarnation = int((self.now + clock) * 1000) + 7200_000
-        me = Member(name, old.me.address, old.me.zone, old.me.region, incarnation)
+        me = replace(old.me, incarnation=incarnation)
         chance = random.Random(f"{self.seed}-{name}-{self.now}")
         self.nodes[name] = Node(me, old.seeds, self.settings, chance, self.now)
         self.dead.discard(name)
@@ -94,7 +94,7 @@
             for effect in node.step(at, what):  # type: ignore[arg-type]
                 if isinstance(effect, Send):
                     self._carry(name, effect)
-                else:
+                elif isinstance(effect, Note):
                     self.notes.append((at, name, effect))
             self._wake(name)
         self.now = until
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sablewheel.membership import codec
+from sablewheel.membership import membership_pb2 as pb
 from sablewheel.membership.agree import Agreement
 from sablewheel.membership.messages import (
     Accept,
@@ -43,8 +44,11 @@
     Part,
     Send,
 )
-from sablewheel.membership.plan import BROKEN, Mode, Settings
+from sablewheel.membership.plan import BROKEN, MembershipPlan, Mode, Settings
+from sablewheel.membership.shell import Fleet
 from sablewheel.membership.view import Change, Fact, Kind, Member, View, fingerprint, proposal, rings
+from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.trials.fleet import PORT, Block
 from sablewheel.trials.made_net import Net
 from sablewheel.trials.membership_model import Deaf, explore, starts
 from sablewheel.trials.membership_report import NAMES, by_size, draw
@@ -190,6 +194,104 @@
     assert steps < 10.0 * 3 * 60  # a busy loop would take a thousand a second
 
 
+def test_what_members_say_of_themselves_is_agreed_with_them_and_survives_a_removal() -> None:
+    net = Net(Settings(), 1)
+    for place in range(5):
+        net.add(f"m{place}", says=(("class", "{}" * 300), ("link", f"127.0.0.1:{7800 + place}")))
+        net.run(net.now + 0.3)
+    net.run(net.now + 20.0)
+    net.stopped["m3"] = net.now + 30.0
+    net.run(net.now + 25.0)
+    assert "m3" not in net.views()["m0"]
+    net.run(net.now + 30.0)
+    views = {node.view for node in net.nodes.values()}
+    assert len(views) == 1 and (view := views.pop()) is not None
+    assert [one.said("link") for one in view.members] == [f"127.0.0.1:{7800 + place}" for place in range(5)]
+    assert {one.said("class") for one in view.members} == {"{}" * 300} and view.members[0].said("x") == ""
+
+
+def test_many_who_join_at_once_and_say_much_are_let_in_though_no_vote_may_hold_them_all() -> None:
+    net = started(5)
+    says = tuple((f"k{place}", "v" * 200) for place in range(8))
+    for place in range(5, 25):
+        net.add(f"m{place}", says=says)
+    net.run(net.now + 30.0)
+    assert {len(view) for view in net.views().values()} == {25}
+    cuts = [str(note.fields["changes"]).count("join:") for _, _, note in net.notes if note.what == "proposed"]
+    assert 4 < max(cuts) <= 7  # of 1,616 bytes each, under 12,000
+
+
+def test_more_than_a_member_may_say_is_refused_also_in_a_packet() -> None:
+    member = Member("m1", "127.0.0.1:1", says=(("class", "x" * 600), ("link", "y" * 200)))
+    packet = codec.encode(Message(Envelope("m1", 1), Join(member)))
+    assert codec.decode(packet).body == Join(member)
+    silent = pb.Packet.FromString(packet)  # of a member that knows nothing of it
+    silent.join.member.ClearField("says")
+    assert codec.decode(silent.SerializeToString()).body == Join(member.silent)
+    for says in (
+        (("link", "y" * 201),), (("class", "x" * 601),), (("", "x"),), (("k" * 33, "x"),),
+        (("b", ""), ("a", "")), (("a", ""), ("a", "")), tuple((f"k{place}", "") for place in range(9)),
+    ):  # fmt: skip
+        with pytest.raises(ValueError, match="m1 says"):
+            Member("m1", "127.0.0.1:1", says=says)
+    with pytest.raises(codec.BadPacketError, match="m1 says clasp: at most 200 bytes"):
+        codec.decode(packet.replace(b"class", b"clasp"))  # 600 bytes are for a class alone
+
+
+def test_each_view_is_told_once_in_order_whatever_a_callback_does(caplog: pytest.LogCaptureFixture) -> None:
+    scheduler = Scheduler(Clock())
+    settings = Settings(found_after=0.05, join_every=0.05, sync_every=0.1, vote_timeout=0.2)
+    heard: list[str] = []
+    late: list[int] = []
+    block = Block()  # addresses that are this test's alone
+    hosts = [f"127.{block.second}.0.{place}" for place in (1, 2)]
+    seeds, says = (f"{hosts[0]}:{PORT}",), (("a", "1"),)
+    plans = [
+        MembershipPlan((host, PORT), f"{host}:{PORT}", "z", "r", seeds, settings, says) for host in hosts
+    ]
+    first = Fleet(scheduler, plans[0], "m0", 1, says=(("link", "here"),))
+
+    def judges(view: View) -> None:
+        heard.append(f"first {view.epoch}")
+        first.judge(Fact("n", str(len(view.members))))
+
+    def faulty(view: View) -> None:
+        raise ZeroDivisionError
+
+    def last(view: View) -> None:
+        heard.append(f"last {view.epoch}")
+        if len(view.members) == 2 and view.fact("n") == "2":
+            first.on_view(lambda view: late.append(view.epoch))
+            scheduler.stop()
+
+    for callback in (judges, faulty, last):
+        first.on_view(callback)
+    assert first.me == "m0" and first.view is None and heard == []
+    with pytest.raises(ValueError):
+        first.judge(Fact("x" * 129, ""))
+    second: list[Fleet] = []
+
+    def joins() -> None:
+        second.append(Fleet(scheduler, plans[1], "m1", 1))
+        second[0].on_view(lambda view: second[0].judge(Fact("n", str(len(view.members)))))
+
+    timers = [scheduler.after(0.4, joins), scheduler.after(10.0, scheduler.stop)]
+    scheduler.run()
+    for fleet in (first, *second):
+        fleet.close()
+    block.close()
+    for timer in timers:
+        timer.cancel()
+    view = first.view
+    assert view is not None and view.names == ("m0", "m1") and view.fact("n") == "2"
+    assert view.members[0].says == (("a", "1"), ("link", "here"))
+    epochs = [int(line.split()[1]) for line in heard if line.startswith("first")]
+    assert epochs == list(range(epochs[0], view.epoch + 1)) and len(epochs) >= 3
+    assert heard == [f"{who} {epoch}" for epoch in epochs for who in ("first", "last")]
+    assert late == [view.epoch]
+    assert first.gauges()["members_faults"] == len(epochs) and "ended by a fault" in caplog.text
+
+
 def test_floods_of_joiners_rumours_and_probes_for_others_are_bounded() -> None:
     net = started(5)
     node = net.nodes["m0"]
