--- /dev/null
+++ b/sablewheel/forwarding/forward.py
@@ -0,0 +1,329 @@
+"""Passing tickets on, in the server: a desk in front of the dispatch, and the caller of what peers pass here.
+
+Decides nothing: whether and to whom a ticket goes says a placer, what becomes of it says `passing`. One that
+is away is this server's still, to its router: its answer, denial or error comes back over the link and goes
+the same way as any other. One that came is admitted as if a router had sent it, so the controller here knows
+no difference; its caller is the peer.
+
+A ticket that is away has no witness here: the server that runs it tells its own, so it is counted once. One
+that ends here after all, as its link broke, is told to ours.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from math import inf
+from typing import Protocol
+
+from ..membership.view import View
+from ..routing.exchange import UNWITNESSED, Exchange, Witness
+from ..routing.server import Desk
+from ..terms import Customer, Nature, Router, Ticket, Track
+from ..transport.scheduler import Scheduler, Timer
+from .links import Links
+from .messages import Answer, BadMessageError, Final, Message, Pass, Passed, decode, encode
+from .passing import (
+    Abandon,
+    Admit,
+    Answered,
+    Back,
+    Broken,
+    Effect,
+    Event,
+    Gone,
+    Got,
+    Judged,
+    Key,
+    Over,
+    Passing,
+    Send,
+    Tick,
+    Unsent,
+    Unsure,
+    Wanted,
+)
+
+KIND = "ticket"
+TRIES_MOST = 2  # peers that one ticket is passed to, one after the other
+LIVES = 20  # bits of a number that count within one life; a life begins with its incarnation, in milliseconds
+
+log = logging.getLogger(__name__)
+
+
+class Placer(Protocol):
+    """Who decides whether a ticket is served here."""
+
+    def place(self, exchange: Exchange) -> str | None:
+        """The member that is to serve it; None: here. Asked again where the first said no, or is gone."""
+
+
+class Owner(Protocol):
+    """Who knows what became of a labelled ticket that may have run on a peer."""
+
+    def may_run_again(self, exchange: Exchange, peer: str, told: Callable[[bool], None]) -> None:
+        """Call `told`, now or later and within the ticket's time: whether it is sure that it never ran."""
+
+
+class Here:
+    """All tickets are served where they came."""
+
+    def place(self, exchange: Exchange) -> str | None:
+        return None
+
+
+class Unknown:
+    """Nobody knows: it may have run."""
+
+    def may_run_again(self, exchange: Exchange, peer: str, told: Callable[[bool], None]) -> None:
+        told(False)
+
+
+class Away:
+    """One of ours at a peer."""
+
+    __slots__ = ("exchange", "to", "witness")
+
+    def __init__(self, exchange: Exchange, to: str, witness: Witness) -> None:
+        self.exchange, self.to, self.witness = exchange, to, witness
+
+
+class Guest:
+    """The caller of a ticket that a peer passed on."""
+
+    __slots__ = ("_forward", "_key")
+
+    def __init__(self, forward: Forward, key: Key) -> None:
+        self._forward, self._key = forward, key
+
+    def completed(self, exchange: Exchange, result: bytes) -> None:
+        self._forward.over(self._key, Answer(self._key[1], Final.COMPLETED, result))
+
+    def denied(self, exchange: Exchange, come_back: float, nowhere: bool) -> None:
+        self._forward.over(self._key, Answer(self._key[1], Final.DENIED, b"", max(come_back, 0.0), nowhere))
+
+    def terminated(self, exchange: Exchange) -> None:
+        self._forward.over(self._key, Answer(self._key[1], Final.TERMINATED))
+
+
+class Forward:
+    """This server's forward path. `placer` and `owner` are set by the features that know."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        links: Links,
+        passing: Passing,
+        incarnation: int,
+        tracks: dict[bytes, Track],
+        customers: dict[bytes, Customer],
+        witness: Callable[[], Witness],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._scheduler, self._links, self._passing, self._clock = scheduler, links, passing, clock
+        self._tracks, self._customers, self._witness = tracks, customers, witness
+        self._customer_names: dict[Customer, bytes] = {}
+        self.placer: Placer = Here()
+        self.owner: Owner = Unknown()
+        self._inner: Desk | None = None
+        self._number = incarnation << LIVES
+        self._away: dict[int, Away] = {}
+        self._numbers: dict[Exchange, int] = {}
+        self._names: set[bytes] = set()  # of those that are away
+        self._guests: dict[Key, Exchange] = {}
+        self._routers: dict[str, Router] = {}  # a peer is one, to the controller
+        self._timer: Timer | None = None
+        self._timer_at = 0.0
+        self.counts: dict[str, int] = {}
+        links.on(KIND, self._heard, parted=True)
+        links.on_broken(lambda peer: self._step(Broken(peer)))
+
+    # -- the seam: a desk in front of the dispatch
+
+    def desk(self, inner: Desk) -> Desk:
+        self._inner = inner
+        return self
+
+    def arrived(self, exchange: Exchange) -> None:
+        if exchange.name in self._names:
+            return exchange.terminate()  # the name of an open ticket: as the dispatch would
+        to = self.placer.place(exchange)
+        if to is None or not self.pass_on(exchange, to):
+            self._serve_here(exchange)
+
+    def gone(self, exchange: Exchange) -> None:
+        number = self._numbers.get(exchange)
+        if number is None:
+            assert self._inner is not None
+            return self._inner.gone(exchange)
+        self._home(number)
+        self._step(Gone(number))
+
+    def pass_on(self, exchange: Exchange, to: str, tried: frozenset[str] = frozenset()) -> bool:
+        """Hand a ticket that arrived here, and that nobody decided on yet, to a peer; False: it can't go."""
+        ticket = exchange.ticket
+        told = self._passed(exchange)
+        if told is None or to in tried:
+            return False
+        age = max(self._scheduler.clock.now - ticket.arrived, 0.0)
+        left = ticket.track.abandon - age
+        if left <= 0:
+            return False
+        self._number += 1
+        number = self._number
+        self._away[number] = Away(exchange, to, exchange.witness)
+        self._numbers[exchange] = number
+        self._names.add(exchange.name)
+        exchange.witness = UNWITNESSED
+        self._step(Wanted(number, to, ticket.track.nature, told, age, left, tried))
+        return True
+
+    # -- what else the program asks
+
+    def view(self, view: View) -> None:
+        for name in [name for name in self._routers if name not in view]:
+            if not any(key[0] == name for key in self._guests):
+                del self._routers[name]
+
+    @property
+    def settled(self) -> bool:
+        return not self._guests and not self._away
+
+    def gauges(self) -> dict[str, object]:
+        told: dict[str, object] = {"forward_away": len(self._away), "forward_guests": len(self._guests)}
+        counts = {**self._passing.counts, **self.counts}
+        return told | {f"forward_{name}": count for name, count in sorted(counts.items())}
+
+    def over(self, key: Key, answer: Answer | None) -> None:
+        """A guest has its answer."""
+        self._guests.pop(key, None)
+        self._step(Over(key, answer))
+
+    # -- events in, effects out
+
+    def _heard(self, sender: str, payload: bytes) -> None:
+        try:
+            message = decode(payload)
+        except BadMessageError as trouble:
+            self._count("bad")
+            log.warning("message dropped", extra={"pairs": {"from": sender, "reason": trouble}})
+            return
+        self._step(Got(sender, message, self._links.hop))
+
+    def _step(self, event: Event) -> None:
+        for effect in self._passing.step(self._clock(), event):
+            self._carry_out(effect)
+        self._arm()
+
+    def _arm(self) -> None:
+        """One timer at the next wake; one that is set for sooner is left and finds nothing due."""
+        now, wake = self._clock(), self._passing.wake_at
+        if wake == inf or (self._timer is not None and self._timer_at <= wake):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wake
+        self._timer = self._scheduler.after(max(wake - now, 0.001), self._ring)
+
+    def _ring(self) -> None:
+        self._timer = None
+        self._step(Tick())
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(to, message, within):
+                self._send(to, message, within)
+            case Admit(key, ticket, age):
+                self._admit(key, ticket, age)
+            case Abandon(key):
+                guest = self._guests.pop(key, None)
+                if guest is not None and guest.abandon() and self._inner is not None:
+                    self._inner.gone(guest)
+            case Answered(number, answer, here):
+                away = self._home(number)
+                if away is not None:
+                    self._answer(away, answer, here)
+            case Back(number, tried):
+                away = self._home(number)
+                if away is not None and not away.exchange.closed:
+                    away.exchange.witness = away.witness
+                    self._again(away.exchange, tried)
+            case Unsure(number):
+                away = self._away.get(number)
+                if away is not None:
+                    self.owner.may_run_again(
+                        away.exchange, away.to, lambda again: self._step(Judged(number, again))
+                    )
+
+    def _send(self, to: str, message: Message, within: float) -> None:
+        """Whoever passes a ticket on hears if it is sure that it never left; the rest is sent for its worth.
+        """
+        data, number = encode(message), message.number
+        if not isinstance(message, Pass):
+            self._links.send(to, KIND, data, within)
+        elif not self._links.send(to, KIND, data, within, lambda: self._step(Unsent(number))):
+            self._step(Unsent(number))
+
+    def _home(self, number: int) -> Away | None:
+        away = self._away.pop(number, None)
+        if away is not None:
+            del self._numbers[away.exchange]
+            self._names.discard(away.exchange.name)
+        return away
+
+    def _answer(self, away: Away, answer: Answer, here: bool) -> None:
+        exchange = away.exchange
+        if here:
+            exchange.witness = away.witness
+        match answer.final:
+            case Final.COMPLETED:
+                exchange.complete(answer.result)
+            case Final.DENIED:
+                exchange.deny(answer.come_back, answer.nowhere)
+            case Final.TERMINATED:
+                exchange.terminate()
+
+    def _again(self, exchange: Exchange, tried: frozenset[str]) -> None:
+        to = self.placer.place(exchange) if len(tried) < TRIES_MOST else None
+        if to is None or not self.pass_on(exchange, to, tried):
+            self._serve_here(exchange)
+
+    def _serve_here(self, exchange: Exchange) -> None:
+        assert self._inner is not None
+        self._inner.arrived(exchange)
+
+    def _passed(self, exchange: Exchange) -> Passed | None:
+        """What goes along; None: its customer is not one that a peer would know by name."""
+        ticket = exchange.ticket
+        customer = b""
+        if ticket.customer is not None:
+            if ticket.customer not in self._customer_names:  # new settings make new objects
+                self._customer_names = {one: name for name, one in self._customers.items()}
+            found = self._customer_names.get(ticket.customer)
+            if found is None:
+                return None
+            customer = found
+        label = exchange.label if ticket.track.nature is Nature.LABELLED else None
+        return Passed(
+            exchange.name, exchange.track, exchange.body, customer, label, ticket.kb, ticket.subject
+        )
+
+    def _admit(self, key: Key, told: Passed, age: float) -> None:
+        """A peer's ticket becomes ours; what this server does not know it declines, and it never ran here."""
+        track, customer = self._tracks.get(told.track), self._customers.get(told.customer)
+        unknown = track is None or (customer is None and bool(self._customers))
+        if track is None or unknown or (track.nature is Nature.LABELLED and not told.label):
+            self._count("unknown_names")
+            return self._step(Over(key, None))
+        router = self._routers.setdefault(key[0], Router())
+        arrived = self._scheduler.clock.now - age
+        ticket = Ticket(track, router, customer, arrived, told.kb, subject=told.subject)
+        exchange = Exchange(
+            told.name, told.track, told.body, 0, told.label, ticket, Guest(self, key), self._witness()
+        )
+        self._guests[key] = exchange
+        self._serve_here(exchange)
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
--- /dev/null
+++ b/sablewheel/forwarding/messages.py
@@ -0,0 +1,152 @@
+"""What peers say to each other of a ticket that is passed on, and its bytes. Pure.
+
+Numbers are the sender's own and never come twice, over its lives as well: they begin with its incarnation.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from math import isfinite
+from typing import TypeAlias
+
+from google.protobuf.message import DecodeError
+
+from . import forwarding_pb2 as pb
+
+NAME_MOST = 64  # bytes of a ticket's name, its track's, its customer's, its label
+SPAN_MOST = 86400.0
+
+
+class BadMessageError(ValueError):
+    """What came is no message; the text names the field."""
+
+
+class Final(Enum):
+    """How a ticket ended."""
+
+    COMPLETED = 1
+    DENIED = 2
+    TERMINATED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """What goes along of a ticket; the label only where a repeat joins its first."""
+
+    name: bytes
+    track: bytes
+    body: bytes
+    customer: bytes
+    label: bytes | None
+    kb: float
+    subject: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Pass:
+    """A ticket goes over: `age` since it reached the first machine, `left` until nobody waits."""
+
+    number: int
+    ticket: Passed
+    age: float
+    left: float
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """It has come."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """It is not taken and will never run here."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Its one answer."""
+
+    number: int
+    final: Final
+    result: bytes = b""
+    come_back: float = 0.0
+    nowhere: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Nobody waits for it any more."""
+
+    number: int
+
+
+Message: TypeAlias = Pass | Taken | Refused | Answer | Cancel
+
+
+def encode(message: Message) -> bytes:
+    number = message.number
+    match message:
+        case Pass(_, one, age, left):
+            told = pb.Pass(
+                name=one.name, track=one.track, body=one.body, customer=one.customer, label=one.label or b"",
+                kb=one.kb, subject=one.subject or "", age=age, left=left,
+            )  # fmt: skip
+            return pb.TicketMessage(number=number, passed=told).SerializeToString()
+        case Taken():
+            return pb.TicketMessage(number=number, taken=pb.Taken()).SerializeToString()
+        case Refused():
+            return pb.TicketMessage(number=number, refused=pb.Refused()).SerializeToString()
+        case Cancel():
+            return pb.TicketMessage(number=number, cancel=pb.Cancel()).SerializeToString()
+        case Answer(_, final, result, come_back, nowhere):
+            answer = pb.Answer(kind=final.name, result=result, come_back=come_back, nowhere=nowhere)
+            return pb.TicketMessage(number=number, answer=answer).SerializeToString()
+
+
+def decode(data: bytes) -> Message:
+    """The message of a payload; raises `BadMessageError` and nothing else."""
+    try:
+        told = pb.TicketMessage.FromString(data)
+    except DecodeError:
+        raise BadMessageError("not a message") from None
+    number = told.number
+    match told.WhichOneof("body"):
+        case "passed":
+            return Pass(number, *_pass_in(told.passed))
+        case "taken":
+            return Taken(number)
+        case "refused":
+            return Refused(number)
+        case "cancel":
+            return Cancel(number)
+        case "answer":
+            answer = told.answer
+            if answer.kind not in (one.value for one in Final):
+                raise BadMessageError(f"answer: no such kind: {answer.kind}")
+            span = _span(answer.come_back, "come_back")
+            return Answer(number, Final(answer.kind), answer.result, span, answer.nowhere)
+    raise BadMessageError("a message of no kind that this version knows")
+
+
+def _pass_in(told: pb.Pass) -> tuple[Passed, float, float]:
+    for field in ("name", "track", "customer", "label"):
+        if len(getattr(told, field)) > NAME_MOST or (field in ("name", "track") and not getattr(told, field)):
+            raise BadMessageError(f"{field}: 1 to {NAME_MOST} bytes are wanted")
+    if len(told.subject) > NAME_MOST:
+        raise BadMessageError(f"subject: at most {NAME_MOST} characters are wanted")
+    ticket = Passed(
+        told.name, told.track, told.body, told.customer, told.label or None, _span(told.kb, "kb"),
+        told.subject or None,
+    )  # fmt: skip
+    return ticket, _span(told.age, "age"), _span(told.left, "left")
+
+
+def _span(value: float, field: str) -> float:
+    if not (isfinite(value) and 0 <= value <= SPAN_MOST):
+        raise BadMessageError(f"{field}: 0 to {SPAN_MOST:g} is wanted, got {value:g}")
+    return value
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from ..forwarding.plan import ForwardingPlan
 from ..ledger.plan import Depth, LedgerPlan
 from ..membership.plan import MembershipPlan
 from ..recall.plan import RecallPlan
@@ -29,6 +30,8 @@
 from .features import Features
 
 if TYPE_CHECKING:
+    from ..forwarding.forward import Forward
+    from ..forwarding.links import Links
     from ..membership.shell import Fleet
 
 
@@ -50,20 +53,28 @@
     count: Callable[[str], None]
     witness: Witness = UNWITNESSED
     memory: Memory = UNREMEMBERED
+    says: tuple[tuple[str, str], ...] = ()  # what all features together have this member say of itself
     fleet: Fleet | None = None  # by membership
+    links: Links | None = None  # by forwarding
+    forward: Forward | None = None  # by forwarding; who places tickets sets its placer
 
 
-def _nothing(plan: Any) -> bool:
+def _no_blocks(plan: Any) -> bool:
     return False
 
 
+def _no_says(plan: Any) -> tuple[tuple[str, str], ...]:
+    return ()
+
+
 @dataclass(frozen=True)
 class Declared:
     """One feature. `make` gets the ground and the section's plan, and imports the feature's package."""
 
     section: str
     make: Callable[[Ground, Any], Part]
-    blocks: Callable[[Any], bool] = _nothing  # whether it has work for the worker thread
+    blocks: Callable[[Any], bool] = _no_blocks  # whether it has work for the worker thread
+    says: Callable[[Any], tuple[tuple[str, str], ...]] = _no_says  # in the fleet's view, of this member
 
 
 def _ledger(ground: Ground, plan: LedgerPlan) -> Part:
@@ -125,14 +136,43 @@
     from ..membership.shell import Fleet
 
     posting = ground.posting
-    fleet = ground.fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed)
+    fleet = ground.fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed, says=ground.says)
     return Part(leaving=fleet.leave, close=lambda _: fleet.close(), gauges=fleet.gauges)
 
 
+def _forwarding(ground: Ground, plan: ForwardingPlan) -> Part:
+    from ..forwarding.forward import Forward
+    from ..forwarding.links import Links
+    from ..forwarding.passing import Passing
+
+    fleet, posting = ground.fleet, ground.posting
+    assert fleet is not None  # the section needs membership's
+    links = ground.links = Links(ground.scheduler, plan.listen, plan.links, lambda: fleet.node.me)
+    forward = ground.forward = Forward(
+        ground.scheduler,
+        links,
+        Passing(plan.passing),
+        round(ground.scheduler.clock.now * 1000),
+        posting.tracks,
+        posting.customers,
+        lambda: ground.witness,  # the outermost of all features, once they are made
+    )
+    fleet.on_view(links.view)
+    fleet.on_view(forward.view)
+    return Part(
+        desk=forward.desk,
+        end_round=links.end_round,
+        settled=lambda: forward.settled and links.quiet,
+        close=lambda _: links.close(),
+        gauges=lambda: {**links.gauges(), **forward.gauges()},
+    )
+
+
 DECLARED = (
     Declared("ledger", _ledger, blocks=lambda plan: plan.depth is Depth.DURABLE),
     Declared("recall", _recall, blocks=lambda plan: plan.folder is not None),
     Declared("membership", _membership),
+    Declared("forwarding", _forwarding, says=lambda plan: (("link", plan.advertise),)),
 )
 
 
@@ -164,6 +204,7 @@
             remembered,
             fail,
             count,
+            says=tuple(pair for one, plan in self._on for pair in one.says(plan)),
         )
         made: list[Part] = []
         for one, plan in self._on:
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,704 @@
+"""The forward path: passing by its rules on a made network, links over loopback with peers that misbehave,
+and tickets passed between two desks. Every wait is bounded."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sablewheel.forwarding import forwarding_pb2 as pb
+from sablewheel.forwarding.forward import Forward
+from sablewheel.forwarding.frames import Frames, Hops, frame
+from sablewheel.forwarding.links import Links
+from sablewheel.forwarding.messages import (
+    Answer,
+    BadMessageError,
+    Cancel,
+    Final,
+    Message,
+    Pass,
+    Passed,
+    Refused,
+    Taken,
+    decode,
+    encode,
+)  # fmt: skip
+from sablewheel.forwarding.passing import (
+    Abandon,
+    Admit,
+    Answered,
+    Back,
+    Broken,
+    Effect,
+    Gone,
+    Got,
+    Judged,
+    Over,
+    Passing,
+    Send,
+    Tick,
+    Unsent,
+    Unsure,
+    Wanted,
+)  # fmt: skip
+from sablewheel.forwarding.plan import LinkSettings, PassSettings
+from sablewheel.membership.view import Member, View
+from sablewheel.program.features import FaultyFeaturesError, read
+from sablewheel.routing.exchange import UNWITNESSED, Exchange
+from sablewheel.terms import Nature, Router, Ticket, Track
+from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.trials.made_fleet import MadeFleet
+from sablewheel.trials.rig import free_port
+
+PATIENCE = 5.0
+
+
+def passed(name: bytes = b"n1", track: bytes = b"lookup", label: bytes | None = None) -> Passed:
+    return Passed(name, track, b"body", b"", label, 10.0, None)
+
+
+def wanted(number: int, nature: Nature = Nature.REDOABLE, left: float = 2.0, to: str = "b") -> Wanted:
+    return Wanted(number, to, nature, passed(b"%d" % number), 0.1, left)
+
+
+def done(number: int) -> Answer:
+    return Answer(number, Final.COMPLETED, b"result")
+
+
+# -- the rules, one by one
+
+
+def test_an_answer_comes_once_and_only_from_the_peer_that_has_the_ticket() -> None:
+    core = Passing()
+    core.step(0.0, wanted(1))
+    assert core.step(0.1, Got("c", done(1))) == []
+    assert core.step(0.1, Got("b", done(1))) == [Answered(1, done(1), False)]
+    assert core.step(0.2, Got("b", done(1))) == core.step(9.0, Tick()) == core.step(9.0, Broken("b")) == []
+    assert core.counts["late"] == 2
+
+
+@pytest.mark.parametrize(
+    ("nature", "becomes"),
+    [
+        (Nature.REDOABLE, [Back(1, frozenset("b"))]),
+        (Nature.LABELLED, [Unsure(1)]),
+        (Nature.IRREVERSIBLE, [Answered(1, Answer(1, Final.TERMINATED), True)]),
+    ],
+)
+def test_a_broken_link_is_judged_by_nature(nature: Nature, becomes: list[Effect]) -> None:
+    core = Passing()
+    core.step(0.0, wanted(1, nature))
+    core.step(0.1, Got("b", Taken(1)))
+    assert core.step(0.5, Broken("c")) == []
+    assert core.step(0.5, Broken("b")) == becomes
+
+
+def test_a_labelled_ticket_goes_as_its_owner_says() -> None:
+    for again in (True, False):
+        core = Passing()
+        core.step(0.0, wanted(1, Nature.LABELLED))
+        core.step(0.1, Broken("b"))
+        told = core.step(0.2, Judged(1, again))
+        error = Answered(1, Answer(1, Final.TERMINATED), True)
+        assert told == [Back(1, frozenset("b")) if again else error]
+    core = Passing()
+    core.step(0.0, wanted(1, Nature.LABELLED))
+    core.step(0.1, Broken("b"))  # the owner says nothing: an error when its time is up
+    assert Answered(1, Answer(1, Final.TERMINATED), True) in core.step(2.0, Tick())
+
+
+@pytest.mark.parametrize("nature", list(Nature))
+@pytest.mark.parametrize("event", [Unsent(1), Got("b", Refused(1))])
+def test_what_surely_never_ran_may_go_anywhere(nature: Nature, event: Any) -> None:
+    core = Passing()
+    core.step(0.0, wanted(1, nature))
+    assert core.step(0.1, event) == [Back(1, frozenset("b"))]
+
+
+def test_only_a_redoable_ticket_is_taken_back_when_the_peer_does_not_say_it_has_it() -> None:
+    core = Passing()
+    for number, nature in enumerate(Nature, 1):
+        core.step(0.0, wanted(number, nature))
+    assert core.wake_at <= PassSettings().taken_within
+    effects = core.step(core.wake_at, Tick())
+    assert [one for one in effects if not isinstance(one, Send)] == [Back(1, frozenset("b"))]
+    assert isinstance(effects[0], Send) and effects[0].message == Cancel(1)
+    assert core.step(0.3, wanted(9)) == [Back(9, frozenset("b"))]  # and the peer is in doubt
+    core.step(0.4, Got("b", Taken(2)))
+    assert isinstance(core.step(0.4, wanted(10))[0], Send)  # until it is heard
+
+
+def test_every_ticket_has_its_answer_before_its_time_is_up() -> None:
+    core = Passing()
+    for number, nature in enumerate(Nature, 1):
+        core.step(0.0, wanted(number, nature, left=1.0))
+        core.step(0.1, Got("b", Taken(number)))
+    assert core.wake_at < 1.0
+    told = [one for one in core.step(0.99, Tick()) if isinstance(one, Answered)]
+    assert {one.number for one in told} == {1, 2, 3} and not core.out
+
+
+def test_the_budget_shrinks_by_the_hop_and_what_comes_too_late_is_refused() -> None:
+    core = Passing()
+    effects = core.step(5.0, Got("a", Pass(7, passed(), 0.2, 1.0), 0.3))
+    assert Admit(("a", 7), passed(), 0.5) in effects and core.taken_in["a", 7] == pytest.approx(5.7)
+    assert core.step(5.0, Got("a", Pass(8, passed(), 0.2, 1.0), 1.0))[0].message == Refused(8)  # type: ignore[union-attr]
+    assert core.step(5.8, Tick()) == [Abandon(("a", 7))]
+
+
+def test_a_double_is_not_taken_twice_and_a_cancel_may_overtake() -> None:
+    core = Passing(PassSettings(in_most=2))
+    assert len(core.step(0.0, Got("a", Pass(1, passed(), 0.0, 1.0)))) == 2
+    assert core.step(0.0, Got("a", Pass(1, passed(), 0.0, 1.0))) == []
+    assert core.step(0.1, Over(("a", 1), done(1)))[0].message == done(1)  # type: ignore[union-attr]
+    assert core.step(0.1, Got("a", Pass(1, passed(), 0.0, 1.0))) == []
+    assert core.step(0.1, Got("a", Cancel(2))) == core.step(0.1, Got("a", Pass(2, passed(), 0.0, 1.0))) == []
+    for number in (3, 4):
+        core.step(0.2, Got("a", Pass(number, passed(), 0.0, 1.0)))
+    assert core.step(0.2, Got("a", Pass(5, passed(), 0.0, 1.0)))[0].message == Refused(5)  # type: ignore[union-attr]
+    assert len(core.step(0.2, Got("c", Pass(5, passed(), 0.0, 1.0)))) == 2  # the bound is a peer's own
+    assert set(core.step(0.3, Broken("a"))) == {Abandon(("a", 3)), Abandon(("a", 4))}
+    assert core.step(0.3, Got("c", Cancel(5))) == [Abandon(("c", 5))]
+
+
+def test_a_caller_that_leaves_takes_its_ticket_along() -> None:
+    core = Passing()
+    core.step(0.0, wanted(1))
+    assert [one.message for one in core.step(0.1, Gone(1)) if isinstance(one, Send)] == [Cancel(1)]
+    assert core.step(0.2, Got("b", done(1))) == []
+
+
+# -- a fleet in which everything goes wrong
+
+
+class Twice(Passing):
+    """Broken: an irreversible ticket is sent again after a break."""
+
+    def _may_have_run(self, number: int) -> list[Effect]:
+        return [self._back(0.0, number, self.out.pop(number))]
+
+
+@dataclass
+class Story:
+    """Four members that pass tickets about, over links that drop, double and are cut; members pause and start
+    anew."""
+
+    seed: int
+    make: Callable[[], Passing] = Passing
+
+    def play(self) -> None:
+        self.runs, self.outcomes, self.natures = Counter[bytes](), Counter[int](), dict[int, Nature]()
+        self.due: dict[int, float] = {}
+        self.late: list[int] = []
+        self.lost_with: set[int] = set()
+        chance = random.Random(self.seed)
+        names = ["a", "b", "c", "d"]
+        fleet = self.fleet = MadeFleet(Got, Tick(), self.seed, self.heard)
+        for name in names:
+            fleet.add(name, lambda _: self.make())
+        for a in names:
+            for b in names:
+                link = fleet.link(a, b)
+                link.drop, link.double, link.most = 0.05, 0.1, 0.05
+        self.origin: dict[int, str] = {}
+        for number in range(1, 400):
+            fleet.run(0.02)
+            name, to = chance.sample(names, 2)
+            nature = chance.choice(list(Nature))
+            self.natures[number], self.origin[number], self.due[number] = nature, name, fleet.now + 1.0
+            paused = fleet.paused.get(name, 0.0) > fleet.now
+            if paused:
+                self.lost_with.add(number)
+            else:
+                fleet.tell(name, wanted(number, nature, 1.0, to))
+            match chance.randrange(12):
+                case 0:
+                    fleet.cut([name], [to], both=chance.random() < 0.5)
+                    fleet.tell(name, Broken(to))
+                case 1:
+                    fleet.heal()
+                case 2:
+                    fleet.pause(to, 0.4)
+                case 3 if number % 10 == 0:
+                    self.lost_with |= {one for one, who in self.origin.items() if who == to}
+                    fleet.add(to, lambda _: self.make())
+                    for one in names:
+                        if one != to:
+                            fleet.tell(one, Broken(to))
+        fleet.heal()
+        fleet.run(5.0)
+
+    def heard(self, now: float, name: str, effect: Any) -> None:
+        match effect:
+            case Admit(key, ticket, _):
+                self.runs[ticket.name] += 1
+                answer = Over(key, done(key[1]))
+                self.fleet.later(0.1, lambda: self.fleet.tell(name, answer))
+            case Back(number, _):
+                self.runs[b"%d" % number] += 1
+                self.out(now, number)
+            case Answered(number, _, _):
+                self.out(now, number)
+            case Unsure(number):
+                self.fleet.tell(name, Judged(number, False))
+
+    def out(self, now: float, number: int) -> None:
+        self.outcomes[number] += 1
+        awake = self.fleet.paused.get(self.origin[number], 0.0)  # who stands still answers nobody
+        if now > max(self.due[number], awake) + 0.01:
+            self.late.append(number)
+
+    def second_runs(self) -> int:
+        return sum(
+            self.runs[b"%d" % number] > 1 for number, nature in self.natures.items()
+            if nature is not Nature.REDOABLE
+        )  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_each_ticket_has_one_outcome_and_what_may_not_run_twice_does_not(seed: int) -> None:
+    story = Story(seed)
+    story.play()
+    kept = set(story.natures) - story.lost_with
+    assert len(kept) > 50 and all(story.outcomes[number] == 1 for number in kept)
+    assert max(story.outcomes.values()) == 1 and story.second_runs() == 0 and not story.late
+
+
+def test_a_second_sending_of_the_irreversible_is_seen_by_the_same_story() -> None:
+    second = 0
+    for seed in range(6):
+        story = Story(seed, Twice)
+        story.play()
+        second += story.second_runs()
+    assert second > 0
+
+
+# -- bytes
+
+
+@pytest.mark.parametrize(
+    "message",
+    [Pass(1 << 60, passed(label=b"l" * 32), 0.25, 1.5), Taken(1), Refused(2), Cancel(3), done(4),
+     Answer(5, Final.DENIED, b"", 1.5, True), Answer(6, Final.TERMINATED)],
+)  # fmt: skip
+def test_messages_come_back_as_they_went(message: Message) -> None:
+    assert decode(encode(message)) == message
+
+
+def test_noise_is_a_bad_message_and_nothing_else() -> None:
+    lots, whole = random.Random(3), encode(Pass(1, passed(), 0.1, 1.0))
+    for _ in range(2000):
+        data = bytearray(whole)
+        for _ in range(lots.randrange(1, 5)):
+            data[lots.randrange(len(data))] = lots.randrange(256)
+        try:
+            decode(bytes(data[: lots.randrange(len(data) + 1)]))
+        except BadMessageError:
+            continue
+    for bad in (float("nan"), float("inf"), -1.0):
+        told = pb.TicketMessage(number=1, passed=pb.Pass(name=b"n", track=b"t", age=bad))
+        with pytest.raises(BadMessageError, match="age"):
+            decode(told.SerializeToString())
+
+
+def test_a_hop_is_never_taken_for_shorter_than_it_was() -> None:
+    lots = random.Random(5)
+    for _ in range(200):
+        ahead, hops, now = lots.uniform(-1e6, 1e6), Hops(), 0.0
+        for _ in range(20):
+            there, back = lots.uniform(0.0, 0.5), lots.uniform(0.0, 0.5)
+            hops.echoed(now + there + back, now, now + there + ahead)
+            now += 1.0
+            true = lots.uniform(0.0, 2.0)
+            assert true - 1e-6 <= hops.hop(now + true, now + ahead) <= true + 0.5 + 1e-6
+
+
+# -- links over loopback
+
+
+Body = Callable[[Scheduler], None]
+
+
+def play(body: Body) -> None:
+    """Run `body` as a greenlet of a scheduler of its own."""
+    scheduler, faults = Scheduler(Clock()), list[BaseException]()
+
+    def run() -> None:
+        try:
+            body(scheduler)
+        except BaseException as trouble:
+            faults.append(trouble)
+        scheduler.stop()
+
+    scheduler.spawn(run)
+    scheduler.run()
+    if faults:
+        raise faults[0]
+
+
+def wait(scheduler: Scheduler, reached: Callable[[], object]) -> None:
+    until = scheduler.clock.read() + PATIENCE
+    while not reached():
+        assert scheduler.clock.read() < until, "not within its time"
+        scheduler.sleep(0.005)
+
+
+class Net:
+    """Members of one view, each with its links."""
+
+    def __init__(self, scheduler: Scheduler, names: str, **settings: float | int) -> None:
+        self.scheduler = scheduler
+        self.ports = {name: free_port() for name in names}
+        self.heard: list[tuple[str, str, bytes]] = []
+        self.broken: list[tuple[str, str]] = []
+        self.links: dict[str, Links] = {}
+        self.settings = LinkSettings(**settings)  # type: ignore[arg-type]
+        self.view = View(1, tuple(self.member(name) for name in sorted(names)))
+
+    def member(self, name: str, incarnation: int = 1) -> Member:
+        return Member(name, "", incarnation=incarnation, says=(("link", f"127.0.0.1:{self.ports[name]}"),))
+
+    def start(self, name: str) -> Links:
+        me = self.view.get(name) or self.member(name)
+        links = Links(self.scheduler, ("127.0.0.1", self.ports[name]), self.settings, lambda: me)
+        links.on("word", lambda sender, payload: self.heard.append((name, sender, payload)))
+        links.on_broken(lambda peer: self.broken.append((name, peer)))
+        links.view(self.view)
+        self.scheduler.after_round.append(links.end_round)
+        self.links[name] = links
+        return links
+
+    def close(self) -> None:
+        for one in self.links.values():
+            one.close()
+
+
+def hello(name: str, to: str, incarnation: int = 1, version: int = 1) -> bytes:
+    told = pb.Frame(sent=0.0, hello=pb.Hello(name=name, incarnation=incarnation, epoch=1, to=to))
+    data = bytearray(frame(told))
+    if version != 1:
+        told.version = version
+        data[4:] = told.SerializeToString()
+    return bytes(data)
+
+
+def test_frames_go_both_ways_in_order_over_links_made_on_demand() -> None:
+    def body(scheduler: Scheduler) -> None:
+        net = Net(scheduler, "ab")
+        a, b = net.start("a"), net.start("b")
+        assert not a.linked("b")
+        for number in range(500):
+            assert a.send("b", "word", b"%d" % number, 2.0) and b.send("a", "word", b"%d" % number, 2.0)
+        wait(scheduler, lambda: len(net.heard) == 1000)
+        for name in "ab":
+            assert [int(one[2]) for one in net.heard if one[0] == name] == list(range(500))
+        assert a.quiet and 0.0 <= a.hop < 1.0 and not net.broken
+        assert not a.send("nobody", "word", b"", 1.0) and not a.send("a", "word", b"", 1.0)
+        assert not a.send("b", "word", b"x" * (1 << 20), 1.0)
+        a.send("b", "other", b"", 1.0)
+        wait(scheduler, lambda: b.counts.get("frames_unknown") == 1)
+        net.close()
+        wait(scheduler, lambda: not b.linked("a"))
+
+    play(body)
+
+
+@pytest.mark.parametrize(
+    ("what", "counted"),
+    [
+        (hello("x", "b"), "hellos_refused"),
+        (hello("a", "b", incarnation=7), "hellos_refused"),
+        (hello("a", "c"), "hellos_refused"),
+        (frame(pb.Frame(ping=pb.Ping())), "hellos_refused"),
+        (hello("a", "b", version=9), "frames_bad"),
+        (b"\xff" * 64, "frames_bad"),
+        (b"\0\0\0\5hello", "frames_bad"),
+        (hello("a", "b") + hello("a", "b"), "frames_bad"),
+        (hello("a", "b")[:-3], "hellos_missing"),
+        (b"", "hellos_missing"),
+    ],
+)
+def test_who_is_foreign_stale_garbled_or_silent_is_counted_and_harms_no_link(
+    what: bytes, counted: str
+) -> None:
+    def body(scheduler: Scheduler) -> None:
+        net = Net(scheduler, "abc", connect_within=0.2)
+        b, c = net.start("b"), net.start("c")
+        assert c.send("b", "word", b"1", 2.0)
+        wait(scheduler, lambda: len(net.heard) == 1)
+        with socket.create_connection(("127.0.0.1", net.ports["b"])) as peer:
+            peer.sendall(what)
+            wait(scheduler, lambda: b.counts.get(counted))
+            assert c.send("b", "word", b"2", 2.0)
+            wait(scheduler, lambda: len(net.heard) == 2)
+            assert ("b", "c") not in net.broken and ("c", "b") not in net.broken
+        net.close()
+
+    play(body)
+
+
+class Deaf:
+    """A peer that says hello as it should, and then neither reads nor says anything."""
+
+    def __init__(self, net: Net, name: str) -> None:
+        self.door = socket.create_server(("127.0.0.1", net.ports[name]))
+        self.door.setblocking(False)
+        self.name, self.kept = name, list[socket.socket]()
+
+    def greet(self, scheduler: Scheduler, to: str) -> None:
+        def came() -> bool:
+            try:
+                self.kept.append(self.door.accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        wait(scheduler, came)
+        peer, frames, told = self.kept[-1], Frames(), list[pb.Frame]()
+        peer.setblocking(False)
+
+        def heard() -> bool:
+            try:
+                told.extend(frames.feed(peer.recv(65536)))
+            except BlockingIOError:
+                return False
+            return bool(told)
+
+        wait(scheduler, heard)
+        echo = pb.Echo(of=told[0].sent, got=0.0)
+        peer.sendall(frame(pb.Frame(hello=pb.Hello(name=self.name, incarnation=1, to=to, echo=echo))))
+
+
+def test_a_peer_that_does_not_read_fills_its_own_queue_only_and_counts_as_broken() -> None:
+    def body(scheduler: Scheduler) -> None:
+        net = Net(scheduler, "abz", queue_bytes=1 << 20, silent_most=0.6)
+        a, _ = net.start("a"), net.start("b")
+        deaf, unsent = Deaf(net, "z"), list[int]()
+        assert a.send("z", "word", b"x", 5.0)
+        deaf.greet(scheduler, "a")
+        wait(scheduler, lambda: a.linked("z"))
+        taken = 0
+        for _ in range(400):  # more than kernel, window and queue hold together
+            taken += a.send("z", "word", b"x" * 60_000, 5.0, lambda: unsent.append(1))
+            scheduler.sleep(0.0)
+        assert a.counts["refused_full"] > 0 and a._peers["z"].bytes <= 1 << 20
+        assert a.send("b", "word", b"fine", 1.0)
+        wait(scheduler, lambda: ("b", "a", b"fine") in net.heard)
+        wait(scheduler, lambda: ("a", "z") in net.broken)
+        assert a.counts["lost_silent"] == 1 and ("a", "b") not in net.broken
+        wait(scheduler, lambda: len(unsent) == a.counts["dropped_broken"] > 0)
+        assert len(unsent) < taken  # what was handed over may have arrived, and nobody is told otherwise
+        net.close()
+
+    play(body)
+
+
+def test_a_peer_that_is_not_reached_is_told_at_once_and_then_left_alone_for_a_while() -> None:
+    def body(scheduler: Scheduler) -> None:
+        net, unsent = Net(scheduler, "ab"), list[int]()
+        a = net.start("a")
+        assert a.send("b", "word", b"1", 5.0, lambda: unsent.append(1))
+        wait(scheduler, lambda: unsent == [1])
+        assert not a.send("b", "word", b"2", 5.0) and a.counts["refused_resting"] == 1
+        net.start("b")
+        wait(scheduler, lambda: a.send("b", "word", b"3", 5.0))
+        wait(scheduler, lambda: net.heard == [("b", "a", b"3")])
+        net.close()
+
+    play(body)
+
+
+def test_a_new_self_takes_the_place_of_an_old_and_one_that_left_is_heard_for_what_it_owes() -> None:
+    def body(scheduler: Scheduler) -> None:
+        net = Net(scheduler, "abc", linger=0.4)
+        a, b, c = (net.start(name) for name in "abc")
+        owed: list[bytes] = []
+        a.on("owed", lambda _, payload: owed.append(payload), parted=True)
+        for one in (b, c):
+            assert one.send("a", "word", b"1", 2.0)
+        wait(scheduler, lambda: len(net.heard) == 2)
+        a.view(View(2, (net.member("a"), net.member("b", 2))))  # b is a new self, c has left
+        assert ("a", "b") in net.broken and ("a", "c") not in net.broken
+        assert c.send("a", "owed", b"answer", 2.0) and c.send("a", "word", b"2", 2.0)
+        wait(scheduler, lambda: owed == [b"answer"] and a.counts.get("frames_parted") == 1)
+        wait(scheduler, lambda: ("a", "c") in net.broken)
+        assert len(net.heard) == 2 and a.counts["lost_parted"] == 1 and a.counts["lost_stale"] == 1
+        net.close()
+
+    play(body)
+
+
+# -- tickets between two desks
+
+
+class Engine:
+    """A desk that keeps what arrives."""
+
+    def __init__(self) -> None:
+        self.open: list[Exchange] = []
+        self.left: list[Exchange] = []
+
+    def arrived(self, exchange: Exchange) -> None:
+        self.open.append(exchange)
+
+    def gone(self, exchange: Exchange) -> None:
+        self.left.append(exchange)
+
+
+class Asker:
+    """Whom answers reach."""
+
+    def __init__(self) -> None:
+        self.told: list[Any] = []
+
+    def completed(self, exchange: Exchange, result: bytes) -> None:
+        self.told.append(("completed", result))
+
+    def denied(self, exchange: Exchange, come_back: float, nowhere: bool) -> None:
+        self.told.append(("denied", come_back, nowhere))
+
+    def terminated(self, exchange: Exchange) -> None:
+        self.told.append(("terminated",))
+
+
+TRACKS = {
+    b"lookup": Track(Nature.REDOABLE, 0.5, 2.0),
+    b"record": Track(Nature.LABELLED, 0.5, 2.0, 6.0),
+    b"stamp": Track(Nature.IRREVERSIBLE, 0.5, 2.0),
+}
+
+
+class To:
+    def __init__(self, name: str | None) -> None:
+        self.name = name
+
+    def place(self, exchange: Exchange) -> str | None:
+        return self.name
+
+
+class Pair:
+    def __init__(self, scheduler: Scheduler) -> None:
+        self.net = Net(scheduler, "ab", silent_most=0.6)
+        self.engines, self.forwards = dict[str, Engine](), dict[str, Forward]()
+        for place, name in enumerate("ab"):
+            links = self.net.start(name)
+            forward = Forward(scheduler, links, Passing(), place + 1, {**TRACKS}, {}, lambda: UNWITNESSED)
+            self.engines[name] = Engine()
+            forward.desk(self.engines[name])
+            forward.placer = To("b")  # on b as well: what was passed there must not go on
+            self.forwards[name] = forward
+        self.scheduler, self.router, self.count = scheduler, Asker(), 0
+
+    def ask(self, track: bytes, waited: float = 0.0) -> Exchange:
+        self.count += 1
+        kind = TRACKS[track]
+        label = b"l%d" % self.count if kind.nature is Nature.LABELLED else None
+        ticket = Ticket(kind, Router(), None, self.scheduler.clock.now - waited, 10.0)
+        exchange = Exchange(b"n%d" % self.count, track, b"body", 1, label, ticket, self.router)
+        self.forwards["a"].arrived(exchange)
+        return exchange
+
+    def guest(self) -> Exchange:
+        wait(self.scheduler, lambda: self.engines["b"].open)
+        return self.engines["b"].open.pop()
+
+
+def paired(body: Callable[[Scheduler, Pair], None]) -> None:
+    def run(scheduler: Scheduler) -> None:
+        pair = Pair(scheduler)
+        body(scheduler, pair)
+        pair.net.close()
+
+    play(run)
+
+
+def test_a_ticket_passed_on_is_admitted_there_and_answered_once_here() -> None:
+    def body(scheduler: Scheduler, pair: Pair) -> None:
+        answers: list[tuple[Callable[[Exchange], None], Any]] = [
+            (lambda one: one.complete(b"made"), ("completed", b"made")),
+            (lambda one: one.deny(0.75, True), ("denied", 0.75, True)),
+            (lambda one: one.terminate(), ("terminated",)),
+        ]
+        for track in TRACKS:
+            for answer, told in answers:
+                exchange = pair.ask(track, waited=0.4)
+                guest = pair.guest()
+                assert (guest.name, guest.track, guest.body) == (exchange.name, track, b"body")
+                assert guest.label == exchange.label and guest.ticket.track is TRACKS[track]
+                assert guest.ticket.arrived <= exchange.ticket.arrived + 0.05
+                answer(guest)
+                wait(scheduler, lambda: pair.router.told)
+                assert pair.router.told == [told]
+                pair.router.told.clear()
+        assert not pair.engines["a"].open and all(one.settled for one in pair.forwards.values())
+
+    paired(body)
+
+
+def test_a_cancel_goes_along_and_an_open_name_is_not_taken_twice() -> None:
+    def body(scheduler: Scheduler, pair: Pair) -> None:
+        exchange = pair.ask(b"stamp")
+        guest = pair.guest()
+        pair.count -= 1
+        pair.ask(b"stamp")  # a copy of its name
+        assert pair.router.told == [("terminated",)]
+        assert exchange.abandon()
+        pair.forwards["a"].gone(exchange)
+        wait(scheduler, lambda: pair.engines["b"].left == [guest])
+        assert pair.router.told == [("terminated",)] and pair.forwards["a"].settled
+
+    paired(body)
+
+
+def test_a_lost_link_ends_each_ticket_by_its_nature() -> None:
+    def body(scheduler: Scheduler, pair: Pair) -> None:
+        asked = {track: pair.ask(track) for track in TRACKS}
+        wait(scheduler, lambda: len(pair.engines["b"].open) == 3)
+        pair.net.links["b"].close()
+        wait(scheduler, lambda: len(pair.router.told) == 2)
+        assert pair.router.told == [("terminated",)] * 2
+        assert pair.engines["a"].open == [asked[b"lookup"]]
+        late = pair.engines["b"].open[0]
+        late.complete(b"too late")
+        scheduler.sleep(0.05)
+        assert len(pair.router.told) == 2
+        pair.ask(b"stamp")  # nobody is reached: it never left, so it is served here
+        wait(scheduler, lambda: len(pair.engines["a"].open) == 2)
+
+    paired(body)
+
+
+def test_what_a_peer_does_not_know_or_can_not_be_reached_in_time_is_served_here() -> None:
+    def body(scheduler: Scheduler, pair: Pair) -> None:
+        del pair.forwards["b"]._tracks[b"record"]
+        exchange = pair.ask(b"record")
+        wait(scheduler, lambda: pair.engines["a"].open == [exchange])
+        pair.forwards["a"].placer = To(None)
+        pair.ask(b"lookup")
+        assert len(pair.engines["a"].open) == 2
+
+    paired(body)
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("forwarding:\n  listen: 127.0.0.1:7702", "3: forwarding: needs the section membership"),
+        ("forwarding:\n  listen: 0.0.0.0:7702", "advertise is needed"),
+        ("forwarding:\n  listen: 127.0.0.1:7702\n  silent-most-s: 0.3", "at least twice ping-every-s"),
+        ("forwarding:\n  listen: 127.0.0.1:7702\n  queue-kb: 64", "does not hold one frame"),
+        ("forwarding:\n  listen: 127.0.0.1:7702\n  link-most: 64", "links-most may be meant"),
+    ],
+)
+def test_faults_of_the_section_are_told_by_key(tmp_path: Path, text: str, says: str) -> None:
+    file = tmp_path / "features.yaml"
+    file.write_text(f"version: 1\n\n{text}\n")
+    with pytest.raises(FaultyFeaturesError, match=says):
+        read(file)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -86,7 +86,7 @@
     """The parts know their features by name only, until they are made; plans are plain values."""
     program = (
         "import sys, sablewheel.program.parts;"
-        f"sys.exit(any(one.startswith('sablewheel.{section}.') and not one.endswith(('.plan', '.periods'))"
-        " for one in sys.modules))"
+        f"sys.exit(any(one.startswith('sablewheel.{section}.') and"
+        " one.split('.')[-1] not in ('plan', 'periods', 'view') for one in sys.modules))"
     )
     assert subprocess.run([sys.executable, "-c", program], timeout=30).returncode == 0
