--- /dev/null
+++ b/sablewheel/trials/forwarder.py
@@ -0,0 +1,80 @@
+"""A server that passes most of its tickets to peers drawn at random, as the trial wants; or with its forward
+path broken on purpose.
+
+python -m sablewheel.trials.forwarder spread | twice | no-shrink | no-return
+"""
+
+from __future__ import annotations
+
+import random
+import runpy
+import sys
+from typing import Any
+
+from ..forwarding import forward, frames
+from ..forwarding.passing import Broken, Effect, Event, Passing, Tick
+from ..membership.view import View
+from ..routing.exchange import Exchange
+
+SHARE = 0.7  # of tickets that go to a peer
+
+
+class Spread(forward.Forward):
+    """Its own placer: any member of the view, as it is agreed right now."""
+
+    def __init__(self, *values: Any, **more: Any) -> None:
+        super().__init__(*values, **more)
+        self.placer = self
+        self._others: list[str] = []
+        self._chance = random.Random(self._number)
+
+    def view(self, view: View) -> None:
+        super().view(view)
+        self._others = [one for one in view.names if one != self._links._me().name]
+
+    def place(self, exchange: Exchange) -> str | None:
+        if not self._others or self._chance.random() > SHARE:
+            return None
+        return self._chance.choice(self._others)
+
+
+def twice() -> None:
+    """An irreversible ticket goes again after a break."""
+
+    def again(self: Passing, number: int) -> list[Effect]:
+        return [self._back(0.0, number, self.out.pop(number))]
+
+    Passing._may_have_run = again  # type: ignore[method-assign]
+
+
+def no_shrink() -> None:
+    """Tickets are taken for as young as they were when they left."""
+
+    def hop(self: frames.Hops, now: float, sent: float) -> float:
+        return 0.0
+
+    frames.Hops.hop = hop  # type: ignore[method-assign]
+
+
+def no_return() -> None:
+    """What a broken link or a peer that stands still has is waited for to the end."""
+    step = Passing.step
+
+    def waiting(self: Passing, now: float, event: Event) -> list[Effect]:
+        if isinstance(event, Broken):
+            return []
+        if isinstance(event, Tick):
+            for one in self.out.values():
+                one.taken_by = float("inf")
+        return step(self, now, event)
+
+    Passing.step = waiting  # type: ignore[method-assign]
+
+
+VARIANTS = {"spread": lambda: None, "twice": twice, "no-shrink": no_shrink, "no-return": no_return}
+
+if __name__ == "__main__":
+    VARIANTS[sys.argv[1]]()
+    setattr(forward, "Forward", Spread)  # noqa: B010  the program imports it from there when it is switched on
+    sys.argv = sys.argv[:1]
+    runpy.run_module("sablewheel", run_name="__main__")
--- /dev/null
+++ b/sablewheel/trials/forwarding.py
@@ -0,0 +1,281 @@
+"""The forward path's trial: four servers that pass most of their tickets to one another, each with an
+interpreter and routers of its own, each link through the fault relay.
+
+Links are cut both ways and one way and made slow; servers are stopped for longer than a ticket's time,
+killed, and started again cold, all while tickets are passed. What interpreters began is set against what
+routers sent.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import closing
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..protocol.resp import Parser
+from . import wire
+from .fleet import DOOR, LISTEN, PORT, Block, Fleet, Relay
+from .rig import PATIENCE, Rig, RigError, free_port
+from .verdict import Verdict
+
+BROKEN = ("twice", "no-shrink", "no-return")
+LINK = 7702
+LINK_DOOR = DOOR + 50
+SIZE = 4
+ABANDON = 2.0
+SLACK = 0.3  # what a busy machine may add to a time that was kept
+PAUSE = ABANDON + 0.6
+SHARE_LEAST = 0.95
+TRACKS = {
+    "lookup": {"share": 0.5},
+    "record": {"share": 0.25, "labelled": True},
+    "stamp": {"share": 0.25},
+}
+WORK = {"lookup": 0.03, "record": 0.1, "stamp": 0.1}
+CLASSES = [
+    {"name": "lookup", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "safe"},
+    {"name": "record", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "keyed", "window-s": 6.0},
+    {"name": "stamp", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "unsafe"},
+]
+KEYS: dict[str, object] = {
+    "period-s": 0.25, "probe-timeout-s": 0.1, "found-after-s": 1.0, "join-every-s": 0.3,
+    "vote-timeout-s": 0.5, "sync-every-s": 1.0,
+}  # fmt: skip
+
+
+@dataclass
+class Stage(Fleet):
+    """The fleet with a forward path: a second door each, and an interpreter each."""
+
+    vms: dict[str, int] = field(default_factory=dict)
+    spans: dict[str, list[tuple[str, float, float]]] = field(default_factory=dict)  # fault: whom, from, to
+
+    def __post_init__(self) -> None:
+        self.names = [f"m{number}" for number in range(self.size)]
+        self.relay_host = f"127.{self.block}.{self.place}.250"
+        self.doors = {name: f"{self.relay_host}:{DOOR + place}" for place, name in enumerate(self.names)}
+        doors = [
+            {"owner": name, "port": door + place, "to": f"{self.host(name)}:{port}"}
+            for door, port in ((DOOR, PORT), (LINK_DOOR, LINK))
+            for place, name in enumerate(self.names)
+        ]
+        self.relay = Relay(self.rig, "relay", self.relay_host, self.seed, doors)
+        for name in self.names:
+            self.vms[name] = free_port()
+            self.rig.interpreter(name, self.vms[name], work=WORK, cores=8)
+
+    def features(self, name: str) -> str:
+        place = self.names.index(name)
+        lines = ["forwarding:", f"  listen: {self.host(name)}:{LINK}"]
+        lines.append(f"  advertise: {self.relay_host}:{LINK_DOOR + place}")
+        return super().features(name) + "\n".join([*lines, ""])
+
+    def start(self, name: str) -> None:
+        path = self.rig.folder / f"{name}.yaml"
+        path.write_text(self.features(name))
+        listen = f"{self.host(name)}:{LISTEN}"
+        settings = {"classes": CLASSES, "servers": self.size}
+        told = self.rig.configuration(
+            name, LISTEN, self.vms[name], name=name, listen=listen, settings=settings
+        )
+        self.processes[name] = self.rig.start(
+            name, "sablewheel.trials.forwarder", self.kind, shifted=False, RELAY_CONFIG=str(told),
+            SABLEWHEEL_FEATURES=str(path),
+        )  # fmt: skip
+
+    def wait_up(self, name: str) -> None:
+        until, place = time.monotonic() + PATIENCE, (self.host(name), LISTEN)
+        while time.monotonic() < until:
+            with contextlib.suppress(OSError), socket.create_connection(place, 1.0) as peer:
+                peer.sendall(wire.check(1))
+                answers = Parser().feed(peer.recv(4096))
+                if answers and answers[0][1] == b"UP":
+                    return
+            time.sleep(0.02)
+        raise RigError(f"{name} does not come up: {self.processes[name].tail()}")
+
+    @contextlib.contextmanager
+    def fault(self, what: str, whom: str = "") -> Iterator[None]:
+        begun = time.monotonic()
+        yield
+        self.spans.setdefault(what, []).append((whom, begun, time.monotonic()))
+
+    def links(self, some: list[str], others: list[str], both: bool = True, **what: float | bool) -> None:
+        self.relay.set(some, others, **what)
+        if both:
+            self.relay.set(others, some, **what)
+
+
+def run(seed: int, quick: bool, broken: str = "") -> Verdict:
+    """The trial; `broken` names a fault put into the servers on purpose."""
+    verdict = Verdict("forwarding")
+    with Rig(seed) as rig, closing(Block()) as block:
+        stage = Stage(rig, block.second, broken or "spread", 0, SIZE, seed, keys=KEYS)
+        for name in stage.names:
+            stage.start(name)
+        for name in stage.names:
+            stage.wait_up(name)
+        if stage.wait_agreed(stage.names, PATIENCE) is None:
+            raise RigError(f"no view: {stage.processes['m0'].tail()}")
+        rounds = 1 if quick else 4
+        healthy = 5.0 if quick else 12.0
+        plot = _plot(stage, random.Random(seed), rounds)
+        seconds = healthy + sum(span for span, _ in plot) + 1.0
+        routers = [
+            rig.router(
+                f"r-{name}", [f"{stage.host(name)}:{LISTEN}"], rate=25, seconds=seconds, tracks=TRACKS,
+                cancels=0.03, seed=seed + place, patience_end=ABANDON + 2.0,
+            )
+            for place, name in enumerate(stage.names)
+        ]  # fmt: skip
+        time.sleep(1.0)
+        with stage.fault("none"):
+            time.sleep(healthy - 1.0)
+        for span, do in plot:
+            begun = time.monotonic()
+            do()
+            time.sleep(max(begun + span - time.monotonic(), 0.0))
+        for one in routers:
+            one.popen.wait(30)
+        codes = [stage.processes[name].leave() for name in stage.names]
+        time.sleep(0.1)
+        _judge(stage, verdict, codes)
+        stage.relay.close()
+    return verdict
+
+
+def _plot(stage: Stage, chance: random.Random, rounds: int) -> list[tuple[float, Callable[[], None]]]:
+    """Each fault for a while and then as long again for the fleet to be whole, by turns on seeded members."""
+
+    def cut(a: str, b: str, both: bool) -> None:
+        with stage.fault("cut both ways" if both else "cut one way"):
+            stage.links([a], [b], both, cut=True)
+            time.sleep(1.8)
+            stage.links([a], [b], both, cut=False)
+
+    def slow(a: str, others: list[str]) -> None:
+        with stage.fault("slow"):
+            stage.links([a], others, least=0.03, most=0.08)
+            time.sleep(2.0)
+            stage.links([a], others, least=0.0, most=0.0)
+
+    def pause(name: str) -> None:
+        with stage.fault("stopped", name):
+            stage.stop(name)
+            time.sleep(PAUSE)
+            stage.go_on(name)
+
+    def kill(name: str, rest: float) -> None:
+        with stage.fault("killed", name):
+            stage.processes[name].kill()
+            time.sleep(rest)
+        with stage.fault("cold", name):
+            stage.start(name)
+            stage.wait_up(name)
+
+    plot: list[tuple[float, Callable[[], None]]] = []
+    for _ in range(rounds):
+        a, b, c, d = chance.sample(stage.names, SIZE)
+        plot += [
+            (3.5, lambda a=a, b=b: cut(a, b, True)),  # type: ignore[misc]
+            (3.5, lambda b=b, c=c: cut(b, c, False)),  # type: ignore[misc]
+            (3.0, lambda d=d, others=(a, b, c): slow(d, list(others))),  # type: ignore[misc]
+            (PAUSE + 2.5, lambda c=c: pause(c)),  # type: ignore[misc]
+            (5.0, lambda d=d: kill(d, 2.0)),  # type: ignore[misc]
+            (3.5, lambda a=a: kill(a, 0.0)),  # type: ignore[misc]
+        ]
+    return plot
+
+
+def _judge(stage: Stage, verdict: Verdict, codes: list[int]) -> None:
+    rig = stage.rig
+    held = {name: list(rig.held(f"r-{name}")) for name in stage.names}
+    seconds = sum(one["how"] == "second" for each in held.values() for one in each)
+    tries = {name: [one for one in each if one["how"] != "second"] for name, each in held.items()}
+    own = {one["name"]: one for each in tries.values() for one in each}
+    begins = Counter[str]()
+    late_runs = ran = 0
+    for name in stage.names:
+        for word, ticket, when in rig.runs(name):
+            if word == "begin" and ticket in own:
+                ran += 1
+                begins[ticket] += 1
+                late_runs += when > own[ticket]["from"] + ABANDON + SLACK
+    second_runs = sum(many > 1 for name, many in begins.items() if own[name]["track"] != "lookup")
+    down = [span for what in ("killed", "cold") for span in stage.spans.get(what, [])]
+    unanswered = lost = late = torn = never = 0
+    for name, each in tries.items():
+        mine = [span for span in down + stage.spans.get("stopped", []) if span[0] == name]
+        for one in each:
+            # Whoever's own server was down or stood still meanwhile has nobody to answer it in time.
+            excused = any(one["from"] < to + 0.5 and one["until"] > since for _, since, to in mine)
+            unanswered += one["how"] == "unanswered" and not excused
+            lost += one["how"] == "lost" and not excused
+            late += one["until"] - one["from"] > ABANDON + SLACK and not excused
+            whole = f"made by {one['name']} of body of {one['name']}"
+            torn += one["how"] == "completed" and one["result"] != whole
+            never += one["how"] == "completed" and not begins[one["name"]]
+    health, _ = _share(tries, stage.spans["none"])
+    gone, asked = _share(tries, [(who, a, b) for who, a, b in stage.spans["killed"] if b - a > 1.0])
+    counters = Counter[str]()
+    for name in stage.names:
+        for key, value in rig.counters(stage.processes[name]).items():
+            if key.startswith(("forward_", "links_")) and value.isdigit():
+                counters[key] += int(value)
+    passed, ended = counters["forward_passed"], counters["forward_ended_in_error"]
+    total = len(own)
+    verdict.check("each ticket has its final answer", unanswered + lost == 0, f"{unanswered}, {lost} lost")
+    verdict.check("and in time", late == 0, late)
+    verdict.check("no ticket has two", seconds == 0, seconds)
+    verdict.check("results are whole and of the ticket itself", torn + never == 0, f"{torn}, {never}")
+    verdict.check("labelled and irreversible run at most once", second_runs == 0, second_runs)
+    verdict.check("nothing runs once its time is up: budgets shrink by the hop", late_runs == 0, late_runs)
+    verdict.check(
+        f"with a peer gone, redoable tickets are served at {SHARE_LEAST} of healthy",
+        asked > 30 and gone >= SHARE_LEAST * health > 0.5, f"{gone:.3f} of {asked}, healthy {health:.3f}",
+    )  # fmt: skip
+    verdict.check("most tickets went to a peer", passed > 0.3 * total, f"{passed} of {total}")
+    verdict.check(
+        "links broke with tickets on them", ended > 0 and counters["forward_back"] > 0,
+        f"{ended} in error, {counters['forward_back']} back",
+    )  # fmt: skip
+    verdict.check("all left in order at the end", not any(codes), codes)
+    logs = "".join((rig.folder / f"{name}.log").read_text(errors="replace") for name in stage.names)
+    verdict.check("no fault of our own in the logs", "Traceback" not in logs, logs.count("Traceback"))
+    hows = Counter(one["how"] for each in tries.values() for one in each)
+    verdict.figures |= {
+        "tickets": total,
+        "passed_on": passed,
+        "runs": ran,
+        "completed": hows["completed"],
+        "denied": hows["denied"],
+        "terminated": hows["terminated"],
+        "withdrawn": hows["withdrawn"],
+        "second_runs": second_runs,
+        "late_runs": late_runs,
+        "redoable_share_healthy": round(health, 4),
+        "redoable_share_a_peer_gone": round(gone, 4),
+        "links_broken": sum(many for key, many in counters.items() if key.startswith("links_lost_")),
+    }
+
+
+def _share(
+    tries: dict[str, list[dict[str, Any]]], spans: list[tuple[str, float, float]]
+) -> tuple[float, int]:
+    """The share of redoable tickets served that were sent within the spans, to others than whom they name."""
+    served = asked = 0
+    for who, since, to in spans:
+        for name, each in tries.items():
+            if name == who:
+                continue
+            mine = [one for one in each if one["track"] == "lookup" and since <= one["from"] < to]
+            mine = [one for one in mine if one["how"] != "withdrawn"]
+            asked += len(mine)
+            served += sum(one["how"] == "completed" for one in mine)
+    return served / max(asked, 1), asked
--- a/sablewheel/trials/router.py
+++ b/sablewheel/trials/router.py
@@ -30,6 +30,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
         self.open: dict[int, dict[str, Any]] = {}
+        self.answered: set[int] = set()
         self.tag = 0
         self.leaving = False
 
@@ -155,9 +156,13 @@
         link.writer.close()
 
     def answered(self, link: Link, words: list[bytes]) -> None:
-        one = link.open.pop(int(words[0]), None)
+        tag = int(words[0])
+        one = link.open.pop(tag, None)
         if one is None:
+            if tag in link.answered:  # what was withdrawn may cross its answer, what was answered may not
+                self.keep({"name": "", "tag": tag}, "second")
             return
+        link.answered.add(tag)
         if words[1] == b"OK":
             one["result"] = words[3].decode()
         fields = words[2].decode() if len(words) > 2 else ""
