Links speak under the incarnation that was agreed

Change: own incarnation as in the view, none while the view still has the self from before the start; who accepts counts a link only once the other side has taken its hello.

--- a/sablewheel/forwarding/links.py
+++ b/sablewheel/forwarding/links.py
@@ -12,7 +12,6 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
 
 from ..membership.plan import address_of
 from ..membership.view import View
@@ -30,15 +29,6 @@
 Handler = Callable[[str, bytes], None]
 
 
-class Identity(Protocol):
-    """This member as it stands in its membership; its incarnation may rise."""
-
-    @property
-    def name(self) -> str: ...
-    @property
-    def incarnation(self) -> int: ...
-
-
 class Queued:
     """A frame that waits for its connection."""
 
@@ -74,17 +64,22 @@
 
 
 class Links:
-    """This member's links; `me` is asked at each hello, as its incarnation may have risen."""
+    """This member's links. It speaks as the view has it, under the incarnation that was agreed; a view that
+    still has an earlier self of it, from before `born`, gives it no links.
+    """
 
     def __init__(
         self,
         scheduler: Scheduler,
         listen: Address,
         settings: LinkSettings,
-        me: Callable[[], Identity],
+        name: str,
+        born: int,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._scheduler, self._settings, self._me, self._clock = scheduler, settings, me, clock
+        self._scheduler, self._settings, self._clock = scheduler, settings, clock
+        self.name, self._born = name, born
+        self._incarnation: int | None = None  # None: not in the view
         self._host = listen[0] if listen[0] != "0.0.0.0" else ""
         self._peers: dict[str, Peer] = {}
         self._wires: dict[Wire, None] = {}
@@ -124,8 +119,9 @@
         `unsent` is called in a later round if it is sure that no byte of it left.
         """
         now, peer = self._clock(), self._peers.get(to)
-        known = to in self._addresses or (peer is not None and peer.wire is not None)
-        if not self._open or not known or to == self._me().name:
+        known = to in self._addresses and self._incarnation is not None
+        known = known or (peer is not None and peer.wire is not None)
+        if not self._open or not known or to == self.name:
             return self._refuse("refused_unknown")
         if peer is None:
             peer = self._peers[to] = Peer(to, self._settings.rest_first)
@@ -154,6 +150,8 @@
         reached."""
         now = self._clock()
         self._epoch = view.epoch
+        me = view.get(self.name)
+        self._incarnation = me.incarnation if me is not None and me.incarnation >= self._born else None
         reached = [(one, address_of(one.said(SAYS))) for one in view.members]
         self._addresses = {one.name: (one.incarnation, at) for one, at in reached if at is not None}
         for wire in list(self._wires):
@@ -273,7 +271,7 @@
         stream.write(frame(self._hello(name, None)))
         stream.flush()
         try:
-            told = self._first(stream, frames)
+            told = self._next(stream, frames)
             now = self._clock()
             if told is None or told.WhichOneof("body") != "hello" or not told.hello.HasField("echo"):
                 self._count("connects_refused")
@@ -309,17 +307,22 @@
         limit = self._scheduler.after(self._settings.connect_within, stream.close)
         wire, frames = None, Frames()
         try:
-            told = self._first(stream, frames)
+            told = self._next(stream, frames)
             if told is None:
                 self._count("hellos_missing")
             elif told.WhichOneof("body") != "hello" or not self._valid(told.hello):
                 self._count("hellos_refused")
             else:
-                now, hello = self._clock(), told.hello
-                echo = pb.Echo(of=told.sent, got=now)
-                stream.write(frame(self._hello(hello.name, echo)))
+                hello, got = told.hello, self._clock()
+                stream.write(frame(self._hello(hello.name, pb.Echo(of=told.sent, got=got))))
                 stream.flush()
-                wire = Wire(stream, frames, hello.name, hello.incarnation, False, now)
+                told = self._next(stream, frames)
+                if told is None or told.WhichOneof("body") != "echo":
+                    self._count("hellos_unanswered")  # it does not take us for whom it wants
+                elif self._valid(hello):
+                    now = self._clock()
+                    wire = Wire(stream, frames, hello.name, hello.incarnation, False, now)
+                    wire.hops.echoed(now, told.echo.of, told.echo.got)
         except BadFrameError as trouble:
             self._bad("", trouble)
         finally:
@@ -330,20 +333,25 @@
         if wire is not None:
             self._serve(wire)
 
-    def _first(self, stream: Stream, frames: Frames) -> pb.Frame | None:
-        while data := stream.read():
+    def _next(self, stream: Stream, frames: Frames) -> pb.Frame | None:
+        data: bytes = b""
+        while True:
             for told in frames.feed(data):
-                return told  # a peer sends no second one before it has its answer, and one that does is bad
-        return None
+                return told
+            data = stream.read()
+            if not data:
+                return None
 
     def _valid(self, hello: pb.Hello) -> bool:
         """Whether it is a member under that incarnation, who means this one."""
         known = self._addresses.get(hello.name)
-        return known is not None and known[0] == hello.incarnation and hello.to == self._me().name
+        known_here = known is not None and known[0] == hello.incarnation and hello.name != self.name
+        return known_here and hello.to == self.name and self._incarnation is not None
 
     def _hello(self, to: str, echo: pb.Echo | None) -> pb.Frame:
-        me = self._me()
-        told = pb.Hello(name=me.name, incarnation=me.incarnation, epoch=self._epoch, to=to, echo=echo)
+        told = pb.Hello(
+            name=self.name, incarnation=self._incarnation or 0, epoch=self._epoch, to=to, echo=echo
+        )
         return pb.Frame(sent=self._clock(), hello=told)
 
     # -- a wire's life
@@ -403,8 +411,6 @@
     def _hand_over(self, wire: Wire, told: pb.Frame, now: float) -> None:
         data = told.data
         handler, parted = self._handlers.get(data.kind, (None, False))
-        if not wire.hops.known:
-            return self._count("frames_early")  # nobody could tell how old it is
         hop = wire.hops.hop(now, told.sent)
         if handler is None:
             return self._count("frames_unknown")
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -147,7 +147,8 @@
 
     fleet, posting = ground.fleet, ground.posting
     assert fleet is not None  # the section needs membership's
-    links = ground.links = Links(ground.scheduler, plan.listen, plan.links, lambda: fleet.node.me)
+    born = fleet.node.me.incarnation
+    links = ground.links = Links(ground.scheduler, plan.listen, plan.links, fleet.me, born)
     forward = ground.forward = Forward(
         ground.scheduler,
         links,
