--- a/sablewheel/trials/forwarding.py
+++ b/sablewheel/trials/forwarding.py
@@ -40,11 +40,11 @@
     "record": {"share": 0.25, "labelled": True},
     "stamp": {"share": 0.25},
 }
-WORK = {"lookup": 0.03, "record": 0.1, "stamp": 0.1}
+WORK = {"lookup": 0.03, "record": 0.1, "stamp": 0.5}  # long runs, so that links break with some under way
 CLASSES = [
     {"name": "lookup", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "safe"},
     {"name": "record", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "keyed", "window-s": 6.0},
-    {"name": "stamp", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "unsafe"},
+    {"name": "stamp", "on-time-s": 1.8, "deadline-s": ABANDON, "repeat": "unsafe"},
 ]
 KEYS: dict[str, object] = {
     "period-s": 0.5, "probe-timeout-s": 0.25, "found-after-s": 1.0, "join-every-s": 0.3,
