Forward path: who leaves takes nothing more in; links have descriptors of their own

Need: a server that drained denied what peers passed to it, though they could have served it; routers' connections could take all descriptors, and links with them. A ticket's age missed what its round had taken before it was passed on.

Change: a leaving member refuses what is passed, so it is served where it came; links-most is kept free of routers' connections (at least half stays theirs); the clock is read anew where a ticket leaves; a connection is handed 64 kB at a time, so that one accepted does not stop reading.

--- a/sablewheel/forwarding/forward.py
+++ b/sablewheel/forwarding/forward.py
@@ -36,6 +36,7 @@
     Got,
     Judged,
     Key,
+    Leaving,
     Over,
     Passing,
     Send,
@@ -166,7 +167,8 @@
         told = self._passed(exchange)
         if told is None or to in tried:
             return False
-        age = max(self._scheduler.clock.now - ticket.arrived, 0.0)
+        # Read anew: what this round took so far is no part of the hop, and would be lost from the age.
+        age = max(self._scheduler.clock.read() - ticket.arrived, 0.0)
         left = ticket.track.abandon - age
         if left <= 0:
             return False
@@ -181,6 +183,9 @@
 
     # -- what else the program asks
 
+    def leaving(self) -> None:
+        self._step(Leaving())
+
     def view(self, view: View) -> None:
         for name in [name for name in self._routers if name not in view]:
             if not any(key[0] == name for key in self._guests):
--- a/sablewheel/forwarding/links.py
+++ b/sablewheel/forwarding/links.py
@@ -21,7 +21,7 @@
 from .frames import BadFrameError, Frames, Hops, frame
 from .plan import Address, LinkSettings
 
-WINDOW = 262_144  # bytes handed to a connection beyond what it has sent
+WINDOW = 65_536  # bytes handed to a connection beyond what it has sent; past it one accepted reads no more
 LOOK = 0.005  # while a connection takes no more
 SAYS = "link"  # under which a member says where its links are reached
 
@@ -369,7 +369,7 @@
         self._wires[wire] = None
         peer.wire, peer.rest = wire, self._settings.rest_first
         self._dirty[peer] = None
-        self._count("links_made")
+        self._count("made")
         log.info("link", extra={"pairs": {"peer": wire.peer, "by": "us" if wire.made_here else "them"}})
         if not self._beating:
             self._beating, self._beat_at = True, self._clock()
--- a/sablewheel/forwarding/passing.py
+++ b/sablewheel/forwarding/passing.py
@@ -85,6 +85,11 @@
     answer: Answer | None
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """This member leaves: it takes in no more, so that tickets are served where they came."""
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     pass
@@ -139,7 +144,7 @@
     key: Key
 
 
-Event: TypeAlias = Wanted | Gone | Unsent | Judged | Broken | Got | Over | Tick
+Event: TypeAlias = Wanted | Gone | Unsent | Judged | Broken | Got | Over | Leaving | Tick
 Effect: TypeAlias = Send | Back | Answered | Unsure | Admit | Abandon
 
 
@@ -164,6 +169,7 @@
     taken_in: dict[Key, float] = field(default_factory=dict)  # and when its time is up
     doubted: dict[str, float] = field(default_factory=dict)  # peers, and until when
     counts: dict[str, int] = field(default_factory=dict)
+    leaving: bool = False
 
     def __post_init__(self) -> None:
         self._recent: OrderedDict[Key, None] = OrderedDict()
@@ -198,6 +204,9 @@
                 return [self._back(now, number, one) if again else self._error(number)]
             case Broken(peer):
                 return self._broken(now, peer)
+            case Leaving():
+                self.leaving = True
+                return []
             case Tick():
                 return self._tick(now)
 
@@ -314,7 +323,8 @@
             self._count("doubles")
             return []
         left = message.left - hop
-        if left <= self.settings.spare or self._in_of.get(sender, 0) >= self.settings.in_most:
+        full = self._in_of.get(sender, 0) >= self.settings.in_most
+        if self.leaving or full or left <= self.settings.spare:
             self._count("declined")
             self._note(key)
             return [Send(sender, Refused(number), max(left, self.settings.spare))]
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -89,7 +89,7 @@
             self._standing,
             self._feature.desk(self._dispatch),
             count,
-            posting.connections_most,
+            max(posting.connections_most - self._feature.sockets, posting.connections_most // 2),
             self._feature.witness,
         )
         self._listener = Listener(
--- a/sablewheel/program/feature.py
+++ b/sablewheel/program/feature.py
@@ -23,6 +23,10 @@
     def up_at(self) -> float:
         """From when on the server may say that it is up."""
 
+    @property
+    def sockets(self) -> int:
+        """Descriptors that routers' connections don't get."""
+
     @property
     def last_notice(self) -> int:
         """The last notice of the interpreter that a predecessor has read."""
@@ -52,6 +56,7 @@
     witness: Witness = UNWITNESSED
     memory: Memory = UNREMEMBERED
     up_at = 0.0
+    sockets = 0
     last_notice = 0
 
     def desk(self, inner: Desk) -> Desk:
@@ -79,6 +84,7 @@
     witness: Witness | None = None
     memory: Memory | None = None
     desk: Callable[[Desk], Desk] | None = None
+    sockets: int = 0  # descriptors it may hold, which routers' connections then don't get
     up_at: Callable[[], float] | None = None
     last_notice: Callable[[], int] | None = None
     end_round: Callable[[], None] | None = None
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -162,6 +162,8 @@
     fleet.on_view(forward.view)
     return Part(
         desk=forward.desk,
+        sockets=plan.links.links_most,
+        leaving=forward.leaving,
         end_round=links.end_round,
         settled=lambda: forward.settled and links.quiet,
         close=lambda _: links.close(),
@@ -215,6 +217,7 @@
             made.append(part)
         self.witness, self.memory = ground.witness, ground.memory
         self._made = made
+        self.sockets = sum(part.sockets for part in made)
         made = made[::-1]  # the last made comes first
         self._end_round = [part.end_round for part in made if part.end_round is not None]
         self._leaving = [part.leaving for part in made if part.leaving is not None]
