--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from contextlib import closing
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -55,8 +56,11 @@
 from sablewheel.routing.exchange import UNWITNESSED, Exchange
 from sablewheel.terms import Nature, Router, Ticket, Track
 from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.trials.fleet import LISTEN, Block
+from sablewheel.trials.forwarding import KEYS, Stage
+from sablewheel.trials.forwarding import TRACKS as SHARES
 from sablewheel.trials.made_fleet import MadeFleet
-from sablewheel.trials.rig import free_port
+from sablewheel.trials.rig import Rig, free_port
 
 PATIENCE = 5.0
 
@@ -715,6 +719,25 @@
     paired(body)
 
 
+def test_two_servers_serve_each_other_s_tickets_and_leave_in_order() -> None:
+    with Rig(1) as rig, closing(Block()) as block:
+        stage = Stage(rig, block.second, "spread", 0, 2, 1, keys=KEYS)
+        for name in stage.names:
+            stage.start(name)
+        for name in stage.names:
+            stage.wait_up(name)
+        assert stage.wait_agreed(stage.names, 20.0) is not None, stage.processes["m0"].tail()
+        asks = rig.router("r-m0", [f"{stage.host('m0')}:{LISTEN}"], rate=40, seconds=2.0, tracks=SHARES)
+        assert asks.popen.wait(20.0) == 0
+        tries = list(rig.held("r-m0"))
+        assert len(tries) > 40 and {one["how"] for one in tries} <= {"completed", "denied"}
+        guests = (rig.folder / "m1.guests").read_text().splitlines()
+        assert len(guests) > 0.4 * len(tries)
+        assert [stage.processes[name].leave() for name in stage.names] == [0, 0]
+        assert int(rig.counters(stage.processes["m0"])["forward_answer_completed"]) > 0
+        stage.relay.close()
+
+
 @pytest.mark.parametrize(
     ("text", "says"),
     [
