Membership's node in parts of their own

Membership's node in parts of their own: detector, suspicions, reports, voting, judgements, joining.

--- a/sablewheel/membership/messages.py
+++ b/sablewheel/membership/messages.py
@@ -192,6 +192,8 @@
     counts: tuple[tuple[str, int], ...] = ()
 
 
+Round = Vote | Prepare | Promise | Accept | Accepted  # what belongs to one epoch's agreement alone
+
 Body = (
     Ping | PingReq | Ack | Nack | Join | Leave | Sync | Vote | Prepare | Promise | Accept | Accepted
     | Ask | Told | Digest | Votes
--- a/sablewheel/membership/shell.py
+++ b/sablewheel/membership/shell.py
@@ -17,8 +17,9 @@
 from ..transport.scheduler import Scheduler, Timer
 from ..transport.stream import Listener, Stream, connect
 from . import codec
+from .events import Event, Got, Judge, Note, Part, Send, Tick, Viewed
 from .messages import Ask, Envelope, Message, Sync
-from .node import Event, Got, Judge, Node, Note, Part, Send, Tick, Viewed
+from .node import Node
 from .plan import MembershipPlan, address_of
 from .view import Fact, Member, Says, View, fingerprint
 
@@ -118,8 +119,8 @@
             "members": len(node.members),
             "members_epoch": view.epoch if view is not None else 0,
             "members_view": fingerprint(view) if view is not None else "-",
-            "members_suspected": len(node.suspicions),
-            "members_health": node.health,
+            "members_suspected": len(node.suspicions.held),
+            "members_health": node.detector.health,
         }
         counts = {**node.counts, **self._counts}
         return told | {f"members_{name}": count for name, count in sorted(counts.items())}
--- a/sablewheel/membership/view.py
+++ b/sablewheel/membership/view.py
@@ -105,6 +105,14 @@
     return tuple(sorted(by_name.values(), key=lambda one: one.order))
 
 
+def changes_text(changes: Proposal) -> str:
+    """For log lines: one word a change."""
+    return " ".join(
+        f"fact:{one.fact.key}={one.fact.value or '-'}" if one.kind is Kind.FACT
+        else f"{one.kind.value}:{one.member.name}@{one.member.incarnation}" for one in changes
+    )  # fmt: skip
+
+
 @dataclass(frozen=True)
 class View:
     """Members by name, at an epoch; a view never holds one name twice."""
--- a/sablewheel/trials/made_net.py
+++ b/sablewheel/trials/made_net.py
@@ -8,7 +8,8 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from ..membership.node import Got, Node, Note, Send, Tick
+from ..membership.events import Got, Note, Send, Tick
+from ..membership.node import Node
 from ..membership.plan import Settings
 from ..membership.view import Member, Proposal, Says, View
 
@@ -28,6 +29,7 @@
     dead: set[str] = field(default_factory=set)
     queue: list[tuple[float, int, str, object]] = field(default_factory=list)
     notes: list[tuple[float, str, Note]] = field(default_factory=list)
+    seeds: dict[str, tuple[str, ...]] = field(default_factory=dict)
     turn: int = 0
     steps: int = 0
     pending: dict[str, float] = field(default_factory=dict)  # name -> its one wake
@@ -41,6 +43,7 @@
         seeds = ("127.0.0.1:7000", "127.0.0.1:7001")  # the first two; the first founds the view
         me = Member(name, address, zone, "r1", int(self.now * 1000) + 7200_000, says)
         node = Node(me, seeds, self.settings, random.Random(f"{self.seed}-{name}"), self.now)
+        self.seeds[name] = seeds
         self.nodes[name] = node
         self.dead.discard(name)
         self._wake(name)
@@ -52,7 +55,7 @@
         incarnation = int((self.now + clock) * 1000) + 7200_000
         me = replace(old.me, incarnation=incarnation)
         chance = random.Random(f"{self.seed}-{name}-{self.now}")
-        self.nodes[name] = Node(me, old.seeds, self.settings, chance, self.now)
+        self.nodes[name] = Node(me, self.seeds[name], self.settings, chance, self.now)
         self.dead.discard(name)
         self.pending.pop(name, None)
         self._wake(name)
@@ -134,8 +137,7 @@
             chance = random.Random(f"{self.seed}-{member.name}")
             node = Node(member, ("a00000",), self.settings, chance, self.now)
             node.grow = grow
-            node.begin_with(view)
-            node.next_probe = self.now + chance.uniform(0, self.settings.period)
-            node.next_sync = self.now + chance.uniform(0, self.settings.sync_every)
+            probe_at = self.now + chance.uniform(0, self.settings.period)
+            node.begin_with(view, probe_at, self.now + chance.uniform(0, self.settings.sync_every))
             self.nodes[member.name] = node
             self._wake(member.name)
--- a/sablewheel/trials/membership_model.py
+++ b/sablewheel/trials/membership_model.py
@@ -15,8 +15,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ..membership.events import Event, Got, Note, Send, Tick
 from ..membership.messages import Alert, Message
-from ..membership.node import Event, Got, Node, Note, Send, Tick
+from ..membership.node import Node
 from ..membership.plan import Settings
 from ..membership.view import Change, Kind, Member, View
 from .verdict import Verdict
@@ -32,15 +33,16 @@
     """Broken on purpose: hears of a refutation, and goes on suspecting and reporting."""
 
     def _alive(self, now: float, name: str, incarnation: int) -> None:
-        suspicions, alerts = dict(self.suspicions), {key: dict(those) for key, those in self.alerts.items()}
+        suspicions = dict(self.suspicions.held)
+        alerts = {key: dict(those) for key, those in self.reports.alerts.items()}
         super()._alive(now, name, incarnation)
-        self.suspicions, self.alerts = suspicions, alerts
+        self.suspicions.held, self.reports.alerts = suspicions, alerts
 
     def _alert(self, now: float, alert: Alert) -> None:
-        held = self.raised.pop(alert.member.name, None)
+        held = self.roster.raised.pop(alert.member.name, None)
         super()._alert(now, alert)
         if held is not None:
-            self.raised[alert.member.name] = held
+            self.roster.raised[alert.member.name] = held
 
 
 @dataclass
@@ -64,11 +66,11 @@
         del self.way[:-ON_WAY_MOST]
 
     def _look(self, node: Node, note: Note) -> None:
-        if note.what == "proposed" and node.agreement is not None:
-            for change in node.agreement.own or ():
+        if note.what == "proposed" and node.voting.agreement is not None:
+            for change in node.voting.agreement.own or ():
                 self._refuted(node, change, "votes")
         if note.what == "alert" and note.fields["by"] == node.me.name and not note.fields["join"]:
-            said = node.alerts[(str(note.fields["member"]), False)][node.me.name]
+            said = node.reports.alerts[(str(note.fields["member"]), False)][node.me.name]
             self._refuted(node, Change(Kind.REMOVE, said), "reports")
 
     def _refuted(self, node: Node, change: Change, does: str) -> None:
@@ -106,18 +108,20 @@
         """What decides how it goes on, but for chance; times by how far they are from now."""
         seen = []
         for node in self.nodes.values():
+            probe, agreement = node.detector.probe, node.voting.agreement
             seen.append(
                 (
                     node.view.names if node.view else None, node.view.epoch if node.view else 0,
-                    node.me.incarnation, node.health, sorted(node.raised.items()),
+                    node.me.incarnation, node.detector.health, sorted(node.roster.raised.items()),
                     sorted((n, s.incarnation, sorted(s.by), s.probed_since, s.faulty,
-                            round(self.now - s.since, 1)) for n, s in node.suspicions.items()),
+                            round(self.now - s.since, 1)) for n, s in node.suspicions.held.items()),
                     sorted((k, sorted((by, m.incarnation) for by, m in those.items()))
-                           for k, those in node.alerts.items()),
-                    (node.probe.target, node.probe.asked, node.probe.nacks) if node.probe else None,
-                    sorted(map(repr, node.agreement.votes.items())) if node.agreement else None,
-                    repr(node.agreement.promised) if node.agreement else None,
-                    [(repr(one.item), one.left) for one in node.news], round(node.wake_at - self.now, 1),
+                           for k, those in node.reports.alerts.items()),
+                    (probe.target, probe.asked, probe.nacks) if probe else None,
+                    sorted(map(repr, agreement.votes.items())) if agreement else None,
+                    repr(agreement.promised) if agreement else None,
+                    [(repr(one.item), one.left) for one in node.gossip.news],
+                    round(node.wake_at - self.now, 1),
                 )
             )  # fmt: skip
         way = [(sender, to, repr(message.body)) for sender, to, message in self.way]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,6 +10,9 @@
 from sablewheel.membership import codec
 from sablewheel.membership import membership_pb2 as pb
 from sablewheel.membership.agree import Agreement
+from sablewheel.membership.detector import RELAYED_MOST
+from sablewheel.membership.events import Got, Judge, Part, Send
+from sablewheel.membership.gossip import NEWS_KEPT
 from sablewheel.membership.messages import (
     Accept,
     Accepted,
@@ -34,17 +37,9 @@
     Vote,
     Votes,
 )
-from sablewheel.membership.node import (
-    JOINERS_MOST,
-    NEWS_KEPT,
-    RELAYED_MOST,
-    Got,
-    Judge,
-    Node,
-    Part,
-    Send,
-)
+from sablewheel.membership.node import Node
 from sablewheel.membership.plan import BROKEN, MembershipPlan, Mode, Settings
+from sablewheel.membership.roster import JOINERS_MOST
 from sablewheel.membership.shell import Fleet
 from sablewheel.membership.view import Change, Fact, Kind, Member, View, fingerprint, proposal, rings
 from sablewheel.transport.scheduler import Clock, Scheduler
@@ -302,9 +297,9 @@
         news = (Alert(view.epoch, "m1", True, member), Alive(f"y{place}", 1), Suspect(f"z{place}", 1, "m1"))
         for body in (Join(member, True), Ping(0, news), PingReq(place, "m2", "?")):
             node.step(net.now, Got(Message(Envelope("m1", view.epoch), body)))
-    assert len(node.alerts) <= JOINERS_MOST and len(node.news) <= NEWS_KEPT
-    assert len(node.relayed) <= RELAYED_MOST
-    assert set(node.raised) <= set(view.names) and not node.suspicions
+    assert len(node.reports.alerts) <= JOINERS_MOST and len(node.gossip.news) <= NEWS_KEPT
+    assert len(node.detector.relayed) <= RELAYED_MOST
+    assert set(node.roster.raised) <= set(view.names) and not node.suspicions.held
 
 
 def judge(net: Net, names: list[str], value: str) -> None:
