Members cut off together go in one view; a stop common to all takes out none

Members cut off together go in one view and come back in one; a stop common to all takes out none.

Three of eight cut off for 25 s took two or three views to go and three to return. Cause, found in the made network: probes' turns come late while others are silent; the first sure cut froze the vote (five of eight cannot decide it fast) for two seconds; observers that are cut off too neither report nor confirm; each left-out member learnt of it and joined alone. Whoever suspects half of the view proposes nothing: two equal halves took one of themselves out once they met again. A stop of all: who was stopped doubts the unheard for the longest suspicion.

--- a/sablewheel/membership/detector.py
+++ b/sablewheel/membership/detector.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -63,6 +64,8 @@
         self._order: list[str] = []
         self._favoured = False
         self._seq = 0
+        self._swept_at = -math.inf  # when all were pinged at once
+        self._unanswered: set[str] = set()  # since then
 
     # -- timers
 
@@ -86,7 +89,7 @@
             elif probe.asked and now >= probe.ends_at:
                 self._failed(now, probe)
         for name, one in list(self._suspicions.held.items()):
-            if not one.faulty and now >= self._suspicions.ends(one):
+            if not one.faulty and now >= self._suspicions.ends(name, one):
                 self._suspicions.ran_out(name, one)
                 if one.probed_since or not self._roster.ours:
                     self._blame(now, name, one.incarnation)  # else when its own probe fails: no hearsay
@@ -101,13 +104,13 @@
         """Lifeguard: a member that is slow itself waits longer before it blames others."""
         return self._settings.period * (1 + (self.health if self._roster.ours else 0))
 
-    def paused(self, now: float) -> None:
+    def paused(self, now: float, late: float) -> None:
         """Timers came late all at once: this member was stopped or starved, not its peers. What it began
         before is void, its suspicions start again, and it waits as long as it may before blaming anyone."""
         self.health = self._settings.health_most
         self.probe = None
         self.relayed.clear()
-        self._suspicions.begin_again(now)
+        self._suspicions.begin_again(now, late)
         self.next_probe = now + self._period()
 
     # -- its own probes
@@ -121,7 +124,7 @@
         self.next_probe = now + self._period()
         if self.probe is not None:
             self._failed(now, self.probe)
-        target = self._next_target()
+        target = self._next_target(now)
         if target is None:
             return
         timeout = self._settings.probe_timeout * (1 + self.health)
@@ -129,13 +132,17 @@
         self.probe = Probe(seq, target, now, now + timeout, now + self._period() * 0.9)
         self._out.count("probes")
 
-    def _next_target(self) -> str | None:
+    def _next_target(self, now: float) -> str | None:
         # Past the last of the order it is shuffled anew; who is not in any more is passed over.
         self._order = self._order or self._roster.others()
         if not self._order:
             return None
         # An observer whose subject is suspected probes it first, so that its alert stands on its own link;
         # but every other probe goes round: one who answers and is still suspected must not starve the rest.
+        if self._unanswered and now >= self._swept_at + self._settings.probe_timeout:
+            name = self._chance.choice(sorted(self._unanswered))
+            self._unanswered.discard(name)
+            return name
         mine = self._roster.subjects()
         self._favoured = not self._favoured
         for name, one in self._suspicions.held.items():
@@ -157,7 +164,9 @@
 
     def _ask_others(self, probe: Probe) -> None:
         address = self._roster.address(probe.target)
-        for helper in self._roster.some(self._chance, self._settings.indirect, probe.target):
+        # Who is suspected is no help: its silence would pass for this member's own slowness.
+        but = {probe.target, *(self._suspicions.held if self._roster.ours else ())}
+        for helper in self._roster.some(self._chance, self._settings.indirect, *sorted(but)):
             self._out.send(helper, PingReq(probe.seq, probe.target, address))
             probe.asked += 1
         if not probe.asked:
@@ -216,6 +225,11 @@
         self.relayed[self._seq] = Relayed(asker, request.seq, request.target, ends_at)
         self._out.send(request.target, Ping(self._seq, ()))
 
+    def heard(self, now: float, name: str) -> None:
+        """A message of this member came, or word of its answer."""
+        self._suspicions.heard(now, name)
+        self._unanswered.discard(name)
+
     # -- opinions
 
     def suspect(self, now: float, name: str, incarnation: int, by: str) -> Suspicion | None:
@@ -226,18 +240,33 @@
         one, fresh = self._suspicions.take(now, name, incarnation, by)
         if one is not None and fresh:
             self._ask_observers(now, name, one, by)
+            self._sweep(now, one)
         return one
 
+    def _sweep(self, now: float, one: Suspicion) -> None:
+        """Where one is gone others may have gone with it, and their turns of probes may be long in coming:
+        once a suspicion is confirmed all others are pinged, and who does not answer is probed next."""
+        rest = self._settings.suspicion_least * self._settings.period
+        if not self._roster.ours or self._roster.large or self._settings.broken == "one-at-a-time":
+            return
+        if len(one.by) < 2 or now < self._swept_at + rest:
+            return
+        self._swept_at = now
+        self._unanswered = set(self._roster.others()) - self._suspicions.held.keys()
+        for name in sorted(self._unanswered):
+            self._ping(name)
+
     def _ask_observers(self, now: float, name: str, one: Suspicion, by: str) -> None:
         """A new suspicion goes straight to the subject's observers, who probe it at once: whether others
-        confirm it is known within a probe, not within the rounds that gossip takes."""
+        confirm it is known within a probe, not within the rounds that gossip takes. In a view that is not
+        large all are told: a cut waits for whoever else is suspected, on all members alike."""
         if not self._roster.ours or self._roster.view is None:
             return
         watch, me = self._roster.observers(name), self._roster.me.name
         if by == me:
-            for observer in watch:
-                if observer != me:
-                    self._out.send(observer, Ping(0, (Suspect(name, one.incarnation, by),)))
+            for other in watch if self._roster.large else self._roster.others():
+                if other not in (me, name):
+                    self._out.send(other, Ping(0, (Suspect(name, one.incarnation, by),)))
         elif me in watch and not one.probed_since and self.probe is None:
             self._favoured, self.next_probe = False, now
 
@@ -257,6 +286,7 @@
     def begin_round(self) -> None:
         """The view changed: the round of probes is drawn anew from it."""
         self._order = []
+        self._unanswered.clear()
 
     def left_out(self) -> None:
         self._suspicions.held.clear()
--- a/sablewheel/membership/joining.py
+++ b/sablewheel/membership/joining.py
@@ -13,6 +13,8 @@
 from .roster import JOINERS_MOST, Roster
 from .view import Change, Kind, Member, View, fingerprint
 
+ASKED_MOST = 3  # of the view that is without this member: the seeds may all be out with it
+TOLD_MOST = 8  # who are told that they are left out too
 SYNC_REST = 0.2  # seconds between two requests for the view of one sender, whatever it sends
 
 
@@ -38,6 +40,7 @@
         self._asked_in: set[int] = set()  # my incarnations that I asked in with
         self._asked_view: dict[str, float] = {}  # whom I asked for its view, and when
         self._behind_since: float | None = None
+        self._left_out_of: tuple[str, ...] = ()  # addresses of some who are in the view that is without me
 
     # -- this member's way in
 
@@ -60,7 +63,7 @@
         return self._founders(now)
 
     def _ask(self, me: Member) -> None:
-        for address in self._seeds:
+        for address in dict.fromkeys((*self._seeds, *self._left_out_of)):
             if address != me.address:
                 self._out.send_to(address, Join(me))
 
@@ -91,10 +94,17 @@
         self._asked_view.clear()
         self._asked_in.clear()
         self._asking = None
+        self._left_out_of = ()
 
-    def left_out(self, now: float) -> None:
-        """This member is in no view any more: it asks in at once."""
+    def left_out(self, now: float, old: View, view: View, first: bool) -> None:
+        """The view is without this member: it asks in at once, and who is left out with it is told, so that
+        they come back together. Only by whoever heard of it `first`, from a member of the view."""
         self._started = self.next_join = now
+        inside = self._chance.sample(view.members, min(ASKED_MOST, len(view.members)))
+        self._left_out_of = tuple(one.address for one in inside)
+        outside = [one for one in old.names if one not in view and one != self._roster.me.name]
+        for name in self._chance.sample(outside, min(TOLD_MOST, len(outside))) if first else ():
+            self._out.send(name, self.state(True))
 
     # -- others' way in
 
--- a/sablewheel/membership/node.py
+++ b/sablewheel/membership/node.py
@@ -70,7 +70,7 @@
             roster, self.suspicions, self.gossip, out, settings, chance, now, self._blame
         )  # fmt: skip
         self.baseline = Baseline(roster, out, settings, now, self._blame)
-        self.reports = Reports(roster, self.gossip, out, settings)
+        self.reports = Reports(roster, self.suspicions, self.gossip, out, settings)
         self.judgements = Judgements(roster, self.gossip, out)
         self.voting = Voting(roster, out, settings, chance, self._grow)
         self.joining = Joining(roster, out, settings, chance, seeds, now)
@@ -147,7 +147,7 @@
         late = now - self._due
         self._last = now
         if late > max(2 * self.settings.period, 1.0) and self.roster.ours and self.view:
-            self.detector.paused(now)
+            self.detector.paused(now, late)
             self.out.note("paused", seconds=round(late, 3))
         match event:
             case Got(message, address):
@@ -202,6 +202,7 @@
         member = self.view.get(name) if self.view is not None else None
         if self.view is None or member is None:
             return
+        self.reports.stir()  # a cut goes by this member's own opinion as well
         if name in self.roster.subjects() or self.settings.broken == "one-observer":
             said = replace(member.silent, incarnation=incarnation)
             self._alert(now, Alert(self.view.epoch, self.me.name, False, said))
@@ -210,7 +211,7 @@
         if alert.member.name == self.me.name and not alert.join and not self.leaving.begun:
             if alert.epoch == self.roster.epoch and self.view is not None:
                 self.detector.refute(alert.member.incarnation)  # it is here: no vote for its own removal
-        elif self.reports.take(alert):
+        elif self.reports.take(now, alert):
             self._propose(now)
 
     def _alive(self, now: float, name: str, incarnation: int) -> None:
@@ -220,7 +221,8 @@
         if not self.roster.ours:
             self.baseline.heard(now, name, incarnation)
         if self.roster.raise_to(name, incarnation):
-            self.suspicions.refuted(name, incarnation)
+            if self.suspicions.refuted(name, incarnation):
+                self.reports.stir()
             self.reports.refuted(name, incarnation)
             self.gossip.spread(Alive(name, incarnation))
 
@@ -235,7 +237,7 @@
         assert self.view is not None
         self._install(now, self.grow(self.view, cut), cut)
 
-    def _install(self, now: float, view: View, cause: Proposal | str) -> None:
+    def _install(self, now: float, view: View, cause: Proposal | str, sender: str = "") -> None:
         """A view that was agreed, founded or learnt takes the place of the one that is held."""
         old, me = self.view, self.me.name
         self.roster.hold(now, view)
@@ -254,9 +256,9 @@
         self.out.count("views")
         if old is not None and me in old and me not in view:
             self.out.note("left out", epoch=view.epoch)  # removed while paused or cut off: ask in again
+            self.joining.left_out(now, old, view, sender in view)
             self.roster.left_out()
-            self.detector.left_out()
-            return self.joining.left_out(now)
+            return self.detector.left_out()
         if not isinstance(cause, str):
             self.joining.welcome(cause)
         if not self.leaving.begun and self.judgements.say_again():
@@ -291,6 +293,7 @@
             self._alive(now, sender, max(self.roster.incarnation(sender), 0))
         elif not isinstance(body, Sync):
             self.joining.lag(now, sender, epoch, address)
+        self.detector.heard(now, sender)
         match body:
             case Ping(seq, news):
                 self._take_news(now, news)
@@ -299,6 +302,7 @@
             case Ack(_, of, incarnation, news):
                 self._take_news(now, news)
                 self._alive(now, of, incarnation)
+                self.detector.heard(now, of)
                 self.detector.acked(body)
             case PingReq():
                 self.detector.relay(now, sender, body)
@@ -348,4 +352,4 @@
                 self.detector.refute(incarnation)  # an older self's: above it, never the same
         view = self.joining.synced(now, sync, sender)
         if view is not None:
-            self._install(now, view, f"synced from {sender}")
+            self._install(now, view, f"synced from {sender}", sender)
--- a/sablewheel/membership/plan.py
+++ b/sablewheel/membership/plan.py
@@ -9,7 +9,8 @@
 
 Address = tuple[str, int]
 
-BROKEN = ("no-suspicion", "no-incarnation", "one-observer")
+BROKEN = ("no-suspicion", "no-incarnation", "one-observer", "one-at-a-time")
+BROKEN_SLOWLY = ("no-grace",)  # told from ours by more stops than a trial of real processes has time for
 
 
 class Mode(Enum):
--- a/sablewheel/membership/reports.py
+++ b/sablewheel/membership/reports.py
@@ -6,24 +6,38 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import replace
+
 from .gossip import Gossip
 from .messages import Alert, Ping
 from .outbox import Outbox
 from .plan import Settings
 from .roster import JOINERS_MOST, Roster
-from .view import SAYS_CUT_MOST, Change, Kind, Member, Proposal, proposal
+from .suspicions import Suspicions
+from .view import NOBODY, SAYS_CUT_MOST, Change, Kind, Member, Proposal, proposal
+
+GATHER = 1.0  # periods that a join waits for others
 
 
 class Reports:
     """For the view that is held, whose end clears them."""
 
-    def __init__(self, roster: Roster, gossip: Gossip, out: Outbox, settings: Settings) -> None:
-        self._roster, self._gossip, self._out, self._settings = roster, gossip, out, settings
+    def __init__(
+        self, roster: Roster, suspicions: Suspicions, gossip: Gossip, out: Outbox, settings: Settings
+    ) -> None:
+        self._roster, self._suspicions, self._gossip = roster, suspicions, gossip
+        self._out, self._settings = out, settings
         self.alerts: dict[tuple[str, bool], dict[str, Member]] = {}  # by (subject, joins), observer
         self._fresh = False  # whether a report came since a cut was last thought of
-        self._unstable_since: float | None = None
-
-    def take(self, alert: Alert) -> bool:
+        self._held_since: float | None = None  # a cut that waits for others
+        self._held_until = 0.0
+        self._few = False  # whether this member was on a small side when it last thought of a cut
+        self._back_until = -math.inf  # it was: who is back says so, one after another
+        self._gather_until: float | None = None  # joins wait so long for others that come with them
+        self._leaving: set[str] = set()
+
+    def take(self, now: float, alert: Alert) -> bool:
         """An observer's report, perhaps this member's own; whether it was news."""
         view = self._roster.view
         if view is None or alert.epoch != view.epoch:
@@ -41,6 +55,8 @@
         if not alert.join and gone:
             return False  # a report on an older incarnation, refuted already
         those[alert.by] = alert.member
+        if alert.join and self._gather_until is None:
+            self._gather_until = now + self._settings.period * GATHER
         self._fresh = True
         join, by = alert.join, alert.by
         self._out.note("alert", member=subject, join=join, by=by, count=len(those), epoch=alert.epoch)
@@ -57,6 +73,7 @@
             return False
         for name in watch:
             those[name] = member.silent
+        self._leaving.add(member.name)
         self._fresh = True
         return True
 
@@ -74,12 +91,14 @@
     def clear(self) -> None:
         """Of an epoch that is over."""
         self.alerts.clear()
-        self._unstable_since = None
+        self._leaving.clear()
+        self._held_since = self._gather_until = None
 
     # -- the cut
 
     def wakes(self) -> list[float]:
-        return [self._unstable_since + self._settings.settle] if self._unstable_since is not None else []
+        times = [self._gather_until] if self._gather_until is not None else []
+        return [*times, self._held_until] if self._held_since is not None else times
 
     def due(self, now: float) -> bool:
         """Whether there is a reason to think of a cut."""
@@ -88,26 +107,65 @@
     def cut(self, now: float, facts: list[Change]) -> Proposal | None:
         """What is sure, with the facts that are agreed; None while there is nothing, or it is to wait."""
         self._fresh = False
-        counted = {key: dict(those) for key, those in self.alerts.items() if those}
-        stable = self._stable(counted)
-        chosen = {(one.member.name, one.kind is Kind.JOIN) for one in stable}
-        unstable = any(
-            key not in chosen and len(those) >= self._marks(key[0])[1] for key, those in counted.items()
-        )
+        if self._gather_until is not None and now >= self._gather_until:
+            self._gather_until = None
+        gone = self._suspicions.gone()
+        stable = self._stable(gone)
+        going = {one.member.name for one in stable if one.kind is Kind.REMOVE}
         changes = _fitting(stable) + facts
+        if changes and self._is_few(going | self._suspicions.held.keys()):
+            self._few, changes = True, []
         if not changes:
-            self._unstable_since = None
+            self._held_since = None
+            return None
+        if self._few:
+            self._few, self._back_until = False, now + self._settings.settle
+        if not going and not facts and self._gather_until is not None:
             return None
-        if unstable:
-            if self._unstable_since is None:
-                self._unstable_since = now
-            if now < self._unstable_since + self._settings.settle:
-                return None  # Rapid: wait while some subject stands between the marks, but not for ever
-        self._unstable_since = None
+        if self._waits(now, stable, going):
+            return None
+        self._held_since = None
         return proposal(changes)
 
-    def _stable(self, counted: dict[tuple[str, bool], dict[str, Member]]) -> list[Change]:
-        """Rapid's implicit reports: an observer that is itself on its way out cannot report."""
+    def _waits(self, now: float, stable: list[Change], going: set[str]) -> bool:
+        """Rapid: a cut waits while another subject stands between the marks; ours also while another member
+        is suspected at all, so that those who go together go in one view. For `settle` at most, and as long
+        again for a suspicion that came meanwhile."""
+        chosen = {(one.member.name, one.kind is Kind.JOIN) for one in stable}
+        unstable = any(
+            key not in chosen and len(those) >= max(self._marks(key[0])[1], 1)
+            for key, those in self.alerts.items()
+        )
+        latest = self._suspicions.latest(going) if self._settings.broken != "one-at-a-time" else None
+        if not unstable and latest is None and now >= self._back_until:
+            return False
+        since = self._held_since = now if self._held_since is None else self._held_since
+        settle = self._settings.settle
+        self._held_until = min(max(since, latest if latest is not None else since), since + settle) + settle
+        if not unstable and latest is None:
+            self._held_until = now
+        self._held_until = max(self._held_until, self._back_until)
+        return now < self._held_until
+
+    def _is_few(self, lost: set[str]) -> bool:
+        """Whether those that are neither lost nor suspected are no majority. Guards the fleet, once a cut has
+        healed, against what its small side proposed: a vote that is heard of late may still be carried."""
+        view, lost = self._roster.view, lost - self._leaving
+        if view is None or not lost or self._settings.broken == "one-at-a-time":
+            return False
+        return len(view.members) - len(lost) < len(view.members) // 2 + 1
+
+    def _stable(self, gone: set[str]) -> list[Change]:
+        """Rapid's implicit reports: an observer that is itself on its way out cannot report.
+
+        So is one that this member holds to be gone by its own probes: for a subject that it holds gone too,
+        and that another reports. Without it, of several cut off together none may have enough observers left.
+        """
+        me = self._roster.me.name
+        if self._settings.broken == "one-at-a-time":
+            gone = set()
+        counted = {key: those for key, those in self.alerts.items() if those}
+        counted |= {(name, False): {} for name in gone if (name, False) not in counted}
         stable: dict[tuple[str, bool], Change] = {}
         going: set[str] = set()
         while True:
@@ -116,9 +174,10 @@
                 if (subject, join) in stable:
                     continue
                 high, _ = self._marks(subject)
-                implied = (going & set(self._roster.observers(subject))) - set(those)
+                silent = going | gone if subject in gone and those.keys() - {me} else going
+                implied = (silent & set(self._roster.observers(subject))) - those.keys()
                 if len(those) + (len(implied) if not join else 0) >= high:
-                    member = max(those.values(), key=lambda one: one.incarnation)
+                    member = max(those.values(), key=lambda one: one.incarnation, default=self._held(subject))
                     stable[subject, join] = Change(Kind.JOIN if join else Kind.REMOVE, member)
                     if not join:
                         going.add(subject)
@@ -126,6 +185,11 @@
             if not grew:
                 return list(stable.values())
 
+    def _held(self, subject: str) -> Member:
+        """As a report of it would name it."""
+        member = self._roster.view.get(subject) if self._roster.view is not None else None
+        return replace(member.silent, incarnation=self._roster.incarnation(subject)) if member else NOBODY
+
     def _marks(self, subject: str) -> tuple[int, int]:
         """How many reports make a change sure, and how many make others wait for it."""
         if self._settings.broken == "one-observer":
--- a/sablewheel/membership/suspicions.py
+++ b/sablewheel/membership/suspicions.py
@@ -33,6 +33,8 @@
     def __init__(self, roster: Roster, gossip: Gossip, out: Outbox, settings: Settings) -> None:
         self._roster, self._gossip, self._out, self._settings = roster, gossip, out, settings
         self.held: dict[str, Suspicion] = {}
+        self._woke = self._grace_ends = -math.inf  # when this member went on after it was stopped
+        self._unheard: set[str] = set()  # of the view, since then: they may stand in the same stop
 
     def take(self, now: float, name: str, incarnation: int, by: str) -> tuple[Suspicion | None, bool]:
         """`by` could not reach it: the suspicion that stands, if any, and whether `by` was news."""
@@ -50,26 +52,38 @@
         self._gossip.spread(Suspect(name, incarnation, by))
         return one, True
 
-    def refuted(self, name: str, incarnation: int) -> None:
-        """It is alive at this incarnation."""
+    def refuted(self, name: str, incarnation: int) -> bool:
+        """It is alive at this incarnation; whether it was suspected at a lower one."""
         one = self.held.get(name)
-        if one is not None and (one.incarnation < incarnation or self._settings.broken == "no-incarnation"):
-            del self.held[name]
-            self._out.note("suspicion refuted", member=name, incarnation=incarnation)
-
-    def ends(self, one: Suspicion) -> float:
+        if one is None or (one.incarnation >= incarnation and self._settings.broken != "no-incarnation"):
+            return False
+        del self.held[name]
+        self._unheard.discard(name)  # it said so since
+        self._out.note("suspicion refuted", member=name, incarnation=incarnation)
+        return True
+
+    def ends(self, name: str, one: Suspicion) -> float:
         """Lifeguard: long at first, shorter with each independent suspicion, never below the least."""
-        # No factor of log n, which SWIM has for its gossip: here those who decide hear of it at once.
-        size = max(len(self._roster.known()), 1)
         least = self._settings.suspicion_least * self._settings.period
         if not self._roster.ours or self._settings.broken == "one-observer":
             return one.since + least  # a watcher of its own has no confirmations to wait for
         most = least * self._settings.suspicion_stretch
+        span = self._span(name, one, least, most)
+        # Guards against a stop of all: the first to go on would confirm to each other that the rest is gone.
+        return max(one.since + span, self._grace_ends if name in self._unheard else -math.inf)
+
+    def _span(self, name: str, one: Suspicion, least: float, most: float) -> float:
+        # No factor of log n, which SWIM has for its gossip: here those who decide hear of it at once.
+        size = max(len(self._roster.known()), 1)
         want = min(self._settings.confirmations, size - 2)
+        if self._settings.broken != "one-at-a-time":
+            # Those asked to confirm it are its observers; who is suspected with it cannot.
+            able = sum(one not in self.held for one in self._roster.observers(name))
+            want = min(want, max(able - 1, 1))
         if want < 1:
-            return one.since + least  # nobody else is there to confirm it
+            return least  # nobody else is there to confirm it
         shrink = math.log(min(max(len(one.by) - 1, 0), want) + 1) / math.log(want + 1)
-        return one.since + max(least, most - (most - least) * shrink)
+        return max(least, most - (most - least) * shrink)
 
     def tell_at(self, name: str, one: Suspicion) -> float:
         """When its subject is told of it again, by its observers alone."""
@@ -88,11 +102,34 @@
         by = ",".join(sorted(one.by))
         self._out.note("suspicion ran out", member=name, incarnation=one.incarnation, by=by)
 
-    def begin_again(self, now: float) -> None:
-        """This member was stopped: what it doubted before may long have answered."""
+    def begin_again(self, now: float, late: float) -> None:
+        """This member was stopped: what it doubted before may long have answered, and perhaps all were
+        stopped with it, to go on one by one. Whom it has not heard since, it doubts for the longest at
+        least, or a quarter of its own stop, up to twice the longest."""
         for one in self.held.values():
             one.since = max(one.since, now)
-            one.probed_since = False
+            one.probed_since = one.faulty = False
+        if self._settings.broken != "no-grace":
+            most = self._settings.suspicion_least * self._settings.suspicion_stretch * self._settings.period
+            self._grace_ends = now + min(max(most, late / 4), 2 * most)
+            self._woke, self._unheard = now, set(self._roster.others())
+
+    def heard(self, now: float, name: str) -> None:
+        """A message of this member came, or word of its answer."""
+        # What waited in the socket while this member was stopped says nothing of now.
+        if self._unheard and now > self._woke + self._settings.probe_timeout:
+            self._unheard.discard(name)
+
+    # -- what follows from them
+
+    def gone(self) -> set[str]:
+        """Whom this member holds to be gone, by its own probes as well."""
+        return {name for name, one in self.held.items() if one.faulty and one.probed_since}
+
+    def latest(self, but: set[str]) -> float | None:
+        """When the last suspicion began that stands, of none of `but`; None if there is no other. Whoever is
+        well refutes one within a probe or two: those that stand may be found gone soon."""
+        return max((one.since for name, one in self.held.items() if name not in but), default=None)
 
     def keep(self, view: View) -> None:
         """One of an older self is over, and no refutation would come for it any more."""
@@ -101,7 +138,8 @@
             for name, one in self.held.items()
             if name in view and one.incarnation >= self._roster.incarnation(name)
         }
+        self._unheard = {name for name in self._unheard if name in view}
 
     def wakes(self) -> list[float]:
         pairs = [(name, one) for name, one in self.held.items() if not one.faulty]
-        return [at for name, one in pairs for at in (self.ends(one), self.tell_at(name, one))]
+        return [at for name, one in pairs for at in (self.ends(name, one), self.tell_at(name, one))]
--- a/sablewheel/membership/voting.py
+++ b/sablewheel/membership/voting.py
@@ -10,7 +10,7 @@
 from .outbox import Outbox
 from .plan import Settings
 from .roster import Roster
-from .view import Proposal, changes_text
+from .view import Kind, Proposal, changes_text
 
 VOTES_FANOUT, VOTES_EVERY = 4, 5  # whom votes are passed on to, and how often in a period, in a large view
 TALLIES_MOST = 4  # proposals in one message of votes
@@ -42,6 +42,10 @@
     def propose(self, now: float, cut: Proposal) -> None:
         agreement = self._of_epoch()
         self._voted_at = now
+        size, removed = len(agreement.acceptors), sum(one.kind is Kind.REMOVE for one in cut)
+        if size - removed < agreement.fast_quorum and self._settings.broken != "one-at-a-time":
+            # Those who stay are too few to decide it fast: there is nothing to wait for.
+            self._voted_at -= self._settings.vote_timeout - self._settings.period / 2
         self._out.note("proposed", epoch=agreement.epoch, changes=changes_text(cut))
         self._carry(now, agreement.propose(cut))
 
