Forward path: what no frame can carry costs no ticket, nor does a fault in who places it

A name over 64 bytes would have been dropped as bad by the peer, and an irreversible ticket have waited for its time; it is served where it came. A result over frame-most-kb was lost without a word; it ends in an error at once.

--- a/sablewheel/forwarding/forward.py
+++ b/sablewheel/forwarding/forward.py
@@ -23,7 +23,18 @@
 from ..terms import Customer, Nature, Router, Ticket, Track
 from ..transport.scheduler import Scheduler, Timer
 from .links import Links
-from .messages import Answer, BadMessageError, Final, Message, Pass, Passed, decode, encode
+from .messages import (
+    NAME_MOST,
+    SPAN_MOST,
+    Answer,
+    BadMessageError,
+    Final,
+    Message,
+    Pass,
+    Passed,
+    decode,
+    encode,
+)
 from .passing import (
     Abandon,
     Admit,
@@ -102,7 +113,8 @@
         self._forward.over(self._key, Answer(self._key[1], Final.COMPLETED, result))
 
     def denied(self, exchange: Exchange, come_back: float, nowhere: bool) -> None:
-        self._forward.over(self._key, Answer(self._key[1], Final.DENIED, b"", max(come_back, 0.0), nowhere))
+        come_back = min(max(come_back, 0.0), SPAN_MOST)
+        self._forward.over(self._key, Answer(self._key[1], Final.DENIED, b"", come_back, nowhere))
 
     def terminated(self, exchange: Exchange) -> None:
         self._forward.over(self._key, Answer(self._key[1], Final.TERMINATED))
@@ -149,10 +161,19 @@
     def arrived(self, exchange: Exchange) -> None:
         if exchange.name in self._names:
             return exchange.terminate()  # the name of an open ticket: as the dispatch would
-        to = self.placer.place(exchange)
+        to = self._place(exchange)
         if to is None or not self.pass_on(exchange, to):
             self._serve_here(exchange)
 
+    def _place(self, exchange: Exchange) -> str | None:
+        try:
+            return self.placer.place(exchange)
+        except Exception:
+            # A fault in who places must not cost the ticket: it can always be served where it came.
+            self._count("faults")
+            log.exception("ticket not placed, for a fault")
+            return None
+
     def gone(self, exchange: Exchange) -> None:
         number = self._numbers.get(exchange)
         if number is None:
@@ -264,11 +285,16 @@
     def _send(self, to: str, message: Message, within: float) -> None:
         """Whoever passes a ticket on hears if it is sure that it never left; the rest is sent for its worth.
         """
-        data, number = encode(message), message.number
-        if not isinstance(message, Pass):
-            self._links.send(to, KIND, data, within)
-        elif not self._links.send(to, KIND, data, within, lambda: self._step(Unsent(number))):
-            self._step(Unsent(number))
+        number = message.number
+        unsent = (lambda: self._step(Unsent(number))) if isinstance(message, Pass) else None
+        if self._links.send(to, KIND, encode(message), within, unsent):
+            return
+        if unsent is not None:
+            unsent()
+        elif isinstance(message, Answer) and message.result:
+            # It ran, and its result is too much for a frame or the queue: an error is better than silence.
+            self._count("results_unsent")
+            self._send(to, Answer(number, Final.TERMINATED), within)
 
     def _home(self, number: int) -> Away | None:
         away = self._away.pop(number, None)
@@ -290,7 +316,7 @@
                 exchange.terminate()
 
     def _again(self, exchange: Exchange, tried: frozenset[str]) -> None:
-        to = self.placer.place(exchange) if len(tried) < TRIES_MOST else None
+        to = self._place(exchange) if len(tried) < TRIES_MOST else None
         if to is None or not self.pass_on(exchange, to, tried):
             self._serve_here(exchange)
 
@@ -299,7 +325,7 @@
         self._inner.arrived(exchange)
 
     def _passed(self, exchange: Exchange) -> Passed | None:
-        """What goes along; None: its customer is not one that a peer would know by name."""
+        """What goes along; None: a name in it can't be told to a peer."""
         ticket = exchange.ticket
         customer = b""
         if ticket.customer is not None:
@@ -310,6 +336,8 @@
                 return None
             customer = found
         label = exchange.label if ticket.track.nature is Nature.LABELLED else None
+        if max(len(exchange.name), len(exchange.track), len(customer), len(label or b"")) > NAME_MOST:
+            return None
         return Passed(
             exchange.name, exchange.track, exchange.body, customer, label, ticket.kb, ticket.subject
         )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -689,6 +689,20 @@
     paired(body)
 
 
+def test_what_no_frame_can_carry_is_served_here_and_a_result_too_large_ends_in_an_error() -> None:
+    def body(scheduler: Scheduler, pair: Pair) -> None:
+        pair.ask(b"stamp")
+        pair.guest().complete(b"x" * (2 << 20))
+        wait(scheduler, lambda: pair.router.told)
+        assert pair.router.told == [("terminated",)]
+        ticket = Ticket(TRACKS[b"stamp"], Router(), None, scheduler.clock.now, 10.0)
+        long = Exchange(b"n" * 65, b"stamp", b"body", 1, None, ticket, pair.router)
+        pair.forwards["a"].arrived(long)
+        assert pair.engines["a"].open == [long]
+
+    paired(body)
+
+
 def test_a_lost_link_ends_each_ticket_by_its_nature() -> None:
     def body(scheduler: Scheduler, pair: Pair) -> None:
         asked = {track: pair.ask(track) for track in TRACKS}
@@ -714,7 +728,9 @@
         wait(scheduler, lambda: pair.engines["a"].open == [exchange])
         pair.forwards["a"].placer = To(None)
         pair.ask(b"lookup")
-        assert len(pair.engines["a"].open) == 2
+        pair.forwards["a"].placer = None  # type: ignore[assignment]  # a fault in who places costs no ticket
+        pair.ask(b"lookup")
+        assert len(pair.engines["a"].open) == 3 and pair.forwards["a"].counts["faults"] == 1
 
     paired(body)
 
