--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -77,6 +78,15 @@
     says: Callable[[Any], tuple[tuple[str, str], ...]] = _no_says  # in the fleet's view, of this member
 
 
+@contextlib.contextmanager
+def _listening(section: str, address: tuple[str, int]) -> Iterator[None]:
+    """A door that can't be opened is told by its own key, not as the routers'."""
+    try:
+        yield
+    except OSError as trouble:
+        raise OSError(f"{section}.listen: {address[0]}:{address[1]}: {trouble.strerror}") from None
+
+
 def _ledger(ground: Ground, plan: LedgerPlan) -> Part:
     from ..ledger.keeper import Keeper
 
@@ -136,7 +146,9 @@
     from ..membership.shell import Fleet
 
     posting = ground.posting
-    fleet = ground.fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed, says=ground.says)
+    with _listening("membership", plan.listen):
+        fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed, says=ground.says)
+    ground.fleet = fleet
     return Part(leaving=fleet.leave, close=lambda _: fleet.close(), gauges=fleet.gauges)
 
 
@@ -148,7 +160,8 @@
     fleet, posting = ground.fleet, ground.posting
     assert fleet is not None  # the section needs membership's
     born = fleet.node.me.incarnation
-    links = ground.links = Links(ground.scheduler, plan.listen, plan.links, fleet.me, born)
+    with _listening("forwarding", plan.listen):
+        links = ground.links = Links(ground.scheduler, plan.listen, plan.links, fleet.me, born)
     forward = ground.forward = Forward(
         ground.scheduler,
         links,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -743,6 +743,10 @@
         for name in stage.names:
             stage.wait_up(name)
         assert stage.wait_agreed(stage.names, 20.0) is not None, stage.processes["m0"].tail()
+        stage.start("m1")  # a second one finds its doors taken, and says which
+        assert stage.processes["m1"].popen.wait(20.0) == 1
+        assert f"sablewheel: membership.listen: {stage.host('m1')}:" in stage.processes["m1"].tail(50)
+        stage.processes["m1"] = rig.processes[-2]
         asks = rig.router("r-m0", [f"{stage.host('m0')}:{LISTEN}"], rate=40, seconds=2.0, tracks=SHARES)
         assert asks.popen.wait(20.0) == 0
         tries = list(rig.held("r-m0"))
