--- a/sablewheel/trials/membership.py
+++ b/sablewheel/trials/membership.py
@@ -1,7 +1,8 @@
 """Membership's trial: fleets of real servers side by side under the same faults, ours and two baselines.
 
 Every link passes through a fault relay. Members are killed and come back cold, paused for shorter and longer
-than a suspicion lasts, slowed by stops and goes, cut one way, made deaf, put on links that lose or flip.
+than a suspicion lasts, slowed by stops and goes, cut one way, made deaf, put on links that lose or flip;
+several are cut off together, and all of ours are stopped together, as by a stall of their host.
 Nobody who is alive may be taken out, whoever is dead must be out soon and in one view for all, and a fleet
 of half the size must cost each member as much.
 """
@@ -33,6 +34,7 @@
 DETECT_MOST = 1.5  # times the faster baseline
 SHORT = Settings().heartbeat_timeout - PERIOD  # the longest silence that the heartbeats' timeout bears
 DEAF = SHORT
+GOING_ON = 2.0  # seconds over which members go on, one by one, after a stop of all
 ALONE = ("added", "removed")
 
 
@@ -59,6 +61,8 @@
     crashes: list[tuple[str, float]] = field(default_factory=list)
     agreed_after: list[float] = field(default_factory=list)
     returned_after: list[float] = field(default_factory=list)
+    cut_off: tuple[frozenset[str], float, float, float] = (frozenset(), 0.0, 0.0, 0.0)  # who, from, to, end
+    dead_in_stall: list[float] = field(default_factory=list)  # until all held it to be out
     loads: dict[int, tuple[float, float]] = field(default_factory=dict)  # by fleet: datagrams, bytes a second
 
     @property
@@ -181,6 +185,9 @@
     after = stage.ours.wait_agreed(names, AGAIN_WITHIN)
     stage.spells[-1].ended = time.time()
     stage.returned_after.append(after if after is not None else math.inf)
+    _cut_off(stage, chance.sample(picked, max(len(names) * 3 // 8, 2)), 14.0 if quick else 25.0)
+    _stall(stage, chance, 10.0 if quick else 20.0, "")
+    _stall(stage, chance, 6.0 if quick else 20.0, chance.choice(picked))
     leaver = chance.choice(picked)
     at = time.time()
     for fleet in stage.same:
@@ -234,6 +241,49 @@
     time.sleep(4.0)
 
 
+def _cut_off(stage: Stage, group: list[str], span: float) -> None:
+    """Several together, both ways; they go as if dead, and come in again by themselves."""
+    ours, rest = stage.ours, [name for name in stage.ours.names if name not in group]
+    begun = time.time()
+    for some, others in ((group, rest), (rest, group)):
+        ours.relay.set(some, others, cut=True)
+    time.sleep(span)
+    healed = time.time()
+    for some, others in ((group, rest), (rest, group)):
+        ours.relay.set(some, others, cut=False)
+    after = ours.wait_agreed(ours.names, AGAIN_WITHIN)
+    stage.returned_after.append(after if after is not None else math.inf)
+    time.sleep(3.0)
+    stage.cut_off = (frozenset(group), begun, healed, time.time())
+    stage.spells.append(Spell("cut of several", begun, time.time(), frozenset(group)))
+
+
+def _stall(stage: Stage, chance: random.Random, span: float, dies: str) -> None:
+    """All of ours stop at once and go on one by one, but for one that dies meanwhile, if it is named."""
+    ours, begun = stage.ours, time.time()
+    for name in ours.names:
+        ours.stop(name)
+    time.sleep(span)
+    if dies:
+        ours.processes[dies].kill()
+    left = [name for name in ours.names if name != dies]
+    on = time.monotonic()
+    for at, name in sorted((chance.uniform(0, GOING_ON), name) for name in left):
+        time.sleep(max(on + at - time.monotonic(), 0.0))
+        ours.go_on(name)
+    if dies:
+        out = ours.wait_agreed(left, AGAIN_WITHIN)
+        stage.dead_in_stall.append(out if out is not None else math.inf)
+    else:
+        time.sleep(12.0)
+    spell = Spell("stop of all and a death" if dies else "stop of all", begun, time.time(), frozenset({dies}))
+    stage.spells.append(spell)
+    if dies:
+        ours.start(dies)
+        back = ours.wait_agreed(ours.names, AGAIN_WITHIN)
+        stage.returned_after.append(back if back is not None else math.inf)
+
+
 def _load(stage: Stage, span: float) -> None:
     """Datagrams and bytes that a member sends in a calm time, a second, in the whole fleet and the half."""
     before = {fleet.place: fleet.relay.carried() for fleet in (stage.ours, stage.half)}
@@ -289,8 +339,31 @@
     return len({line.pairs["epoch"] for line in lines if line.what == "view"})
 
 
+def _changes(fleet: Fleet, since: float, until: float) -> dict[str, str]:
+    """What each view that was decided in a time changed, by its epoch."""
+    return {
+        line.pairs["epoch"]: line.pairs["changes"]
+        for line in fleet.seen(since, until)
+        if line.what == "view" and ":" in line.pairs.get("changes", "")
+    }
+
+
+def _judge_together(stage: Stage, verdict: Verdict) -> None:
+    """Who is cut off together, and who dies while all are stopped."""
+    group, begun, healed, ended = stage.cut_off
+    out, back = _changes(stage.ours, begun, healed), _changes(stage.ours, healed, ended)
+    gone = {name for name in group if any(f"remove:{name}@" in one for one in out.values())}
+    verdict.check(f"{len(group)} cut off together go in one view", len(out) == 1 and gone == group,
+                  "; ".join(out.values()) or "none")  # fmt: skip
+    verdict.check("and come in again in one view or two", 1 <= len(back) <= 2, len(back))
+    slowest = max(stage.dead_in_stall)
+    verdict.check("who dies in a stop of all is out of every view", slowest < math.inf, f"{slowest:.2f} s")
+    verdict.figures |= {"cut_views": len(out), "back_views": len(back), "dead_in_stall_s": round(slowest, 2)}
+
+
 def _judge(stage: Stage, verdict: Verdict) -> None:
     ours = stage.ours
+    _judge_together(stage, verdict)
     detected = {
         fleet.kind: [one for name, at in stage.crashes for one in _out_times(fleet, name, at)]
         for fleet in stage.same
