--- a/sablewheel/membership/detector.py
+++ b/sablewheel/membership/detector.py
@@ -230,6 +230,10 @@
         self._suspicions.heard(now, name)
         self._unanswered.discard(name)
 
+    def unanswered(self) -> list[str]:
+        """Who was pinged with all the others, and said nothing since."""
+        return sorted(self._unanswered)
+
     # -- opinions
 
     def suspect(self, now: float, name: str, incarnation: int, by: str) -> Suspicion | None:
--- a/sablewheel/membership/reports.py
+++ b/sablewheel/membership/reports.py
@@ -94,6 +94,11 @@
         self._leaving.clear()
         self._held_since = self._gather_until = None
 
+    def waits(self, now: float) -> tuple[bool, tuple[float, ...]]:
+        """What a cut waits for, as spans from now: for a model that tells states apart."""
+        times = (self._held_since, self._held_until, self._gather_until, self._back_until)
+        return self._few, tuple(max(round(at - now, 1), -9.0) if at is not None else -9.0 for at in times)
+
     # -- the cut
 
     def wakes(self) -> list[float]:
--- a/sablewheel/membership/suspicions.py
+++ b/sablewheel/membership/suspicions.py
@@ -120,6 +120,9 @@
         if self._unheard and now > self._woke + self._settings.probe_timeout:
             self._unheard.discard(name)
 
+    def unheard(self) -> list[str]:
+        return sorted(self._unheard)
+
     # -- what follows from them
 
     def gone(self) -> set[str]:
--- a/sablewheel/trials/membership_model.py
+++ b/sablewheel/trials/membership_model.py
@@ -121,7 +121,8 @@
                     sorted(map(repr, agreement.votes.items())) if agreement else None,
                     repr(agreement.promised) if agreement else None,
                     [(repr(one.item), one.left) for one in node.gossip.news],
-                    round(node.wake_at - self.now, 1),
+                    round(node.wake_at - self.now, 1), node.reports.waits(self.now),
+                    node.suspicions.unheard(), node.detector.unanswered(),
                 )
             )  # fmt: skip
         way = [(sender, to, repr(message.body)) for sender, to, message in self.way]
