--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -87,9 +87,9 @@
             posting.tracks,
             posting.customers,
             self._standing,
-            self._dispatch,
+            self._feature.desk(self._dispatch),
             count,
-            posting.connections_most,
+            max(posting.connections_most - self._feature.sockets, posting.connections_most // 2),
             self._feature.witness,
         )
         self._listener = Listener(
--- a/sablewheel/trials/made_net.py
+++ b/sablewheel/trials/made_net.py
@@ -6,11 +6,12 @@
 
 import heapq
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from ..membership.node import Got, Node, Note, Send, Tick
+from ..membership.events import Got, Note, Send, Tick
+from ..membership.node import Node
 from ..membership.plan import Settings
-from ..membership.view import Member, Proposal, View
+from ..membership.view import Member, Proposal, Says, View
 
 
 @dataclass
@@ -28,6 +29,7 @@
     dead: set[str] = field(default_factory=set)
     queue: list[tuple[float, int, str, object]] = field(default_factory=list)
     notes: list[tuple[float, str, Note]] = field(default_factory=list)
+    seeds: dict[str, tuple[str, ...]] = field(default_factory=dict)
     turn: int = 0
     steps: int = 0
     pending: dict[str, float] = field(default_factory=dict)  # name -> its one wake
@@ -35,12 +37,13 @@
     def __post_init__(self) -> None:
         self.chance = random.Random(self.seed)
 
-    def add(self, name: str, zone: str = "z1") -> Node:
+    def add(self, name: str, zone: str = "z1", says: Says = ()) -> Node:
         address = f"127.0.0.1:{7000 + len(self.names)}"
         self.names[address] = name
         seeds = ("127.0.0.1:7000", "127.0.0.1:7001")  # the first two; the first founds the view
-        node = Node(Member(name, address, zone, "r1", int(self.now * 1000) + 7200_000), seeds, self.settings,
-                    random.Random(f"{self.seed}-{name}"), self.now)  # fmt: skip
+        me = Member(name, address, zone, "r1", int(self.now * 1000) + 7200_000, says)
+        node = Node(me, seeds, self.settings, random.Random(f"{self.seed}-{name}"), self.now)
+        self.seeds[name] = seeds
         self.nodes[name] = node
         self.dead.discard(name)
         self._wake(name)
@@ -50,9 +53,9 @@
         """A new process under the old name and address, its clock off by so much; the old one is dead."""
         old = self.nodes[name]
         incarnation = int((self.now + clock) * 1000) + 7200_000
-        me = Member(name, old.me.address, old.me.zone, old.me.region, incarnation)
+        me = replace(old.me, incarnation=incarnation)
         chance = random.Random(f"{self.seed}-{name}-{self.now}")
-        self.nodes[name] = Node(me, old.seeds, self.settings, chance, self.now)
+        self.nodes[name] = Node(me, self.seeds[name], self.settings, chance, self.now)
         self.dead.discard(name)
         self.pending.pop(name, None)
         self._wake(name)
@@ -94,7 +97,7 @@
             for effect in node.step(at, what):  # type: ignore[arg-type]
                 if isinstance(effect, Send):
                     self._carry(name, effect)
-                else:
+                elif isinstance(effect, Note):
                     self.notes.append((at, name, effect))
             self._wake(name)
         self.now = until
@@ -134,8 +137,7 @@
             chance = random.Random(f"{self.seed}-{member.name}")
             node = Node(member, ("a00000",), self.settings, chance, self.now)
             node.grow = grow
-            node.begin_with(view)
-            node.next_probe = self.now + chance.uniform(0, self.settings.period)
-            node.next_sync = self.now + chance.uniform(0, self.settings.sync_every)
+            probe_at = self.now + chance.uniform(0, self.settings.period)
+            node.begin_with(view, probe_at, self.now + chance.uniform(0, self.settings.sync_every))
             self.nodes[member.name] = node
             self._wake(member.name)
