Membership's trial cuts off several together and stops all of its fleet

Membership's trial cuts off several together and stops all of its fleet, with and without a death.

Three eighths of ours (round) are cut off both ways twice: checked are one view out, all of them, and one or two back.

--- a/sablewheel/trials/membership.py
+++ b/sablewheel/trials/membership.py
@@ -61,7 +61,7 @@
     crashes: list[tuple[str, float]] = field(default_factory=list)
     agreed_after: list[float] = field(default_factory=list)
     returned_after: list[float] = field(default_factory=list)
-    cut_off: tuple[frozenset[str], float, float, float] = (frozenset(), 0.0, 0.0, 0.0)  # who, from, to, end
+    cuts: list[tuple[set[str], float, float, float]] = field(default_factory=list)  # who, from, to, end
     dead_in_stall: list[float] = field(default_factory=list)  # until all held it to be out
     loads: dict[int, tuple[float, float]] = field(default_factory=dict)  # by fleet: datagrams, bytes a second
 
@@ -185,7 +185,8 @@
     after = stage.ours.wait_agreed(names, AGAIN_WITHIN)
     stage.spells[-1].ended = time.time()
     stage.returned_after.append(after if after is not None else math.inf)
-    _cut_off(stage, chance.sample(picked, max(len(names) * 3 // 8, 2)), 14.0 if quick else 25.0)
+    for _ in range(2):
+        _cut_off(stage, chance.sample(picked, round(len(names) * 3 / 8)), 14.0 if quick else 25.0)
     _stall(stage, chance, 10.0 if quick else 20.0, "")
     _stall(stage, chance, 6.0 if quick else 20.0, chance.choice(picked))
     leaver = chance.choice(picked)
@@ -254,7 +255,7 @@
     after = ours.wait_agreed(ours.names, AGAIN_WITHIN)
     stage.returned_after.append(after if after is not None else math.inf)
     time.sleep(3.0)
-    stage.cut_off = (frozenset(group), begun, healed, time.time())
+    stage.cuts.append((set(group), begun, healed, time.time()))
     stage.spells.append(Spell("cut of several", begun, time.time(), frozenset(group)))
 
 
@@ -350,15 +351,18 @@
 
 def _judge_together(stage: Stage, verdict: Verdict) -> None:
     """Who is cut off together, and who dies while all are stopped."""
-    group, begun, healed, ended = stage.cut_off
-    out, back = _changes(stage.ours, begun, healed), _changes(stage.ours, healed, ended)
-    gone = {name for name in group if any(f"remove:{name}@" in one for one in out.values())}
-    verdict.check(f"{len(group)} cut off together go in one view", len(out) == 1 and gone == group,
-                  "; ".join(out.values()) or "none")  # fmt: skip
-    verdict.check("and come in again in one view or two", 1 <= len(back) <= 2, len(back))
+    outs, backs = list[int](), list[int]()
+    for group, begun, healed, ended in stage.cuts:
+        out, back = _changes(stage.ours, begun, healed), _changes(stage.ours, healed, ended)
+        gone = {name for name in group if any(f"remove:{name}@" in one for one in out.values())}
+        verdict.check(f"{len(group)} cut off together go in one view", len(out) == 1 and gone == group,
+                      "; ".join(out.values()) or "none")  # fmt: skip
+        verdict.check("and come in again in one view or two", 1 <= len(back) <= 2, len(back))
+        outs.append(len(out))
+        backs.append(len(back))
     slowest = max(stage.dead_in_stall)
     verdict.check("who dies in a stop of all is out of every view", slowest < math.inf, f"{slowest:.2f} s")
-    verdict.figures |= {"cut_views": len(out), "back_views": len(back), "dead_in_stall_s": round(slowest, 2)}
+    verdict.figures |= {"cut_views": max(outs), "back_views": max(backs), "dead_in_stall_s": round(slowest, 2)}
 
 
 def _judge(stage: Stage, verdict: Verdict) -> None:
