--- a/sablewheel/membership/shell.py
+++ b/sablewheel/membership/shell.py
@@ -90,6 +90,7 @@
     def on_view(self, callback: Callable[[View], None]) -> None:
         """Each view this member installs, once and in order, and at once the last one if there is one.
 
+        One that it is not in itself is told too: it was left out, and holds no view until it is let in again.
         A fault in a callback is logged and counted (`members_faults`), and the others still hear.
         """
         self._listeners.append(callback)
--- a/sablewheel/trials/membership.py
+++ b/sablewheel/trials/membership.py
@@ -362,7 +362,11 @@
         backs.append(len(back))
     slowest = max(stage.dead_in_stall)
     verdict.check("who dies in a stop of all is out of every view", slowest < math.inf, f"{slowest:.2f} s")
-    verdict.figures |= {"cut_views": max(outs), "back_views": max(backs), "dead_in_stall_s": round(slowest, 2)}
+    verdict.figures |= {
+        "cut_views": max(outs),
+        "back_views": max(backs),
+        "dead_in_stall_s": round(slowest, 2),
+    }
 
 
 def _judge(stage: Stage, verdict: Verdict) -> None:
