A cut waits for a confirmed suspicion, also beside one just back from a pause

A cut waits for a suspicion that is confirmed until it ends, also where an observer is just back from a pause.

In the made network: the member just back is slow by its local health, so that the third suspicion ended 0.1 s after the cut had waited settle-s. The wait goes now by when each suspicion ends (twice settle-s at most, as before).

--- a/sablewheel/membership/reports.py
+++ b/sablewheel/membership/reports.py
@@ -134,22 +134,23 @@
 
     def _waits(self, now: float, stable: list[Change], going: set[str]) -> bool:
         """Rapid: a cut waits while another subject stands between the marks; ours also while another member
-        is suspected at all, so that those who go together go in one view. For `settle` at most, and as long
-        again for a suspicion that came meanwhile."""
+        is suspected at all, so that those who go together go in one view. For `settle`, and as long again at
+        most for a suspicion that came late or is confirmed."""
         chosen = {(one.member.name, one.kind is Kind.JOIN) for one in stable}
         unstable = any(
             key not in chosen and len(those) >= max(self._marks(key[0])[1], 1)
             for key, those in self.alerts.items()
         )
-        latest = self._suspicions.latest(going) if self._settings.broken != "one-at-a-time" else None
-        if not unstable and latest is None and now >= self._back_until:
+        alone = self._settings.broken == "one-at-a-time"
+        others = self._suspicions.settled_at(now, going) if not alone else None
+        if not unstable and others is None and now >= self._back_until:
             return False
         since = self._held_since = now if self._held_since is None else self._held_since
         settle = self._settings.settle
-        self._held_until = min(max(since, latest if latest is not None else since), since + settle) + settle
-        if not unstable and latest is None:
-            self._held_until = now
-        self._held_until = max(self._held_until, self._back_until)
+        until = since + settle if unstable or others is not None else now
+        if others is not None:
+            until = min(max(until, others), since + 2 * settle)
+        self._held_until = max(until, self._back_until)
         return now < self._held_until
 
     def _is_few(self, lost: set[str]) -> bool:
--- a/sablewheel/membership/suspicions.py
+++ b/sablewheel/membership/suspicions.py
@@ -129,10 +129,18 @@
         """Whom this member holds to be gone, by its own probes as well."""
         return {name for name, one in self.held.items() if one.faulty and one.probed_since}
 
-    def latest(self, but: set[str]) -> float | None:
-        """When the last suspicion began that stands, of none of `but`; None if there is no other. Whoever is
-        well refutes one within a probe or two: those that stand may be found gone soon."""
-        return max((one.since for name, one in self.held.items() if name not in but), default=None)
+    def settled_at(self, now: float, but: set[str]) -> float | None:
+        """When it should be known of all who are suspected whether they are gone, `but` those; None if there
+        is no other. Whoever is well refutes a suspicion within a probe or two: who does not may be gone."""
+        times = (self._settles(now, name, one) for name, one in self.held.items() if name not in but)
+        return max(times, default=None)
+
+    def _settles(self, now: float, name: str, one: Suspicion) -> float:
+        if one.faulty:
+            return now + self._settings.settle  # its observers' reports are due
+        if len(one.by) > 1:
+            return self.ends(name, one) + self._settings.period
+        return one.since + self._settings.settle
 
     def keep(self, view: View) -> None:
         """One of an older self is over, and no refutation would come for it any more."""
