--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -9,15 +9,16 @@
 
 import difflib
 import ipaddress
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, ClassVar, Literal
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
 from ruamel.yaml import YAML
 from ruamel.yaml.comments import CommentedMap, CommentedSeq
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
+from ..forwarding.plan import ForwardingPlan, LinkSettings, PassSettings
 from ..ledger.periods import PeriodError, zone_of
 from ..ledger.plan import Answers, Calendar, CollectorPlan, Depth, ExportPlan, LedgerPlan, Length
 from ..membership.plan import MembershipPlan, Settings
@@ -25,6 +26,7 @@
 
 VERSION = 1
 VARIABLE = "SABLEWHEEL_FEATURES"
+APART = ("collector",)  # sections of programs of their own
 
 
 @dataclass(frozen=True)
@@ -46,17 +48,22 @@
 
 @dataclass(frozen=True)
 class Features:
-    """What is switched on."""
+    """What is switched on: the plan of each section that is there, under the section's name."""
 
     ledger: LedgerPlan | None = None
     recall: RecallPlan | None = None
     collector: CollectorPlan | None = None
     membership: MembershipPlan | None = None
+    forwarding: ForwardingPlan | None = None
 
     @property
     def any(self) -> bool:
         """Whether anything is on that the server itself must do."""
-        return self.ledger is not None or self.recall is not None or self.membership is not None
+        return any(self.plan(one.name) is not None for one in fields(self) if one.name not in APART)
+
+    def plan(self, section: str) -> Any:
+        """The section's plan; None if it is off."""
+        return getattr(self, section)
 
 
 def _address(text: str) -> str:
@@ -87,7 +94,10 @@
 
 
 class Section(BaseModel):
-    """Keys are written with hyphens; unknown ones are faults."""
+    """Keys are written with hyphens; unknown ones are faults. `needs`: other sections that it can't be on
+    without."""
+
+    needs: ClassVar[tuple[str, ...]] = ()
 
     model_config = ConfigDict(
         extra="forbid", strict=True, frozen=True, alias_generator=lambda name: name.replace("_", "-")
@@ -304,6 +314,70 @@
         )
 
 
+class ForwardingSection(Section):
+    """Tickets, and what other features send, to peers of the fleet."""
+
+    needs = ("membership",)
+
+    listen: Address
+    advertise: Address | None = None
+    links_most: Annotated[int, Field(ge=2, le=4096)] = 64
+    frame_most_kb: Annotated[int, Field(ge=16, le=65536)] = 1024
+    queue_frames: Annotated[int, Field(ge=16, le=1 << 20)] = 1024
+    queue_kb: Annotated[int, Field(ge=16, le=1 << 20)] = 4096
+    connect_within_s: Annotated[float, Field(ge=0.01, le=30)] = 0.5
+    ping_every_s: Annotated[float, Field(ge=0.01, le=30)] = 0.2
+    silent_most_s: Annotated[float, Field(ge=0.05, le=300)] = 0.8
+    rest_first_s: Annotated[float, Field(ge=0.01, le=60)] = 0.05
+    rest_last_s: Annotated[float, Field(ge=0.01, le=60)] = 0.5
+    linger_s: Annotated[float, Field(ge=0, le=60)] = 3.0
+    out_most: Annotated[int, Field(ge=1, le=1 << 20)] = 4096
+    in_most: Annotated[int, Field(ge=1, le=1 << 20)] = 1024
+    taken_within_s: Annotated[float, Field(ge=0.01, le=30)] = 0.25
+    doubt_s: Annotated[float, Field(ge=0, le=60)] = 0.5
+
+    @model_validator(mode="after")
+    def _fits(self) -> ForwardingSection:
+        if self.silent_most_s < 2 * self.ping_every_s:
+            raise ValueError(
+                f"silent-most-s {self.silent_most_s:g} must be at least twice ping-every-s "
+                f"{self.ping_every_s:g}, or one late answer breaks a link"
+            )
+        if self.rest_last_s < self.rest_first_s:
+            raise ValueError(
+                f"rest-last-s {self.rest_last_s:g} is less than rest-first-s {self.rest_first_s:g}"
+            )
+        if self.queue_kb < self.frame_most_kb:
+            raise ValueError(
+                f"queue-kb {self.queue_kb} does not hold one frame of frame-most-kb {self.frame_most_kb}"
+            )
+        if self.listen.startswith("0.0.0.0:") and self.advertise is None:
+            raise ValueError("advertise is needed with listen on 0.0.0.0: peers must know where to reach it")
+        return self
+
+    def plan(self) -> ForwardingPlan:
+        host, _, port = self.listen.rpartition(":")
+        links = LinkSettings(
+            frame_most=self.frame_most_kb * 1024,
+            queue_frames=self.queue_frames,
+            queue_bytes=self.queue_kb * 1024,
+            links_most=self.links_most,
+            connect_within=self.connect_within_s,
+            ping_every=self.ping_every_s,
+            silent_most=self.silent_most_s,
+            rest_first=self.rest_first_s,
+            rest_last=self.rest_last_s,
+            linger=self.linger_s,
+        )
+        passing = PassSettings(
+            out_most=self.out_most,
+            in_most=self.in_most,
+            taken_within=self.taken_within_s,
+            doubt=self.doubt_s,
+        )
+        return ForwardingPlan((host, int(port)), self.advertise or self.listen, links, passing)
+
+
 class CollectorSection(Section):
     """`sablewheel ledger collect`: a program of its own, not a part of the server."""
 
@@ -340,17 +414,18 @@
     recall: RecallSection | None = None
     collector: CollectorSection | None = None
     membership: MembershipSection | None = None
+    forwarding: ForwardingSection | None = None
+
+    def sections(self) -> dict[str, Any]:
+        """Those that are there, under the names that `Features` has for their plans."""
+        told = {name: getattr(self, name) for name in type(self).model_fields if name != "version"}
+        return {name: section for name, section in told.items() if section is not None}
 
 
 def read(file: str | Path) -> Features:
     """The features of a file; raises `FaultyFeaturesError` with all of its faults."""
     top = check(str(file), _text(str(file)))
-    return Features(
-        ledger=top.ledger.plan() if top.ledger is not None else None,
-        recall=top.recall.plan() if top.recall is not None else None,
-        collector=top.collector.plan() if top.collector is not None else None,
-        membership=top.membership.plan() if top.membership is not None else None,
-    )
+    return Features(**{name: section.plan() for name, section in top.sections().items()})
 
 
 def _text(file: str) -> str:
@@ -375,10 +450,19 @@
     if not isinstance(told, CommentedMap):
         raise FaultyFeaturesError(file, [Fault(1, "file", "keys are wanted, `version: 1` first")])
     try:
-        return Top.model_validate(_plain(told))
+        top = Top.model_validate(_plain(told))
     except ValidationError as trouble:
         faults = [_fault(told, one) for one in trouble.errors(include_url=False)]
         raise FaultyFeaturesError(file, sorted(faults, key=lambda one: one.line)) from None
+    there = top.sections()
+    if faults := [
+        Fault(_line(told, (name,)), name, f"needs the section {needed}, which is absent")
+        for name, section in there.items()
+        for needed in section.needs
+        if needed not in there
+    ]:
+        raise FaultyFeaturesError(file, faults)
+    return top
 
 
 def _plain(value: Any) -> Any:
