--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -414,6 +414,23 @@
         assert set(out) == {1} and set(back) <= {1, 2}
 
 
+@pytest.mark.parametrize("seed", [2, 25])  # where the wait of a cut once ended a tenth of a second too soon
+def test_they_go_in_one_view_also_while_one_of_the_rest_is_just_back_from_a_pause(seed: int) -> None:
+    net, chance = started(7, seed=seed), random.Random(seed * 7)
+    names = list(net.nodes)
+    late = chance.choice(names[1:])
+    net.stopped[late] = net.now + 9.0
+    net.run(net.now + 9.0)
+    while len({node.view for node in net.nodes.values()}) > 1 or len(net.views()["m0"]) < 7:
+        net.run(net.now + 0.1)
+        assert net.now < 60.0
+    net.run(net.now + 0.2)
+    at = net.now
+    split(net, chance.sample(names[1:], 3))
+    net.run(at + 14.0)
+    assert len(changes(net, at)) == 1
+
+
 def test_two_equal_halves_change_nothing_apart_nor_when_they_meet_again() -> None:
     for seed in (1, 2, 3):
         net = started(8, seed=seed)
