--- /dev/null
+++ b/sablewheel/capability/document.py
@@ -0,0 +1,298 @@
+"""The routing policy as the operators write it: YAML, one schema, all faults told at once with line and key.
+
+`read` gives a `Policy` of plain values. What it means for a class of servers is the translation's matter.
+"""
+
+from __future__ import annotations
+
+import difflib
+import hashlib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from ruamel.yaml import YAML
+from ruamel.yaml.comments import CommentedMap, CommentedSeq
+from ruamel.yaml.error import MarkedYAMLError, YAMLError
+
+from .ability import CATALOGUE, Catalogue
+
+TEXT_MOST = 256 << 10  # bytes of a document
+FLOWS_MOST = 200
+LADDERS_MOST = 90  # flows with a ladder: each has a digit in a fact of 128 characters
+RUNGS_MOST = 8
+FEATURES_MOST = 32  # of one line of wants
+WORTH_MOST = 1_000_000
+
+Values = Mapping[str, int]
+Wants = Mapping[str, Values]  # feature -> its parameters, each at least so much
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault: the line from 1 (0 if there is none), the key's path, and what to say."""
+
+    line: int
+    key: str
+    says: str
+
+
+class FaultyPolicyError(ValueError):
+    """The document can't be used; the text has a line for each fault."""
+
+    def __init__(self, file: str, faults: list[Fault]) -> None:
+        self.file, self.faults = file, faults
+        super().__init__("\n".join(f"{file}:{one.line}: {one.key}: {one.says}" for one in faults))
+
+
+@dataclass(frozen=True)
+class Rung:
+    """One step of a ladder: what it takes, and what a ticket served with it is worth more."""
+
+    wants: Wants
+    worth: int
+    line: int = 0
+
+
+@dataclass(frozen=True)
+class Flow:
+    """Tickets that are of one kind to the policy. Empty tuples: any. `cores`: its load over the fleet, in
+    reference cores; `worth`: of a ticket served with no more than is required.
+
+    Rung numbers: 0 is the best; `len(ladder)` is the bottom, with what is required and nothing else.
+    """
+
+    name: str
+    tracks: tuple[str, ...] = ()
+    customers: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    cores: float = 0.0
+    worth: int = 1
+    require: Wants = field(default_factory=dict)
+    ladder: tuple[Rung, ...] = ()
+    forbid: tuple[str, ...] = ()
+    lines: Mapping[str, int] = field(default_factory=dict)  # of `require.NAME`, `forbid.NAME`
+
+    @property
+    def bottom(self) -> int:
+        return len(self.ladder)
+
+    def wants(self, rung: int) -> Wants:
+        """Everything that a class must run to serve it on this rung."""
+        if rung >= self.bottom:
+            return self.require
+        both: dict[str, Values] = dict(self.require)
+        for name, values in self.ladder[rung].wants.items():
+            mine = dict(both.get(name, {}))
+            for parameter, value in values.items():
+                mine[parameter] = max(value, mine.get(parameter, value))
+            both[name] = mine
+        return both
+
+    def earns(self, rung: int) -> int:
+        return self.worth + (self.ladder[rung].worth if rung < self.bottom else 0)
+
+    def takes(self, track: str, customer: str, zone: str) -> bool:
+        return all(
+            not those or one in those
+            for one, those in ((track, self.tracks), (customer, self.customers), (zone, self.zones))
+        )
+
+
+@dataclass(frozen=True)
+class Policy:
+    """`number` is the document's own version, which only grows; a ticket is of the first flow taking it."""
+
+    number: int
+    flows: tuple[Flow, ...]
+    file: str = ""
+    digest: str = ""
+
+    def flow(self, track: str, customer: str, zone: str) -> Flow | None:
+        return next((one for one in self.flows if one.takes(track, customer, zone)), None)
+
+    def named(self, name: str) -> Flow:
+        return next(one for one in self.flows if one.name == name)
+
+
+def _mapping(value: Any) -> Any:
+    """A feature without parameters may be written with nothing behind it."""
+    if not isinstance(value, dict):
+        return value
+    return {key: {} if one is None else one for key, one in value.items()}
+
+
+Name = Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[^\s:]+$")]
+WantsIn = Annotated[
+    dict[str, dict[str, Annotated[int, Field(ge=0, le=1 << 40)]]],
+    BeforeValidator(_mapping),
+    Field(max_length=FEATURES_MOST),
+]
+Worth = Annotated[int, Field(ge=0, le=WORTH_MOST)]
+Names = Annotated[list[Name], Field(max_length=1000)]
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class _Rung(_Part):
+    worth: Worth
+    features: WantsIn
+
+
+class _Flow(_Part):
+    tracks: Names = []
+    customers: Names = []
+    zones: Names = []
+    cores: Annotated[float, Field(ge=0, le=1_000_000, allow_inf_nan=False)] = 0.0
+    worth: Worth = 1
+    require: WantsIn = {}
+    prefer: Annotated[list[_Rung], Field(max_length=RUNGS_MOST)] = []
+    forbid: Annotated[list[str], Field(max_length=FEATURES_MOST)] = []
+
+
+class _Document(_Part):
+    version: Literal[1]
+    policy: Annotated[int, Field(ge=1, le=1 << 40)]
+    flows: Annotated[dict[Name, _Flow], Field(min_length=1, max_length=FLOWS_MOST)]
+
+
+def read(text: str, file: str = "policy", catalogue: Catalogue = CATALOGUE) -> Policy:
+    """The policy of a text; raises `FaultyPolicyError` with all its faults. `file`: its name in messages."""
+    if len(text.encode()) > TEXT_MOST:
+        raise FaultyPolicyError(file, [Fault(0, "file", f"over {TEXT_MOST} bytes; fewer flows are wanted")])
+    try:
+        told = YAML(typ="rt").load(text)
+    except MarkedYAMLError as trouble:
+        mark = trouble.problem_mark
+        line = mark.line + 1 if mark is not None else 0
+        raise FaultyPolicyError(file, [Fault(line, "file", f"not YAML: {trouble.problem}")]) from None
+    except (YAMLError, ValueError) as trouble:
+        says = f"not YAML: {trouble}".split("\n")[0]
+        raise FaultyPolicyError(file, [Fault(0, "file", says)]) from None
+    if not isinstance(told, CommentedMap):
+        raise FaultyPolicyError(file, [Fault(1, "file", "keys are wanted, `version: 1` first")])
+    try:
+        document = _Document.model_validate(_plain(told))
+    except ValidationError as trouble:
+        faults = [_fault(told, one) for one in trouble.errors(include_url=False)]
+        raise FaultyPolicyError(file, sorted(faults, key=lambda one: one.line)) from None
+    faults = sorted(_meant(told, document, catalogue), key=lambda one: one.line)
+    if faults:
+        raise FaultyPolicyError(file, faults)
+    digest = hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
+    flows = tuple(_flow(told, name, one) for name, one in document.flows.items())
+    return Policy(document.policy, flows, file, digest)
+
+
+def _flow(told: CommentedMap, name: str, one: _Flow) -> Flow:
+    at = ("flows", name)
+    lines = {f"require.{each}": _line(told, (*at, "require", each)) for each in one.require}
+    lines |= {f"forbid.{each}": _line(told, (*at, "forbid", n)) for n, each in enumerate(one.forbid)}
+    ladder = tuple(
+        Rung(rung.features, rung.worth, _line(told, (*at, "prefer", place)))
+        for place, rung in enumerate(one.prefer)
+    )
+    return Flow(
+        name=name,
+        tracks=tuple(one.tracks),
+        customers=tuple(one.customers),
+        zones=tuple(one.zones),
+        cores=one.cores,
+        worth=one.worth,
+        require=one.require,
+        ladder=ladder,
+        forbid=tuple(one.forbid),
+        lines=lines,
+    )
+
+
+def _meant(told: CommentedMap, document: _Document, catalogue: Catalogue) -> Iterator[Fault]:
+    """Faults that the schema can't see: names, ranges, and lines of one flow that contradict each other."""
+
+    def fault(path: tuple[Any, ...], says: str) -> Fault:
+        return Fault(_line(told, path), ".".join(str(one) for one in path), says)
+
+    for name, flow in document.flows.items():
+        at = ("flows", name)
+        lines: list[tuple[tuple[Any, ...], Wants]] = [((*at, "require"), flow.require)]
+        lines += [((*at, "prefer", n, "features"), rung.features) for n, rung in enumerate(flow.prefer)]
+        for path, wants in lines:
+            for feature, values in wants.items():
+                if feature not in catalogue:
+                    yield fault((*path, feature), f"no such feature; {_near(feature, catalogue)}")
+                    continue
+                if feature in flow.forbid:
+                    yield fault((*path, feature), "also under forbid; one of the two must go")
+                for other in catalogue[feature].conflicts:
+                    if other in wants or other in flow.require:
+                        yield fault((*path, feature), f"can't run beside {other}; one of the two must go")
+                for key, value in values.items():
+                    parameter = catalogue[feature].parameter(key)
+                    if parameter is None:
+                        known = {one.name: one for one in catalogue[feature].parameters}
+                        yield fault((*path, feature, key), f"no such parameter; {_near(key, known)}")
+                    elif not parameter.least <= value <= parameter.most:
+                        says = f"{parameter.least} to {parameter.most} is wanted, got {value}"
+                        yield fault((*path, feature, key), says)
+        for place, feature in enumerate(flow.forbid):
+            if feature not in catalogue:
+                yield fault((*at, "forbid", place), f"no such feature; {_near(feature, catalogue)}")
+            for needed in flow.require:
+                if needed in catalogue and feature in catalogue[needed].needs:
+                    says = f"{feature} is needed by {needed}, which is required; one of the two must go"
+                    yield fault((*at, "forbid", place), says)
+        for place, (better, worse) in enumerate(zip(flow.prefer, flow.prefer[1:], strict=False)):
+            if worse.worth >= better.worth:
+                says = f"less than the {better.worth} of the rung above is wanted, got {worse.worth}"
+                yield fault((*at, "prefer", place + 1, "worth"), says)
+    if sum(bool(flow.prefer) for flow in document.flows.values()) > LADDERS_MOST:
+        yield fault(("flows",), f"over {LADDERS_MOST} flows with prefer; join some")
+
+
+def _near(name: str, known: Mapping[str, Any]) -> str:
+    near = difflib.get_close_matches(name, known, 1)
+    return f"{near[0]} may be meant" if near else f"known here: {', '.join(known) or 'none'}"
+
+
+def _plain(value: Any) -> Any:
+    """Python's own types of what the YAML reader gives, which keeps comments and notations."""
+    if isinstance(value, CommentedMap):
+        return {str(key): _plain(item) for key, item in value.items()}
+    if isinstance(value, CommentedSeq):
+        return [_plain(item) for item in value]
+    if isinstance(value, bool):
+        return value
+    return next((kind(value) for kind in (int, float, str) if isinstance(value, kind)), value)
+
+
+def _fault(told: CommentedMap, error: Any) -> Fault:
+    path, found = error["loc"], error["input"]
+    key = ".".join(str(one) for one in path) or "file"
+    line = _line(told, path)
+    if error["type"] == "extra_forbidden":
+        model = _Document if len(path) == 1 else _Rung if "prefer" in path[:-1] else _Flow
+        return Fault(line, key, f"no such key; {_near(str(path[-1]), model.model_fields)}")
+    if error["type"] == "missing":
+        return Fault(line, key, "missing")
+    says = error["msg"].removeprefix("Value error, ")
+    if isinstance(found, (str, int, float, bool)) or found is None:
+        says = f"{says}, got {found!r:.60}"
+    return Fault(line, key, says[0].lower() + says[1:])
+
+
+def _line(told: Any, path: tuple[Any, ...]) -> int:
+    """The line of a key, or of the nearest one above it that is there."""
+    line = 1
+    for one in path:
+        try:
+            if isinstance(told, CommentedMap):
+                line = told.lc.key(one)[0] + 1
+            elif isinstance(told, CommentedSeq):
+                line = told.lc.item(one)[0] + 1
+            told = told[one]
+        except (KeyError, IndexError, TypeError):
+            break
+    return line
--- /dev/null
+++ b/sablewheel/capability/verify.py
@@ -0,0 +1,73 @@
+"""A small checker of translations that knows nothing of the solver: what it passes, a class can run. Pure.
+
+Each member holds a translation against its own ability before it stages it, and refuses what it can't run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from .ability import CATALOGUE, Ability, Catalogue
+from .document import Flow, Policy
+from .translation import NOT_PLACED, ClassPlan, Translation
+
+
+def verify(
+    translation: Translation, policy: Policy, own: Ability | None = None, catalogue: Catalogue = CATALOGUE
+) -> list[str]:
+    """All that is wrong with it: for the class `own` alone, or for every class if that is None."""
+    faults: list[str] = []
+    if translation.number != policy.number or translation.policy != policy.digest:
+        faults.append(f"it is of policy {translation.number}, {translation.policy}, not of {policy.number}")
+    for one, plan in translation.classes.items():
+        if own is None or one == own:
+            faults += [f"class {one.key}: {says}" for says in _class(one, plan, policy, catalogue)]
+    for place, flow in enumerate(policy.flows):
+        plans = translation.classes.values()
+        if not any(len(plan.rungs) > place and plan.rungs[place] != NOT_PLACED for plan in plans):
+            faults.append(f"flow {flow.name}: no class may serve it")
+    return faults
+
+
+def _class(one: Ability, plan: ClassPlan, policy: Policy, catalogue: Catalogue) -> Iterator[str]:
+    used = [0, 0, 0]
+    for name, values in plan.features.items():
+        feature = catalogue.get(name)
+        if feature is None:
+            yield f"{name} is unknown here"
+            continue
+        if why := one.lacks(feature):
+            yield f"{name} is on, and {why}"
+        yield from (f"{name} needs {other}" for other in feature.needs if other not in plan.features)
+        yield from (f"{name} beside {other}" for other in feature.conflicts if other in plan.features)
+        for key, value in values.items():
+            parameter = feature.parameter(key)
+            if parameter is None or not parameter.least <= value <= parameter.most:
+                yield f"{name}.{key} is {value}"
+        used = [a + b for a, b in zip(used, feature.cost(values), strict=True)]
+    for what, took, room in zip(("bytes", "millicores", "descriptors"), used, one.room, strict=True):
+        if took > room:
+            yield f"features take {took} {what} of {room}"
+    if len(plan.rungs) != len(policy.flows):
+        yield f"it has rungs for {len(plan.rungs)} flows of {len(policy.flows)}"
+        return
+    for flow, rung in zip(policy.flows, plan.rungs, strict=True):
+        if rung != NOT_PLACED:
+            yield from (f"flow {flow.name}: {says}" for says in _flow(flow, rung, plan, catalogue))
+
+
+def _flow(flow: Flow, rung: int, plan: ClassPlan, catalogue: Catalogue) -> Iterator[str]:
+    if not 0 <= rung <= flow.bottom:
+        yield f"there is no rung {rung}"
+        return
+    for name, values in flow.wants(rung).items():
+        if name not in plan.features:
+            yield f"{name} is wanted and off"
+            continue
+        feature = catalogue.get(name)
+        for key, value in values.items():
+            parameter = feature.parameter(key) if feature is not None else None
+            has = plan.features[name].get(key, parameter.least if parameter is not None else -1)
+            if has < value:
+                yield f"{name}.{key} is {has}, {value} is wanted"
+    yield from (f"{name} is forbidden and on" for name in flow.forbid if name in plan.features)
--- /dev/null
+++ b/tests/test_capability.py
@@ -0,0 +1,261 @@
+"""The routing policy: its document, its translation against brute force, the checker against mutations."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sablewheel.capability import ability, translation
+from sablewheel.capability.ability import TRAITS, Ability, AbilityError, Feature, Parameter, StartUp
+from sablewheel.capability.document import FaultyPolicyError, Flow, Policy, Rung, read
+from sablewheel.capability.translate import InfeasibleError, plan_of, translate
+from sablewheel.capability.translation import NOT_PLACED, ClassPlan, Translation
+from sablewheel.capability.verify import verify
+from sablewheel.terms import Customer, Halting, Machine, Nature, Track
+
+EVERY = sum(1 << one.code for one in ability.CATALOGUE.values())
+RICH = Ability(cores=8, memory=1 << 18, descriptors=1024, traits=(1 << len(TRAITS)) - 1, codes=EVERY)
+NO_DISK = replace(RICH, traits=RICH.traits & ~(1 << TRAITS.index("disk")))
+SMALL = replace(RICH, cores=1, memory=16 << 10, descriptors=64)
+
+TEXT = """\
+version: 1
+policy: 3
+flows:
+  checkout:
+    tracks: [pay]
+    cores: 2
+    worth: 10
+    require:
+      replicated-labels: {copies: 3}
+    prefer:
+      - worth: 5
+        features: {durable-recall: , sessions: {most: 2000}}
+      - worth: 2
+        features: {durable-recall: }
+    forbid: [stop-runs]
+  rest:
+    worth: 1
+    prefer:
+      - {worth: 1, features: {kept-results: {seconds: 10}}}
+"""
+
+
+def test_a_document_is_read_and_its_flows_take_their_tickets() -> None:
+    policy = read(TEXT)
+    assert policy.number == 3 and policy.flow("pay", "any", "z1") is policy.flows[0]
+    assert policy.flow("look", "any", "z1") is policy.flows[1]
+    assert policy.flows[0].wants(0) == {
+        "replicated-labels": {"copies": 3}, "durable-recall": {}, "sessions": {"most": 2000}
+    }  # fmt: skip
+    assert policy.flows[0].earns(1) == 12 and policy.flows[0].earns(2) == 10
+
+
+def test_all_faults_are_told_at_once_each_with_its_line_and_what_would_do() -> None:
+    text = TEXT.replace("copies: 3", "copeis: 3").replace("kept-results: {seconds: 10}", "kept-result: ")
+    text = text.replace("worth: 2\n", "worth: 5\n").replace("[stop-runs]", "[sessions]")
+    with pytest.raises(FaultyPolicyError) as caught:
+        read(text, "policy.yaml")
+    told = str(caught.value).splitlines()
+    assert [line.split(":")[1] for line in told] == ["9", "12", "13", "19"], told
+    assert "copies may be meant" in told[0] and "also under forbid" in told[1]
+    assert "less than the 5 of the rung above" in told[2] and "kept-results may be meant" in told[3]
+
+
+@pytest.mark.parametrize(
+    ("change", "line", "says"),
+    [
+        (("policy: 3", "policy: x"), 2, "valid integer"),
+        (("worth: 10", "wroth: 10"), 7, "worth may be meant"),
+        (("copies: 3", "copies: 9"), 9, "1 to 7 is wanted, got 9"),
+        (("forbid: [stop-runs]", "forbid: [replicated-labels]"), 9, "also under forbid"),
+        (("[stop-runs]", "[stop-runs"), 16, "not YAML"),
+        (
+            ("      replicated-labels: {copies: 3}", "      stop-runs:\n      pause-runs:"),
+            9,
+            "can't run beside",
+        ),
+    ],
+)
+def test_a_fault_names_its_line(change: tuple[str, str], line: int, says: str) -> None:
+    with pytest.raises(FaultyPolicyError, match=says) as caught:
+        read(TEXT.replace(*change))
+    assert caught.value.faults[0].line == line, str(caught.value)
+
+
+def test_an_ability_is_what_the_settings_and_the_start_up_checks_say() -> None:
+    machine = Machine(
+        (Track(Nature.LABELLED, 1, 4, 60),), 2, 1e6, 1.0, (Customer(3.0),), halting=Halting.DROPS
+    )
+    one = ability.of(machine, StartUp(200_000_000, 1012, disk=True, links=True))
+    assert ability.read(one.said) == one and len(one.said) <= ability.SAID_MOST
+    assert not one.lacks(ability.CATALOGUE["durable-recall"])
+    assert "no pauses" in one.lacks(ability.CATALOGUE["pause-runs"])
+    assert "does not know" in one.lacks(ability.CATALOGUE["rank-order"])
+    near = ability.of(machine, StartUp(199_000_000, 1010, disk=True, links=True))
+    assert near == one and near != ability.of(machine, StartUp(200_000_000, 1012, links=True))
+    assert ability.read(one.said[:-1] + ',"turbo":9}') == one  # of a newer build
+    for text in ("", "[]", "{}", '{"cores":-1}', '{"cores":true}', '{"cores":' + "9" * 300 + "}"):
+        with pytest.raises(AbilityError):
+            ability.read(text)
+
+
+def test_each_class_gets_the_best_that_it_can_run() -> None:
+    made = translate(read(TEXT), [RICH, NO_DISK, SMALL])
+    assert made.classes[RICH].rungs == (0, 0)
+    assert made.classes[NO_DISK].rungs == (2, 0) and "durable-recall" not in made.classes[NO_DISK].features
+    assert made.classes[SMALL].rungs != made.classes[RICH].rungs
+    assert verify(made, read(TEXT)) == []
+    assert (
+        translation.read(made.text) == made
+        and translate(read(TEXT), [SMALL, NO_DISK, RICH]).text == made.text
+    )
+
+
+def test_a_new_class_joins_and_the_others_stay_as_they_are() -> None:
+    first = translate(read(TEXT), [RICH])
+    then = translate(read(TEXT), [RICH, NO_DISK], base=first)
+    assert then.order > first.order and then.classes[RICH] == first.classes[RICH]
+    assert verify(then, read(TEXT)) == []
+
+
+def test_what_no_class_can_run_is_refused_with_the_smallest_set_of_lines() -> None:
+    text = TEXT.replace("{copies: 3}", "{copies: 3}\n      durable-recall:")
+    with pytest.raises(InfeasibleError) as caught:
+        translate(read(text, "p.yaml"), [NO_DISK])
+    (one,) = caught.value.conflicts
+    assert (one.line, one.flow, one.kind, one.key) == (10, "checkout", NO_DISK.key, "require.durable-recall")
+    assert "p.yaml:10: flows.checkout.require.durable-recall" in str(caught.value)
+
+
+def test_flows_that_can_each_be_served_and_not_all_of_them_are_refused_with_the_lines_that_clash() -> None:
+    text = """\
+version: 1
+policy: 1
+flows:
+  a:
+    tracks: [a]
+    require: {stop-runs: , kept-results: }
+  b:
+    tracks: [b]
+    require: {callers-gone: }
+    forbid: [stop-runs]
+"""
+    with pytest.raises(InfeasibleError) as caught:
+        translate(read(text), [RICH])
+    keys = {(one.line, one.key) for one in caught.value.conflicts}
+    assert keys == {(6, "require.stop-runs"), (10, "forbid.stop-runs")}
+    assert verify(translate(read(text), [RICH, NO_DISK]), read(text)) == []  # a class for each
+
+
+# -- small cases: a catalogue of four features, one class or two
+
+FEW = {
+    one.name: one
+    for one in (
+        Feature("p", 0, "", memory=2 << 20),
+        Feature("q", 1, "", needs=("p",), parameters=(Parameter("n", 1, 4, memory=1 << 20),)),
+        Feature("r", 2, "", traits=("disk",), conflicts=("s",), millicores=100),
+        Feature("s", 3, "", conflicts=("r",), descriptors=4),
+    )
+}
+WANTS = st.dictionaries(st.sampled_from("pqrs"), st.just({}), max_size=2).map(
+    lambda wants: {one: dict[str, int]() for one in wants if not (one == "s" and "r" in wants)}
+)
+N = st.integers(1, 4)
+
+
+@st.composite
+def flows(draw: st.DrawFn, name: str) -> Flow:
+    def wants() -> dict[str, dict[str, int]]:
+        made = draw(WANTS)
+        return {one: {"n": draw(N)} if one == "q" else values for one, values in made.items()}
+
+    ladder = [Rung(wants(), worth) for worth in sorted(draw(st.sets(st.integers(1, 9), max_size=2)))[::-1]]
+    forbid = tuple(draw(st.sets(st.sampled_from("pqrs"), max_size=1)))
+    return Flow(name, worth=draw(st.integers(0, 9)), require=wants(), ladder=tuple(ladder), forbid=forbid,
+                lines={f"{kind}.{one}": 1 for kind in ("require", "forbid") for one in "pqrs"})  # fmt: skip
+
+
+POLICIES = st.tuples(flows("f0"), flows("f1"), flows("f2")).map(lambda those: Policy(1, those, "f", "d"))
+ABILITIES = st.builds(
+    Ability,
+    cores=st.sampled_from([0, 1]),
+    memory=st.sampled_from([0, 4 << 10, 8 << 10, 16 << 10]),
+    descriptors=st.sampled_from([0, 16]),
+    traits=st.sampled_from([0, 1 << TRAITS.index("disk")]),
+    codes=st.integers(0, 15),
+)
+
+
+def every(policy: Policy, classes: list[Ability]) -> list[Translation]:
+    """All translations that the checker's rules for single classes pass."""
+    by_class = []
+    for one in classes:
+        options = []
+        for rungs in itertools.product(*(range(NOT_PLACED, flow.bottom + 1) for flow in policy.flows)):
+            plan = plan_of(policy, rungs, FEW)
+            alone = verify(Translation(1, 0, "d", {one: plan}), policy, one, FEW)
+            if not [says for says in alone if says.startswith("class")]:
+                options.append(plan)
+        by_class.append(options)
+    return [
+        Translation(1, 0, "d", dict(zip(classes, plans, strict=True)))
+        for plans in itertools.product(*by_class)
+    ]
+
+
+def worth(made: Translation, policy: Policy) -> int:
+    return sum(
+        flow.earns(rung) + 1
+        for plan in made.classes.values()
+        for flow, rung in zip(policy.flows, plan.rungs, strict=True)
+        if rung != NOT_PLACED
+    )
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(POLICIES, st.lists(ABILITIES, min_size=1, max_size=2, unique=True))
+def test_a_translation_is_worth_as_much_as_the_best_of_all(policy: Policy, classes: list[Ability]) -> None:
+    good = [one for one in every(policy, sorted(classes)) if not verify(one, policy, None, FEW)]
+    try:
+        made = translate(policy, classes, FEW)
+    except InfeasibleError as trouble:
+        assert not good and trouble.conflicts
+        return
+    assert verify(made, policy, None, FEW) == []
+    assert worth(made, policy) == max(worth(one, policy) for one in good)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(POLICIES, ABILITIES, st.data())
+def test_the_checker_catches_every_mutation(policy: Policy, one: Ability, data: st.DataObject) -> None:
+    try:
+        made = translate(policy, [one], FEW)
+    except InfeasibleError:
+        return
+    plan = made.classes[one]
+    rungs = list(plan.rungs)
+    bad: list[ClassPlan] = [
+        *(replace(plan, features={k: v for k, v in plan.features.items() if k != gone})
+          for gone in plan.features),
+        *(replace(plan, features={**plan.features, name: {}}) for name, what in FEW.items()
+          if one.lacks(what) or any(other in plan.features for other in what.conflicts)),
+        replace(plan, features={**plan.features, "unheard-of": {}}),
+        replace(plan, rungs=plan.rungs[:-1]),
+        *(replace(plan, rungs=tuple([*rungs[:n], NOT_PLACED, *rungs[n + 1 :]])) for n in range(3)),
+        *(replace(plan, rungs=tuple([*rungs[:n], flow.bottom + 1, *rungs[n + 1 :]]))
+          for n, flow in enumerate(policy.flows)),
+        *(replace(plan, features={**plan.features, "q": {"n": n}}) for n in (0, 5) if "q" in plan.features),
+        *(replace(plan, features={**plan.features, "q": {"n": n}})
+          for n in range(1, plan.features.get("q", {}).get("n", 1))),
+    ]  # fmt: skip
+    mutated = replace(made, classes={one: data.draw(st.sampled_from(bad))})
+    assert verify(mutated, policy, one, FEW), mutated
+    weaker = replace(one, memory=0)
+    if any(FEW[name].memory for name in plan.features):  # what the solver thought of another class
+        assert verify(replace(made, classes={weaker: plan}), policy, weaker, FEW)
