--- a/sablewheel/capability/translate.py
+++ b/sablewheel/capability/translate.py
@@ -23,6 +23,8 @@
 from .translation import CLASSES_MOST, NOT_PLACED, ClassPlan, Translation
 
 TIME_MOST = 60.0  # of the solver's own deterministic units, about seconds; past it the best found is taken
+JOINT_MOST = 2000  # classes times flows that are solved all together
+CANDIDATES = 4  # classes tried for a flow that has none, in larger fleets
 SMALLEST_TRIED = 3  # lines up to which a smallest set is looked for by size; larger ones are only minimal
 
 FOUND = (cp_model.OPTIMAL, cp_model.FEASIBLE)
@@ -74,19 +76,16 @@
         kept = {one: plan for one, plan in kept.items() if one in asked}
     if not asked or len(classes) + len(kept) > CLASSES_MOST:
         raise ValueError(f"{len(classes) + len(kept)} classes; 1 to {CLASSES_MOST} are wanted")
-    chosen = {one: _solve(policy, [one], catalogue, ())[one] for one in classes}
-    rungs = {one: plan.rungs for one, plan in kept.items()} | chosen
-    bare = [
-        flow
-        for place, flow in enumerate(policy.flows)
-        if all(those[place] == NOT_PLACED for those in rungs.values())
-    ]
-    if bare:
+    rungs = {one: plan.rungs for one, plan in kept.items()}
+    rungs |= {one: _solve(policy, [one], catalogue)[one] for one in classes}
+    if bare := _bare(policy, rungs):
         alone = [flow for flow in bare if not _anywhere(flow, asked, catalogue)]
         if alone:
             raise InfeasibleError(_why_alone(policy, alone, asked, catalogue))
+        large = len(asked) * len(policy.flows) > JOINT_MOST
+        mended = _mend(policy, {one: rungs[one] for one in asked}, catalogue) if large else None
         try:
-            rungs = _solve(policy, asked, catalogue, range(len(policy.flows)))
+            rungs = mended or _solve(policy, asked, catalogue, covered=range(len(policy.flows)))
         except InfeasibleError:
             raise InfeasibleError(_why_together(policy, asked, catalogue)) from None
     plans = {one: plan_of(policy, those, catalogue) for one, those in rungs.items()}
@@ -94,6 +93,51 @@
     return Translation(policy.number, revision, policy.digest, plans)
 
 
+Rungs = dict[Ability, tuple[int, ...]]
+
+
+def _bare(policy: Policy, rungs: Rungs) -> list[Flow]:
+    """Flows that no class serves."""
+    return [
+        flow
+        for place, flow in enumerate(policy.flows)
+        if all(those[place] == NOT_PLACED for those in rungs.values())
+    ]
+
+
+def _mend(policy: Policy, rungs: Rungs, catalogue: Catalogue) -> Rungs | None:
+    """Large fleets: each bare flow is put on the class where that costs least, one after another; None if
+    that comes to nothing. What stays is the best for each class with what was put on it, and no proof that
+    another choice of classes would not be worth a little more: all together would take minutes.
+    """
+    rungs, forced = dict(rungs), dict[Ability, set[int]]()
+    for _ in range(2 * len(policy.flows)):
+        bare = _bare(policy, rungs)
+        if not bare:
+            return rungs
+        flow, place = bare[0], policy.flows.index(bare[0])
+        fit = [one for one in rungs if not _fits(one, flow, _lines(flow), catalogue)]
+        found: list[tuple[int, int, Ability, tuple[int, ...]]] = []
+        for one in sorted(fit, key=lambda one: (len(forced.get(one, ())), one))[:CANDIDATES]:
+            try:
+                then = _solve(policy, [one], catalogue, {*forced.get(one, ()), place})[one]
+            except InfeasibleError:
+                continue
+            left = len(_bare(policy, rungs | {one: then}))
+            found.append((left, _worth(policy, rungs[one]) - _worth(policy, then), one, then))
+        if not found or min(found)[0] >= len(bare):
+            return None
+        _, _, one, rungs[one] = min(found)
+        forced.setdefault(one, set()).add(place)
+    return None
+
+
+def _worth(policy: Policy, rungs: Sequence[int]) -> int:
+    return sum(
+        _weight(flow, rung) for flow, rung in zip(policy.flows, rungs, strict=True) if rung != NOT_PLACED
+    )
+
+
 def plan_of(policy: Policy, rungs: Sequence[int], catalogue: Catalogue) -> ClassPlan:
     """The least features and parameters that serve these flows on these rungs."""
     features: dict[str, dict[str, int]] = {}
@@ -120,7 +164,8 @@
 
 
 class _Class:
-    """One class's part of a model: literals of features, of flows' rungs, and units of parameters."""
+    """One class's part of a model, all of it literals: a feature, a parameter past each value that is
+    wanted, a flow on a rung. So but for the rooms it is a closure, whose linear relaxation is tight."""
 
     def __init__(
         self,
@@ -130,17 +175,12 @@
         flows: Sequence[Flow],
         lines: Mapping[Line, cp_model.IntVar] | None = None,
     ) -> None:
-        self.model, self.one, self.lines = model, one, lines
-        # Names that no flow says and no wanted feature needs would only make the model larger.
-        used: dict[str, dict[str, int]] = {}
-        for flow in flows:
-            for rung in range(flow.bottom + 1):
-                _join(used, flow.wants(rung), catalogue)
+        self.model, self.lines = model, lines
+        self.one = one
         self.on: dict[str, cp_model.IntVar] = {}
-        self.units: dict[tuple[str, str], cp_model.IntVar] = {}
-        self.least: dict[tuple[str, str], int] = {}
+        self.past: dict[tuple[str, str], dict[int, cp_model.IntVar]] = {}
         costs: list[list[cp_model.LinearExprT]] = [[], [], []]
-        for name in sorted(used):
+        for name, values in sorted(_used(flows, catalogue).items()):
             feature = catalogue[name]
             on = self.on[name] = model.new_bool_var(name)
             if one.lacks(feature):
@@ -148,14 +188,15 @@
             for total, cost in zip(costs, feature.cost({}), strict=True):
                 total.append(cost * on)
             for parameter in feature.parameters:
-                self.least[name, parameter.name] = parameter.least
-                most = used[name][parameter.name] - parameter.least
-                if most <= 0:
-                    continue
-                units = self.units[name, parameter.name] = model.new_int_var(0, most, parameter.name)
-                each = (parameter.memory, parameter.millicores, parameter.descriptors)
-                for total, cost in zip(costs, each, strict=True):
-                    total.append(cost * units)
+                below, below_at = on, parameter.least
+                past = self.past[name, parameter.name] = {parameter.least: on}
+                for value in sorted(values[parameter.name]):
+                    literal = past[value] = model.new_bool_var(f"{name}.{parameter.name}>={value}")
+                    model.add_implication(literal, below)
+                    each = (parameter.memory, parameter.millicores, parameter.descriptors)
+                    for total, cost in zip(costs, each, strict=True):
+                        total.append(cost * (value - below_at) * literal)
+                    below, below_at = literal, value
         for name, on in self.on.items():
             for other in catalogue[name].needs:
                 model.add_implication(on, self.on[other])
@@ -172,39 +213,62 @@
         self.model.add_at_most_one(served)
         for rung, here in enumerate(served):
             for name, values in flow.wants(rung).items():
-                line = (flow.name, f"require.{name}")
-                when = [here]
-                if self.lines is not None and line in self.lines:
-                    when.append(self.lines[line])
-                self.model.add(self.on[name] == 1).only_enforce_if(when)
+                unless = self._unless(here, (flow.name, f"require.{name}"))
+                self.model.add_bool_or([*unless, self.on[name]])
                 for key, value in values.items():
-                    over = value - self.least[name, key]
-                    if over > 0:
-                        self.model.add(self.units[name, key] >= over).only_enforce_if(when)
+                    self.model.add_bool_or([*unless, self.past[name, key][value]])
             for name in flow.forbid:
                 if name in self.on:
-                    when = [here]
-                    if self.lines is not None:
-                        when.append(self.lines[flow.name, f"forbid.{name}"])
-                    self.model.add(self.on[name] == 0).only_enforce_if(when)
+                    unless = self._unless(here, (flow.name, f"forbid.{name}"))
+                    self.model.add_bool_or([*unless, self.on[name].negated()])
         return served
 
+    def _unless(self, here: cp_model.IntVar, line: Line) -> list[cp_model.LiteralT]:
+        """Not served so, or the line is not among those that are to hold."""
+        if self.lines is None or line not in self.lines:
+            return [here.negated()]
+        return [here.negated(), self.lines[line].negated()]
+
+
+def _used(flows: Sequence[Flow], catalogue: Catalogue) -> dict[str, dict[str, set[int]]]:
+    """The features that flows want and those need, and of each parameter the values above the least."""
+    used: dict[str, dict[str, set[int]]] = {}
+    for wants in (flow.wants(rung) for flow in flows for rung in range(flow.bottom + 1)):
+        closure: dict[str, dict[str, int]] = {}
+        _join(closure, wants, catalogue)
+        for name, values in closure.items():
+            for one in catalogue[name].parameters:
+                those = used.setdefault(name, {}).setdefault(one.name, set())
+                if values[one.name] > one.least:
+                    those.add(values[one.name])
+            used.setdefault(name, {})
+    return used
+
 
 def _solver() -> cp_model.CpSolver:
     solver = cp_model.CpSolver()
     solver.parameters.num_workers = 1
     solver.parameters.random_seed = 1
+    solver.parameters.linearization_level = 2
     solver.parameters.max_deterministic_time = TIME_MOST
     return solver
 
 
 def _solve(
-    policy: Policy, classes: Sequence[Ability], catalogue: Catalogue, placed: Iterable[int]
-) -> dict[Ability, tuple[int, ...]]:
-    """Rungs by class; flows `placed` have a class at least. Raises `InfeasibleError` without conflicts."""
+    policy: Policy,
+    classes: Sequence[Ability],
+    catalogue: Catalogue,
+    forced: Iterable[int] = (),
+    covered: Iterable[int] = (),
+) -> Rungs:
+    """Rungs by class; each class serves the flows `forced`, and at least one those `covered`. Raises
+    `InfeasibleError` without conflicts."""
     model = cp_model.CpModel()
     parts = [_Class(model, one, catalogue, policy.flows) for one in classes]
-    for place in placed:
+    for place in forced:
+        for part in parts:
+            model.add_bool_or(part.rungs[place])
+    for place in covered:
         model.add_bool_or([literal for part in parts for literal in part.rungs[place]])
     model.maximize(
         sum(
