--- a/sablewheel/capability/document.py
+++ b/sablewheel/capability/document.py
@@ -1,14 +1,14 @@
 """The routing policy as the operators write it: YAML, one schema, all faults told at once with line and key.
 
-`read` gives a `Policy` of plain values. What it means for a class of servers is the translation's matter.
+`read` gives a `Policy` of plain values; what it means for a class of servers is the translation's matter.
+Read by the operators' tools and where a policy is translated, never by a server that serves.
 """
 
 from __future__ import annotations
 
 import difflib
-import hashlib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
@@ -17,17 +17,10 @@
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
 from .ability import CATALOGUE, Catalogue
+from .policy import FLOWS_MOST, LADDERS_MOST, RUNGS_MOST, WORTH_MOST, Flow, Policy, Rung, Wants
 
 TEXT_MOST = 256 << 10  # bytes of a document
-FLOWS_MOST = 200
-LADDERS_MOST = 90  # flows with a ladder: each has a digit in a fact of 128 characters
-RUNGS_MOST = 8
 FEATURES_MOST = 32  # of one line of wants
-WORTH_MOST = 1_000_000
-
-Values = Mapping[str, int]
-Wants = Mapping[str, Values]  # feature -> its parameters, each at least so much
-
 
 @dataclass(frozen=True)
 class Fault:
@@ -46,76 +39,6 @@
         super().__init__("\n".join(f"{file}:{one.line}: {one.key}: {one.says}" for one in faults))
 
 
-@dataclass(frozen=True)
-class Rung:
-    """One step of a ladder: what it takes, and what a ticket served with it is worth more."""
-
-    wants: Wants
-    worth: int
-    line: int = 0
-
-
-@dataclass(frozen=True)
-class Flow:
-    """Tickets that are of one kind to the policy. Empty tuples: any. `cores`: its load over the fleet, in
-    reference cores; `worth`: of a ticket served with no more than is required.
-
-    Rung numbers: 0 is the best; `len(ladder)` is the bottom, with what is required and nothing else.
-    """
-
-    name: str
-    tracks: tuple[str, ...] = ()
-    customers: tuple[str, ...] = ()
-    zones: tuple[str, ...] = ()
-    cores: float = 0.0
-    worth: int = 1
-    require: Wants = field(default_factory=dict)
-    ladder: tuple[Rung, ...] = ()
-    forbid: tuple[str, ...] = ()
-    lines: Mapping[str, int] = field(default_factory=dict)  # of `require.NAME`, `forbid.NAME`
-
-    @property
-    def bottom(self) -> int:
-        return len(self.ladder)
-
-    def wants(self, rung: int) -> Wants:
-        """Everything that a class must run to serve it on this rung."""
-        if rung >= self.bottom:
-            return self.require
-        both: dict[str, Values] = dict(self.require)
-        for name, values in self.ladder[rung].wants.items():
-            mine = dict(both.get(name, {}))
-            for parameter, value in values.items():
-                mine[parameter] = max(value, mine.get(parameter, value))
-            both[name] = mine
-        return both
-
-    def earns(self, rung: int) -> int:
-        return self.worth + (self.ladder[rung].worth if rung < self.bottom else 0)
-
-    def takes(self, track: str, customer: str, zone: str) -> bool:
-        return all(
-            not those or one in those
-            for one, those in ((track, self.tracks), (customer, self.customers), (zone, self.zones))
-        )
-
-
-@dataclass(frozen=True)
-class Policy:
-    """`number` is the document's own version, which only grows; a ticket is of the first flow taking it."""
-
-    number: int
-    flows: tuple[Flow, ...]
-    file: str = ""
-    digest: str = ""
-
-    def flow(self, track: str, customer: str, zone: str) -> Flow | None:
-        return next((one for one in self.flows if one.takes(track, customer, zone)), None)
-
-    def named(self, name: str) -> Flow:
-        return next(one for one in self.flows if one.name == name)
-
-
 def _mapping(value: Any) -> Any:
     """A feature without parameters may be written with nothing behind it."""
     if not isinstance(value, dict):
@@ -182,9 +105,8 @@
     faults = sorted(_meant(told, document, catalogue), key=lambda one: one.line)
     if faults:
         raise FaultyPolicyError(file, faults)
-    digest = hashlib.blake2b(text.encode(), digest_size=6).hexdigest()
     flows = tuple(_flow(told, name, one) for name, one in document.flows.items())
-    return Policy(document.policy, flows, file, digest)
+    return Policy(document.policy, flows, file)
 
 
 def _flow(told: CommentedMap, name: str, one: _Flow) -> Flow:
--- /dev/null
+++ b/sablewheel/capability/policy.py
@@ -0,0 +1,162 @@
+"""A routing policy as plain values: what the document's reader makes, and what goes between members. Pure.
+
+Members hold it as canonical JSON: a server that serves never reads YAML, and both texts have bounds.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import cached_property
+from typing import Any
+
+FLOWS_MOST = 200
+LADDERS_MOST = 90  # flows with a ladder: each has a digit in a fact of 128 characters
+RUNGS_MOST = 8
+WORTH_MOST = 1_000_000
+POLICY_MOST = 1 << 20  # bytes of its canonical text
+
+Values = Mapping[str, int]
+Wants = Mapping[str, Values]  # feature -> its parameters, each at least so much
+
+
+class PolicyError(ValueError):
+    """A text that is no policy."""
+
+
+@dataclass(frozen=True)
+class Rung:
+    """One step of a ladder: what it takes, and what a ticket served with it is worth more."""
+
+    wants: Wants
+    worth: int
+    line: int = 0
+
+
+@dataclass(frozen=True)
+class Flow:
+    """Tickets that are of one kind to the policy. Empty tuples: any. `cores`: its load over the fleet, in
+    reference cores; `worth`: of a ticket served with no more than is required.
+
+    Rung numbers: 0 is the best; `len(ladder)` is the bottom, with what is required and nothing else.
+    """
+
+    name: str
+    tracks: tuple[str, ...] = ()
+    customers: tuple[str, ...] = ()
+    zones: tuple[str, ...] = ()
+    cores: float = 0.0
+    worth: int = 1
+    require: Wants = field(default_factory=dict)
+    ladder: tuple[Rung, ...] = ()
+    forbid: tuple[str, ...] = ()
+    lines: Mapping[str, int] = field(default_factory=dict)  # of `require.NAME`, `forbid.NAME`
+
+    @property
+    def bottom(self) -> int:
+        return len(self.ladder)
+
+    def wants(self, rung: int) -> Wants:
+        """Everything that a class must run to serve it on this rung."""
+        if rung >= self.bottom:
+            return self.require
+        both: dict[str, Values] = dict(self.require)
+        for name, values in self.ladder[rung].wants.items():
+            mine = dict(both.get(name, {}))
+            for parameter, value in values.items():
+                mine[parameter] = max(value, mine.get(parameter, value))
+            both[name] = mine
+        return both
+
+    def earns(self, rung: int) -> int:
+        return self.worth + (self.ladder[rung].worth if rung < self.bottom else 0)
+
+    def takes(self, track: str, customer: str, zone: str) -> bool:
+        return all(
+            not those or one in those
+            for one, those in ((track, self.tracks), (customer, self.customers), (zone, self.zones))
+        )
+
+
+@dataclass(frozen=True)
+class Policy:
+    """`number` is the document's own version, which only grows; a ticket is of the first flow taking it."""
+
+    number: int
+    flows: tuple[Flow, ...]
+    file: str = ""
+
+    @cached_property
+    def text(self) -> str:
+        """Canonical JSON: equal policies have equal texts."""
+        told = {"number": self.number, "file": self.file, "flows": [_told(one) for one in self.flows]}
+        return json.dumps(told, sort_keys=True, separators=(",", ":"))
+
+    @cached_property
+    def digest(self) -> str:
+        return hashlib.blake2b(self.text.encode(), digest_size=6).hexdigest()
+
+    def flow(self, track: str, customer: str, zone: str) -> Flow | None:
+        return next((one for one in self.flows if one.takes(track, customer, zone)), None)
+
+    def named(self, name: str) -> Flow:
+        return next(one for one in self.flows if one.name == name)
+
+
+def _told(flow: Flow) -> dict[str, object]:
+    return {
+        "name": flow.name,
+        "tracks": flow.tracks,
+        "customers": flow.customers,
+        "zones": flow.zones,
+        "cores": flow.cores,
+        "worth": flow.worth,
+        "require": flow.require,
+        "ladder": [{"wants": one.wants, "worth": one.worth, "line": one.line} for one in flow.ladder],
+        "forbid": flow.forbid,
+        "lines": flow.lines,
+    }
+
+
+def load(text: str) -> Policy:
+    """The policy of a canonical text; raises `PolicyError`."""
+    if len(text) > POLICY_MOST:
+        raise PolicyError(f"over {POLICY_MOST} bytes")
+    try:
+        told = json.loads(text)
+        flows = tuple(_flow(one) for one in told["flows"])
+        made = Policy(int(told["number"]), flows, str(told["file"]))
+    except (KeyError, TypeError, AttributeError, ValueError) as trouble:
+        raise PolicyError(f"{type(trouble).__name__}: {trouble!s:.120}") from None
+    if len(flows) > FLOWS_MOST or sum(bool(one.ladder) for one in flows) > LADDERS_MOST:
+        raise PolicyError("too many flows")
+    if any(len(one.ladder) > RUNGS_MOST for one in flows) or made.text != text:
+        raise PolicyError("not canonical")
+    return made
+
+
+def _flow(told: Mapping[str, Any]) -> Flow:
+    return Flow(
+        name=str(told["name"]),
+        tracks=_names(told["tracks"]),
+        customers=_names(told["customers"]),
+        zones=_names(told["zones"]),
+        cores=float(told["cores"]),
+        worth=int(told["worth"]),
+        require=_wants(told["require"]),
+        ladder=tuple(
+            Rung(_wants(one["wants"]), int(one["worth"]), int(one["line"])) for one in told["ladder"]
+        ),
+        forbid=_names(told["forbid"]),
+        lines={str(key): int(line) for key, line in told["lines"].items()},
+    )
+
+
+def _names(told: list[Any]) -> tuple[str, ...]:
+    return tuple(str(one) for one in told)
+
+
+def _wants(told: Mapping[str, Any]) -> Wants:
+    return {str(name): {str(key): int(n) for key, n in values.items()} for name, values in told.items()}
--- a/sablewheel/capability/translate.py
+++ b/sablewheel/capability/translate.py
@@ -19,7 +19,7 @@
 from ortools.sat.python import cp_model
 
 from .ability import CATALOGUE, Ability, Catalogue
-from .document import Flow, Policy, Wants
+from .policy import Flow, Policy, Wants
 from .translation import CLASSES_MOST, NOT_PLACED, ClassPlan, Translation
 
 TIME_MOST = 60.0  # of the solver's own deterministic units, about seconds; past it the best found is taken
--- a/sablewheel/capability/translation.py
+++ b/sablewheel/capability/translation.py
@@ -10,7 +10,7 @@
 
 from . import ability
 from .ability import Ability, AbilityError
-from .document import Values
+from .policy import Values
 
 TRANSLATION_MOST = 2 << 20  # bytes of its text
 CLASSES_MOST = 256
--- a/sablewheel/capability/verify.py
+++ b/sablewheel/capability/verify.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 
 from .ability import CATALOGUE, Ability, Catalogue
-from .document import Flow, Policy
+from .policy import Flow, Policy
 from .translation import NOT_PLACED, ClassPlan, Translation
 
 
--- a/tests/test_capability.py
+++ b/tests/test_capability.py
@@ -11,7 +11,8 @@
 
 from sablewheel.capability import ability, translation
 from sablewheel.capability.ability import TRAITS, Ability, AbilityError, Feature, Parameter, StartUp
-from sablewheel.capability.document import FaultyPolicyError, Flow, Policy, Rung, read
+from sablewheel.capability.document import FaultyPolicyError, read
+from sablewheel.capability.policy import Flow, Policy, Rung, load
 from sablewheel.capability.translate import InfeasibleError, plan_of, translate
 from sablewheel.capability.translation import NOT_PLACED, ClassPlan, Translation
 from sablewheel.capability.verify import verify
@@ -52,6 +53,7 @@
     assert policy.flows[0].wants(0) == {
         "replicated-labels": {"copies": 3}, "durable-recall": {}, "sessions": {"most": 2000}
     }  # fmt: skip
+    assert load(policy.text) == policy and load(policy.text).digest == policy.digest
     assert policy.flows[0].earns(1) == 12 and policy.flows[0].earns(2) == 10
 
 
@@ -181,7 +183,7 @@
                 lines={f"{kind}.{one}": 1 for kind in ("require", "forbid") for one in "pqrs"})  # fmt: skip
 
 
-POLICIES = st.tuples(flows("f0"), flows("f1"), flows("f2")).map(lambda those: Policy(1, those, "f", "d"))
+POLICIES = st.tuples(flows("f0"), flows("f1"), flows("f2")).map(lambda those: Policy(1, those, "f"))
 ABILITIES = st.builds(
     Ability,
     cores=st.sampled_from([0, 1]),
@@ -199,12 +201,12 @@
         options = []
         for rungs in itertools.product(*(range(NOT_PLACED, flow.bottom + 1) for flow in policy.flows)):
             plan = plan_of(policy, rungs, FEW)
-            alone = verify(Translation(1, 0, "d", {one: plan}), policy, one, FEW)
+            alone = verify(Translation(1, 0, policy.digest, {one: plan}), policy, one, FEW)
             if not [says for says in alone if says.startswith("class")]:
                 options.append(plan)
         by_class.append(options)
     return [
-        Translation(1, 0, "d", dict(zip(classes, plans, strict=True)))
+        Translation(1, 0, policy.digest, dict(zip(classes, plans, strict=True)))
         for plans in itertools.product(*by_class)
     ]
 
