--- /dev/null
+++ b/sablewheel/capability/bundle.py
@@ -0,0 +1,80 @@
+"""A policy with its translation, as it goes between members; its name in facts, and what facts say. Pure."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import cached_property
+
+from . import policy as policies
+from . import translation as translations
+from .policy import POLICY_MOST, Policy, PolicyError
+from .translation import TRANSLATION_MOST, Translation, TranslationError
+
+BUNDLE_MOST = 2 * (POLICY_MOST + TRANSLATION_MOST)  # bytes: quoted text within text
+DIGITS = "0123456789"
+NAME = re.compile(r"(\d{1,15})\.(\d{1,9}):([0-9a-f]{12})")
+
+Order = tuple[int, int, str]
+NONE: Order = (0, 0, "")
+
+
+class BundleError(ValueError):
+    """A text that is no bundle."""
+
+
+@dataclass(frozen=True)
+class Bundle:
+    policy: Policy
+    translation: Translation
+
+    @property
+    def name(self) -> str:
+        return self.translation.name
+
+    @cached_property
+    def text(self) -> str:
+        return json.dumps({"policy": self.policy.text, "translation": self.translation.text})
+
+    def rungs(self, told: str) -> tuple[int, ...]:
+        """Each flow's rung in the whole fleet, of the digits in a fact."""
+        digits = iter(told)
+        return tuple(
+            min(DIGITS.find(next(digits, "0")), flow.bottom) if flow.ladder else flow.bottom
+            for flow in self.policy.flows
+        )
+
+    def digits(self, rungs: Sequence[int]) -> str:
+        """The same back, for a fact: a digit for each flow with a ladder, without the zeros at the end."""
+        told = "".join(
+            DIGITS[rung] for flow, rung in zip(self.policy.flows, rungs, strict=True) if flow.ladder
+        )
+        return told.rstrip("0")
+
+
+def load(text: str) -> Bundle:
+    """Raises `BundleError`; whether the translation is right is `verify`'s matter."""
+    if len(text) > BUNDLE_MOST:
+        raise BundleError(f"over {BUNDLE_MOST} bytes")
+    try:
+        told = json.loads(text)
+        made = Bundle(policies.load(told["policy"]), translations.read(told["translation"]))
+    except (KeyError, TypeError, ValueError, PolicyError, TranslationError) as trouble:
+        raise BundleError(str(trouble)[:200]) from None
+    if made.translation.text != told["translation"]:
+        raise BundleError("not canonical")
+    return made
+
+
+def order(name: str) -> Order:
+    """Of two names the greater one holds; NONE for what is no name."""
+    found = NAME.fullmatch(name)
+    return (int(found[1]), int(found[2]), found[3]) if found else NONE
+
+
+def active(fact: str) -> tuple[str, str]:
+    """The name and the digits of a fact `NAME:DIGITS`; both empty if there is none."""
+    name, _, digits = fact.rpartition(":")
+    return (name, digits) if order(name) != NONE and all(one in DIGITS for one in digits) else ("", "")
--- a/sablewheel/capability/document.py
+++ b/sablewheel/capability/document.py
@@ -22,6 +22,7 @@
 TEXT_MOST = 256 << 10  # bytes of a document
 FEATURES_MOST = 32  # of one line of wants
 
+
 @dataclass(frozen=True)
 class Fault:
     """One fault: the line from 1 (0 if there is none), the key's path, and what to say."""
--- /dev/null
+++ b/sablewheel/trials/policy_fleet.py
@@ -0,0 +1,220 @@
+"""Members with membership and policies, on the made network: the decisions alone, for stories.
+
+Each member is the real node of membership and the real rollout, joined as the shell joins them; a translation
+takes a second of the made clock. What the fleet must keep is noted while it runs: which policy holds at which
+epoch, and every change of what holds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import Any
+
+from ..capability.ability import TRAITS, Ability
+from ..capability.bundle import Bundle
+from ..capability.document import FaultyPolicyError, read
+from ..capability.rollout import (
+    Apply,
+    Judge,
+    Note,
+    Rollout,
+    Route,
+    Rules,
+    Send,
+    Translate,
+    Translated,
+    Viewed,
+)
+from ..capability.rollout import Got as Heard
+from ..capability.rollout import Tick as Ring
+from ..capability.translate import InfeasibleError, translate
+from ..membership import events
+from ..membership.node import Node
+from ..membership.plan import Settings
+from ..membership.view import Member
+from .made_fleet import MadeFleet
+
+TRANSLATES_FOR = 1.0
+SETTINGS = Settings(period=0.25, probe_timeout=0.1, vote_timeout=0.5, sync_every=1.0, found_after=1.0,
+                    join_every=0.3, settle=1.0)  # fmt: skip
+RULES = Rules(dwell_down=2.0, dwell_up=10.0, rest=5.0, settle=1.0, stagger=2.0)
+EVERY = (1 << 12) - 1  # the codes of all features but rank-order
+CLASSES = {
+    "rich": Ability(8, 1000, 1 << 18, 1024, (1 << len(TRAITS)) - 1, EVERY),
+    "diskless": Ability(8, 1000, 1 << 18, 1024, ((1 << len(TRAITS)) - 1) & ~2, EVERY),
+    "small": Ability(2, 1000, 1 << 14, 64, (1 << len(TRAITS)) - 1, EVERY),
+    "old": Ability(8, 1000, 1 << 18, 1024, (1 << len(TRAITS)) - 1, 0),
+}
+
+
+@dataclass(frozen=True)
+class Carried:
+    """A message between two members, of membership or of policies."""
+
+    to: str
+    message: Any
+
+
+class PolicyMember:
+    """One member: what the node installs the rollout sees, what the rollout judges the node says."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        ability: Ability,
+        seeds: tuple[str, ...],
+        now: float,
+        seed: int,
+        broken: str,
+    ) -> None:
+        incarnation = int(now * 1000) + 1
+        me = Member(name, name, zone, "r1", incarnation, (("class", ability.said),))
+        self.node = Node(me, seeds, SETTINGS, random.Random(f"{seed}-{name}-{incarnation}"), now)
+        self.rollout = Rollout(name, ability, RULES, broken)
+
+    @property
+    def wake_at(self) -> float:
+        return min(self.node.wake_at, self.rollout.wake_at)
+
+    def step(self, now: float, event: Any) -> list[Any]:
+        match event:
+            case ("node", sender, message):
+                return self._node(now, events.Got(message, sender))
+            case ("policy", sender, message):
+                return self._rollout(now, Heard(sender, message))
+            case "tick":
+                found = self._node(now, events.Tick()) if now >= self.node.wake_at else []
+                return [*found, *self._rollout(now, Ring())] if now >= self.rollout.wake_at else found
+        return self._rollout(now, event)
+
+    def _node(self, now: float, event: events.Event) -> list[Any]:
+        found: list[Any] = []
+        for effect in self.node.step(now, event):
+            match effect:
+                case events.Send(address, message):
+                    found.append(Carried(address, ("node", message)))
+                case events.Viewed(view):
+                    found += self._rollout(now, Viewed(view))
+        return found
+
+    def _rollout(self, now: float, event: Any) -> list[Any]:
+        found: list[Any] = []
+        for effect in self.rollout.step(now, event):
+            match effect:
+                case Send(to, message):
+                    found.append(Carried(to, ("policy", message)))
+                case Judge(fact):
+                    found += self._node(now, events.Judge(fact))
+                case _:
+                    found.append(effect)
+        return found
+
+
+@dataclass
+class PolicyFleet:
+    """The fleet and what was noted of it."""
+
+    broken: str = ""
+    seed: int = 1
+    notes: list[tuple[float, str, Note]] = field(default_factory=list)
+    applied: list[tuple[float, str, Apply]] = field(default_factory=list)
+    asked: list[tuple[float, str]] = field(default_factory=list)  # who translated
+    tamper: bool = False  # translations say more than classes can run
+
+    def __post_init__(self) -> None:
+        self.made = MadeFleet(self._event, "tick", self.seed, self._heard)
+        self.kinds: dict[str, str] = {}
+        self.zones: dict[str, str] = {}
+        self.seeds: tuple[str, ...] = ()
+
+    @staticmethod
+    def _event(sender: str, message: Any) -> Any:
+        return (message[0], sender, message[1])
+
+    def start(self, name: str, kind: str, zone: str) -> None:
+        """Starts, or starts anew on hardware of that class."""
+        self.kinds[name], self.zones[name] = kind, zone
+        self.seeds = self.seeds or (name,)
+        if len(self.seeds) < 3 and name not in self.seeds:
+            self.seeds = (*self.seeds, name)
+        member = CLASSES[kind]
+        self.made.add(
+            name, lambda now: PolicyMember(name, zone, member, self.seeds, now, self.seed, self.broken)
+        )
+
+    def member(self, name: str) -> PolicyMember:
+        core = self.made.cores[name]
+        assert isinstance(core, PolicyMember)
+        return core
+
+    @property
+    def names(self) -> list[str]:
+        return sorted(self.made.cores)
+
+    def agreed(self, names: Iterable[str]) -> bool:
+        wanted = tuple(sorted(names))
+        views = [self.member(name).node.view for name in wanted]
+        return all(view is not None and view.names == wanted and view == views[0] for view in views)
+
+    def holds(self, name: str) -> str:
+        """NUMBER.REVISION of what holds at a member; empty if nothing, or not known there."""
+        held = self.member(name).rollout.active
+        return held.name.split(":")[0] if held is not None else ""
+
+    def route(self, name: str, track: str) -> Route:
+        return self.member(name).rollout.route(track, "any", self.zones[name])
+
+    def rung(self, name: str, flow: str) -> int:
+        rollout = self.member(name).rollout
+        assert rollout.active is not None
+        flows = [one.name for one in rollout.active.policy.flows]
+        return rollout.rungs[flows.index(flow)]
+
+    def changes(self, since: float = 0.0) -> int:
+        """How often what holds became another, rungs and all, in the fleet as a whole."""
+        told = sorted(
+            (int(str(note.fields["epoch"])), when, (note.fields["policy"], note.fields["rungs"]))
+            for when, _, note in self.notes
+            if note.what == "policy active"
+        )
+        return sum(was[2] != now[2] for was, now in pairwise(told) if now[1] >= since)
+
+    def actives(self) -> dict[str, set[str]]:
+        """By epoch, all policies that some member held to be active at it."""
+        found: dict[str, set[str]] = {}
+        for _, _, note in self.notes:
+            if note.what == "policy active":
+                found.setdefault(str(note.fields["epoch"]), set()).add(f"{note.fields['policy']}")
+        return found
+
+    def said(self, what: str) -> list[Note]:
+        return [note for _, _, note in self.notes if note.what == what]
+
+    # -- what the cores ask of the world
+
+    def _heard(self, now: float, name: str, effect: Any) -> None:
+        match effect:
+            case Note():
+                self.notes.append((now, name, effect))
+            case Apply():
+                self.applied.append((now, name, effect))
+            case Translate():
+                self.asked.append((now, name))
+                done = self._translate(effect)
+                self.made.later(TRANSLATES_FOR, lambda: self.made.tell(name, done))
+
+    def _translate(self, told: Translate) -> Translated:
+        try:
+            policy = told.base.policy if told.base is not None else read(told.text, told.file)
+            base = told.base.translation if told.base is not None else None
+            made = translate(policy, told.classes, base=base)
+        except (FaultyPolicyError, InfeasibleError) as trouble:
+            return Translated(None, tuple(str(trouble).splitlines()))
+        if self.tamper:
+            best = next(plan for one, plan in made.classes.items() if one == CLASSES["rich"])
+            made = type(made)(made.number, made.revision, made.policy, dict.fromkeys(made.classes, best))
+        return Translated(Bundle(policy, made))
