Policies in the server: a gate before the dispatch, translations apart

Policies in the server: a gate before the dispatch, translations in a process of their own.

Section policy of the features file (needs membership and forwarding). What holds is applied through settings that the controller has (Dispatch.retune); tickets that this class may not serve go to members that may, or are denied at once with the cause.

--- a/sablewheel/capability/ability.py
+++ b/sablewheel/capability/ability.py
@@ -10,9 +10,11 @@
 
 import hashlib
 import json
+import os
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 from functools import cached_property
+from pathlib import Path
 from types import MappingProxyType
 
 from ..terms import Halting, Machine
@@ -112,6 +114,8 @@
         )
     }
 )  # fmt: skip
+# Features of a server's program that need a section of the features file.
+SECTIONS = {"replicated-labels": "replication", "sessions": "affinity", "durable-recall": "recall"}
 # The controller knows no rank (`class_rank` is read and not used), so no server of this build has it.
 UNKNOWN_HERE = frozenset({"rank-order"})
 
@@ -214,12 +218,24 @@
     hears_gone: bool = True
 
 
+def lasting(folder: Path) -> bool:
+    """Whether a folder, or the nearest one above it that is there, can be written to."""
+    while not folder.exists() and folder != folder.parent:
+        folder = folder.parent
+    return os.access(folder, os.W_OK)
+
+
 def of(machine: Machine, start: StartUp, catalogue: Catalogue = CATALOGUE) -> Ability:
     """The ability of a server with these settings."""
+    without = set(start.without)
+    if not machine.share_reads_for:
+        without.add("kept-results")
+    if not any(one.goal_stretch for one in machine.tracks):
+        without.add("cost-hints")
     has = {
         LINKS: start.links,
         DISK: start.disk,
-        DROPS: machine.halting is not Halting.NEVER,
+        DROPS: machine.halting is Halting.DROPS,
         PAUSES: machine.halting is Halting.PAUSES,
         GONE: start.hears_gone,
         WAITS: machine.told_wait,
@@ -232,6 +248,6 @@
         memory=down(start.memory_bytes / 1024),
         descriptors=down(start.descriptors),
         traits=sum(1 << place for place, one in enumerate(TRAITS) if has[one]),
-        codes=sum(1 << one.code for one in catalogue.values() if one.name not in start.without),
+        codes=sum(1 << one.code for one in catalogue.values() if one.name not in without),
         warm=down(machine.warm_up),
     )
--- /dev/null
+++ b/sablewheel/capability/codec.py
@@ -0,0 +1,56 @@
+"""Messages of policies to bytes and back: docs/policy-format.md. What is none is an error that names it."""
+
+from __future__ import annotations
+
+from google.protobuf.message import DecodeError
+
+from . import bundle
+from . import capability_pb2 as pb
+from .messages import PIECE_MOST, Fetch, Message, Offer, Piece, Refused
+
+VERSION = 1
+WHY_MOST = 400  # characters
+
+
+class BadMessageError(ValueError):
+    """What came is no message; the text names the field."""
+
+
+def encode(message: Message) -> bytes:
+    told = pb.PolicyMessage(version=VERSION, name=message.name)
+    match message:
+        case Offer():
+            told.offer.SetInParent()
+        case Fetch(_, at):
+            told.fetch.SetInParent()
+            told.fetch.at = at
+        case Piece(_, at, total, data):
+            told.piece.at, told.piece.total, told.piece.data = at, total, data
+            told.piece.SetInParent()
+        case Refused(_, why):
+            told.refused.why = why[:WHY_MOST]
+            told.refused.SetInParent()
+    return told.SerializeToString()
+
+
+def decode(data: bytes) -> Message:
+    """Raises `BadMessageError`."""
+    told = pb.PolicyMessage()
+    try:
+        told.ParseFromString(data)
+    except DecodeError:
+        raise BadMessageError("not a message of policies") from None
+    if told.version != VERSION:
+        raise BadMessageError(f"version {told.version}, {VERSION} is spoken here")
+    if bundle.order(told.name) == bundle.NONE:
+        raise BadMessageError(f"name: {told.name!r:.60}")
+    match told.WhichOneof("body"):
+        case "offer":
+            return Offer(told.name)
+        case "fetch" if told.fetch.at <= bundle.BUNDLE_MOST:
+            return Fetch(told.name, told.fetch.at)
+        case "piece" if len(told.piece.data) <= PIECE_MOST and told.piece.total <= bundle.BUNDLE_MOST:
+            return Piece(told.name, told.piece.at, told.piece.total, told.piece.data)
+        case "refused" if len(told.refused.why) <= WHY_MOST:
+            return Refused(told.name, told.refused.why)
+    raise BadMessageError("body: none, or past its bounds")
--- a/sablewheel/capability/messages.py
+++ b/sablewheel/capability/messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-PIECE_MOST = 48 << 10  # bytes of a bundle in one message
+PIECE_MOST = 12 << 10  # bytes of a bundle in one message
 
 
 @dataclass(frozen=True)
--- a/sablewheel/capability/rollout.py
+++ b/sablewheel/capability/rollout.py
@@ -24,6 +24,7 @@
 from .ability import CATALOGUE, Ability, AbilityError, Catalogue
 from .bundle import Bundle, BundleError, active, order
 from .messages import PIECE_MOST, Fetch, Message, Offer, Piece, Refused
+from .plan import Rules
 from .policy import Flow
 from .translation import NOT_PLACED, ClassPlan
 from .verify import verify
@@ -35,28 +36,6 @@
 BROKEN = ("ignore-class", "minority-activates", "no-dwell", "unverified")
 
 
-@dataclass(frozen=True)
-class Rules:
-    """Spans in seconds. `up_margin`: room for a flow's load so many times over is wanted to step up."""
-
-    dwell_down: float = 2.0
-    dwell_up: float = 20.0
-    up_margin: float = 1.25
-    rest: float = 10.0  # after any change, before one upwards
-    settle: float = 2.0  # a view must last so long before its classes are translated for
-    stagger: float = 5.0  # each member waits so long for the one before it in the view to do it
-    translate_within: float = 120.0
-    fetch_within: float = 1.0
-    offer_every: float = 2.0
-    come_back: float = 2.0  # what denied callers are told
-
-    def __post_init__(self) -> None:
-        if self.up_margin < 1:
-            raise ValueError(f"up-margin {self.up_margin:g} must be at least 1")
-        if self.dwell_up < self.dwell_down:
-            raise ValueError(f"dwell-up {self.dwell_up:g} must be at least dwell-down {self.dwell_down:g}")
-
-
 # -- events
 
 
--- /dev/null
+++ b/sablewheel/capability/shell.py
@@ -0,0 +1,341 @@
+"""Policies in the server: views, frames and timers become the rollout's events, and its effects go out.
+
+Decides nothing. Its gate stands right before the dispatch, where what peers pass on comes by as well: a
+ticket is served here, or passed to a member that may, or denied at once with the cause counted and logged. A
+translation is done by a process of its own, which is looked after and never waited for.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from math import inf
+from typing import IO, Protocol
+
+from ..membership.view import Fact, View
+from ..routing.exchange import Exchange
+from ..routing.server import Desk
+from ..terms import Customer, Machine
+from ..transport.scheduler import Scheduler, Timer
+from . import bundle, codec
+from .ability import Ability
+from .applying import settings
+from .bundle import BundleError
+from .plan import PolicyPlan
+from .policy import POLICY_MOST
+from .rollout import (
+    Apply,
+    Effect,
+    Event,
+    Got,
+    Judge,
+    Note,
+    Rollout,
+    Route,
+    Send,
+    Tick,
+    Translate,
+    Translated,
+    Viewed,
+    Wish,
+)
+
+KIND = "policy"
+SEND_WITHIN = 2.0  # a message is worth nothing later: what it asks for is asked again
+LOOK_EVERY = 0.05  # at the process that translates
+ROUTES_MOST = 4096  # of tracks and customers, remembered until something changes
+
+log = logging.getLogger(__name__)
+
+
+class Fleet(Protocol):
+    """Membership, as it is needed here."""
+
+    @property
+    def me(self) -> str: ...
+    def on_view(self, callback: Callable[[View], None]) -> None: ...
+    def judge(self, fact: Fact) -> None: ...
+
+
+class Links(Protocol):
+    """The forward path's links, as they are needed here."""
+
+    def send(self, to: str, kind: str, payload: bytes, within: float) -> bool: ...
+    def on(self, kind: str, handler: Callable[[str, bytes], None]) -> None: ...
+
+
+class Policies:
+    """This server's part in the fleet's policy. `changed` is called when `machine` gives another one."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        plan: PolicyPlan,
+        fleet: Fleet,
+        links: Links,
+        own: Ability,
+        customers: dict[bytes, Customer],
+        changed: Callable[[], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._scheduler, self._plan, self._fleet, self._links = scheduler, plan, fleet, links
+        self._customers, self._changed, self._clock = customers, changed, clock
+        self.rollout = Rollout(fleet.me, own, plan.rules, plan.broken)
+        self._view: View | None = None
+        self._applied: Apply | None = None
+        self._names: dict[Customer | None, str] = {}
+        self._routes: dict[tuple[bytes, Customer | None, str], Route] = {}
+        self._causes: dict[str, str] = {}  # by flow, the last cause of a denial that was logged
+        self._turn = 0
+        self._timer: Timer | None = None
+        self._timer_at = 0.0
+        self._job: subprocess.Popen[bytes] | None = None
+        self._job_out: IO[bytes] | None = None
+        self._job_until = 0.0
+        self._open = True
+        self.counts: dict[str, int] = {}
+        links.on(KIND, self._heard)
+        fleet.on_view(self._viewed)
+        if plan.file is not None:
+            self._wish(only_first=True)
+
+    # -- what the program asks
+
+    def machine(self, machine: Machine) -> Machine:
+        """The settings as the policy that holds would have them."""
+        applied = self._applied
+        if applied is None or applied.bundle is None:
+            return machine
+        return settings(machine, applied.bundle.policy, applied.plan)
+
+    def hangup(self) -> None:
+        """SIGHUP: the operators' document is read anew."""
+        if self._plan.file is not None:
+            self._wish(only_first=False)
+
+    def close(self) -> None:
+        self._open = False
+        if self._timer is not None:
+            self._timer.cancel()
+        self._end_job()
+
+    def gauges(self) -> dict[str, object]:
+        held = self.rollout.active
+        told: dict[str, object] = {
+            "policy": held.name if held is not None else "-",
+            "policy_rungs": "".join(str(rung) for rung in self.rollout.rungs) or "-",
+            "policy_class": self.rollout.own.key,
+        }
+        counts = {**self.rollout.counts, **self.counts}
+        return told | {f"policy_{name}": count for name, count in sorted(counts.items())}
+
+    # -- the gate, and where else a ticket may go
+
+    def gate(self, inner: Desk) -> Desk:
+        return Gate(self, inner)
+
+    def route(self, exchange: Exchange) -> Route:
+        """Where it may be served; of a ticket that a peer passed on the peer's zone counts, where it came in.
+        """
+        zone = self._zone(getattr(exchange.caller, "peer", self._fleet.me))
+        key = (exchange.track, exchange.ticket.customer, zone)
+        found = self._routes.get(key)
+        if found is None:
+            customer = self._name(exchange.ticket.customer)
+            found = self.rollout.route(exchange.track.decode("utf-8", "replace"), customer, zone)
+            if len(self._routes) >= ROUTES_MOST:
+                self._routes.clear()
+            self._routes[key] = found
+        return found
+
+    def place(self, exchange: Exchange) -> str | None:
+        """The member that is to serve a ticket in this one's place, by turns, near ones first; None: this."""
+        route = self.route(exchange)
+        if route.here or not route.others:
+            return None
+        near = [one for one in route.others if self._zone(one) == self._zone(self._fleet.me)]
+        those = near or list(route.others)
+        self._turn += 1
+        return those[self._turn % len(those)]
+
+    def deny(self, exchange: Exchange, route: Route) -> None:
+        """At once, before it costs anything; where others may serve it the caller is free to go to them."""
+        what = "elsewhere" if route.others else "nobody" if route.flow else "unknown"
+        self._count(f"denied_{what}")
+        if self._causes.get(route.flow) != route.why:
+            self._causes[route.flow] = route.why
+            pairs = {"flow": route.flow or "-", "reason": route.why, "others": len(route.others)}
+            log.warning("flow denied", extra={"pairs": pairs})
+        exchange.deny(0.0 if route.others else self._plan.rules.come_back, not route.others)
+
+    def served(self, flow: str) -> None:
+        if flow in self._causes:
+            del self._causes[flow]
+            log.info("flow served again", extra={"pairs": {"flow": flow}})
+
+    def _zone(self, name: str) -> str:
+        member = self._view.get(name) if self._view is not None else None
+        return member.zone if member is not None else ""
+
+    def _name(self, customer: Customer | None) -> str:
+        if customer not in self._names:  # new settings make new objects
+            self._names = {one: name.decode("utf-8", "replace") for name, one in self._customers.items()}
+            self._names[None] = ""
+        return self._names.get(customer, "")
+
+    # -- events in
+
+    def _viewed(self, view: View) -> None:
+        self._view = view
+        self._step(Viewed(view))
+
+    def _heard(self, sender: str, payload: bytes) -> None:
+        try:
+            message = codec.decode(payload)
+        except codec.BadMessageError as trouble:
+            self._count("messages_bad")
+            log.warning("message dropped", extra={"pairs": {"from": sender, "reason": trouble}})
+            return
+        self._step(Got(sender, message))
+
+    def _wish(self, only_first: bool) -> None:
+        assert self._plan.file is not None
+        try:
+            with open(self._plan.file, encoding="utf-8") as file:
+                text = file.read(POLICY_MOST)
+        except (OSError, UnicodeDecodeError) as trouble:
+            self._count("unread")
+            log.error("policy not read", extra={"pairs": {"file": self._plan.file, "reason": trouble}})
+            return
+        self._step(Wish(text, self._plan.file, only_first))
+
+    def _step(self, event: Event) -> None:
+        if not self._open:
+            return
+        try:
+            effects = self.rollout.step(self._clock(), event)
+        except Exception:
+            # A fault of ours in here must not take the server's tickets along.
+            self._count("faults")
+            log.exception("policy step ended by a fault")
+            effects = []
+        self._routes.clear()
+        for effect in effects:
+            self._carry_out(effect)
+        self._arm()
+
+    def _arm(self) -> None:
+        """One timer at the next wake; one that is set for sooner is left and finds nothing due."""
+        now, wake = self._clock(), self.rollout.wake_at
+        if wake == inf or (self._timer is not None and self._timer_at <= wake):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wake
+        self._timer = self._scheduler.after(max(wake - now, 0.005), self._ring)
+
+    def _ring(self) -> None:
+        self._timer = None
+        self._step(Tick())
+
+    # -- effects out
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(to, message):
+                sent = self._links.send(to, KIND, codec.encode(message), SEND_WITHIN)
+                self._count("sent" if sent else "unsent")
+            case Judge(fact):
+                self._fleet.judge(fact)
+            case Apply():
+                self._applied = effect
+                self._changed()
+            case Translate():
+                self._start(effect)
+            case Note(what, fields):
+                log.info(what, extra={"pairs": fields})
+
+    def _start(self, what: Translate) -> None:
+        """A process of its own; its input and output are files, so that nobody waits for a pipe."""
+        self._end_job()
+        job = {
+            "text": what.text,
+            "file": what.file,
+            "classes": [one.said for one in what.classes],
+            "base": what.base.text if what.base is not None else None,
+        }
+        words = [sys.executable, "-m", f"{__package__}.translating"]
+        try:
+            with tempfile.TemporaryFile() as told:
+                told.write(json.dumps(job).encode())
+                told.seek(0)
+                self._job_out = tempfile.TemporaryFile()  # noqa: SIM115  kept until the job is over
+                self._job = subprocess.Popen(
+                    words, stdin=told, stdout=self._job_out, stderr=subprocess.DEVNULL
+                )
+        except OSError as trouble:
+            self._end_job()
+            self._scheduler.spawn(self._step, Translated(None, (f"no process for it: {trouble}",)))
+            return
+        self._job_until = self._clock() + self._plan.rules.translate_within
+        self._scheduler.after(LOOK_EVERY, self._look)
+
+    def _look(self) -> None:
+        job, out = self._job, self._job_out
+        if job is None or out is None:
+            return
+        if job.poll() is None:
+            if self._clock() < self._job_until:
+                self._scheduler.after(LOOK_EVERY, self._look)
+                return
+            self._end_job()
+            return self._step(Translated(None, ("the translation took too long",)))
+        out.seek(0)
+        data = out.read(bundle.BUNDLE_MOST)
+        self._end_job()
+        self._step(self._answer(data))
+
+    def _answer(self, data: bytes) -> Translated:
+        try:
+            told = json.loads(data)
+            if "faults" in told:
+                return Translated(None, tuple(str(one) for one in told["faults"]))
+            return Translated(bundle.load(told["bundle"]))
+        except (ValueError, KeyError, TypeError, BundleError) as trouble:
+            return Translated(None, (f"the translation's process failed: {trouble}",))
+
+    def _end_job(self) -> None:
+        job, out, self._job, self._job_out = self._job, self._job_out, None, None
+        if job is not None and job.poll() is None:
+            job.kill()
+            job.wait()
+        if out is not None:
+            out.close()
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+
+class Gate:
+    """Right before the dispatch: nothing is served that the policy has served elsewhere."""
+
+    __slots__ = ("_inner", "_policies")
+
+    def __init__(self, policies: Policies, inner: Desk) -> None:
+        self._policies, self._inner = policies, inner
+
+    def arrived(self, exchange: Exchange) -> None:
+        route = self._policies.route(exchange)
+        if route.here:
+            self._policies.served(route.flow)
+            self._inner.arrived(exchange)
+        else:
+            self._policies.deny(exchange, route)
+
+    def gone(self, exchange: Exchange) -> None:
+        self._inner.gone(exchange)
--- /dev/null
+++ b/sablewheel/capability/translating.py
@@ -0,0 +1,68 @@
+"""A translation in a process of its own, since it takes seconds and a library that servers don't load.
+
+    python -m sablewheel.capability.translating                 a job on standard input, as servers give it
+    python -m sablewheel.capability.translating FILE MEMBER     what FILE would come to for the fleet of a
+                                                                running member (ADDRESS:PORT)
+
+A job is JSON: `text` and `file` of a document, or `base`, a bundle whose policy is to be translated for more
+classes; `classes`, as members say them. The answer is JSON on standard output: `bundle`, or `faults`.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any
+
+from . import ability, bundle
+from .ability import Ability, AbilityError
+from .bundle import Bundle, BundleError
+from .document import FaultyPolicyError, read
+from .translate import InfeasibleError, UndecidedError, translate
+
+
+def done(job: dict[str, Any]) -> dict[str, Any]:
+    """The answer to a job; whatever is wrong with it is in `faults`."""
+    try:
+        classes = [ability.read(str(one)) for one in job["classes"]]
+        base = bundle.load(job["base"]) if job.get("base") else None
+        policy = base.policy if base is not None else read(str(job["text"]), str(job.get("file", "policy")))
+        made = translate(policy, classes, base=base.translation if base is not None else None)
+        return {"bundle": Bundle(policy, made).text}
+    except (FaultyPolicyError, InfeasibleError) as trouble:
+        return {"faults": str(trouble).splitlines()}
+    except (AbilityError, BundleError, UndecidedError, KeyError, ValueError) as trouble:
+        return {"faults": [f"{type(trouble).__name__}: {trouble}"]}
+
+
+def shown(file: str, member: str) -> int:
+    """Print what a document would come to for the fleet of a running member."""
+    from ..membership.asking import ask
+
+    host, _, port = member.rpartition(":")
+    told = ask((host, int(port)), 3.0)[1]
+    members = told.view.members if told.view is not None else ()
+    said = [one.said("class") for one in members if one.said("class")]
+    with open(file, encoding="utf-8") as opened:
+        answer = done({"text": opened.read(), "file": file, "classes": sorted(set(said))})
+    if "faults" in answer:
+        print("\n".join(answer["faults"]), file=sys.stderr)
+        return 1
+    made = bundle.load(answer["bundle"])
+    for one, plan in sorted(made.translation.classes.items()):
+        print(f"class {one.key}: {one.said}, {_many(said, one)} members")
+        for name, values in plan.features.items():
+            print(f"  runs {name} {' '.join(f'{key}={value}' for key, value in values.items())}".rstrip())
+        for flow, rung in zip(made.policy.flows, plan.rungs, strict=True):
+            print(f"  flow {flow.name}: {'not served' if rung < 0 else f'rung {rung} of {flow.bottom}'}")
+    return 0
+
+
+def _many(said: list[str], one: Ability) -> int:
+    return sum(ability.read(each) == one for each in said)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) == 3:
+        sys.exit(shown(*sys.argv[1:]))
+    json.dump(done(json.load(sys.stdin)), sys.stdout)
--- a/sablewheel/forwarding/forward.py
+++ b/sablewheel/forwarding/forward.py
@@ -97,6 +97,11 @@
     def __init__(self, forward: Forward, key: Key) -> None:
         self._forward, self._key = forward, key
 
+    @property
+    def peer(self) -> str:
+        """Who passed it here."""
+        return self._key[0]
+
     def completed(self, exchange: Exchange, result: bytes) -> None:
         self._forward.over(self._key, Answer(self._key[1], Final.COMPLETED, result))
 
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -71,6 +71,7 @@
                 lambda: self._dispatch.remembered(),
                 self._fail,
                 count,
+                self._retune,
             )
         self._dispatch = Dispatch(
             scheduler,
@@ -181,6 +182,7 @@
 
     def _read_anew(self) -> None:
         """Take new addresses from the configuration, in any phase; a faulty one changes nothing."""
+        self._feature.hangup()
         held = self._posting
         try:
             told = configuration.posting()
@@ -204,10 +206,8 @@
             told={**held.told, **{key: told.told[key] for key in configuration.TAKEN_ANEW}},
         )
         if any(top(key) == "settings" for key in taken):
-            self._dispatch.retune(told.machine, told.gauge_places)
-            held.tracks.update(told.tracks)  # the dicts that the server reads names by
-            held.customers.update(told.customers)
             self._posting = replace(self._posting, machine=told.machine, gauge_places=told.gauge_places)
+            self._retune()
         if told.naming != held.naming:
             self._post.move(told.naming)
             self._send_report()
@@ -215,6 +215,15 @@
             self._client.move(self._linking(told.interpreter))
         self._counters.count("configurations_taken")
 
+    def _retune(self) -> None:
+        """The settings that were read, as features would have them now, for tickets from now on."""
+        posting = self._posting
+        machine = self._feature.machine(posting.machine)
+        self._dispatch.retune(machine, posting.gauge_places)
+        # The dicts that the server reads names by; their order is that of the settings.
+        posting.tracks.update(zip(list(posting.tracks), machine.tracks, strict=True))
+        posting.customers.update(zip(list(posting.customers), machine.customers, strict=True))
+
     def _linking(self, address: Address) -> Callable[[], Stream | None]:
         def linked() -> Stream | None:
             """None yet, while a feature says that the server must not be up."""
--- a/sablewheel/program/feature.py
+++ b/sablewheel/program/feature.py
@@ -10,6 +10,7 @@
 from ..routing.exchange import UNWITNESSED, Witness
 from ..routing.seam import UNREMEMBERED, Memory
 from ..routing.server import Desk
+from ..terms import Machine
 
 
 class Feature(Protocol):
@@ -30,6 +31,12 @@
     def desk(self, inner: Desk) -> Desk:
         """Who is told what routers sent: `inner`, the dispatch, or who stands in front of it."""
 
+    def machine(self, machine: Machine) -> Machine:
+        """The controller's settings as features would have them."""
+
+    def hangup(self) -> None:
+        """SIGHUP: whatever features read from files of their own is read anew."""
+
     def end_round(self) -> None: ...
     def leaving(self) -> None:
         """The notice to leave has come; the grace begins."""
@@ -57,6 +64,10 @@
     def desk(self, inner: Desk) -> Desk:
         return inner
 
+    def machine(self, machine: Machine) -> Machine:
+        return machine
+
+    def hangup(self) -> None: ...
     def end_round(self) -> None: ...
     def leaving(self) -> None: ...
     def parting(self) -> None: ...
@@ -79,6 +90,9 @@
     witness: Witness | None = None
     memory: Memory | None = None
     desk: Callable[[Desk], Desk] | None = None
+    gate: Callable[[Desk], Desk] | None = None  # a desk within all others: what peers pass here meets it too
+    machine: Callable[[Machine], Machine] | None = None
+    hangup: Callable[[], None] | None = None
     up_at: Callable[[], float] | None = None
     last_notice: Callable[[], int] | None = None
     end_round: Callable[[], None] | None = None
--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -18,6 +18,7 @@
 from ruamel.yaml.comments import CommentedMap, CommentedSeq
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
+from ..capability.plan import PolicyPlan, Rules
 from ..forwarding.plan import ForwardingPlan, LinkSettings, PassSettings
 from ..ledger.periods import PeriodError, zone_of
 from ..ledger.plan import Answers, Calendar, CollectorPlan, Depth, ExportPlan, LedgerPlan, Length
@@ -55,6 +56,7 @@
     collector: CollectorPlan | None = None
     membership: MembershipPlan | None = None
     forwarding: ForwardingPlan | None = None
+    policy: PolicyPlan | None = None
 
     @property
     def any(self) -> bool:
@@ -378,6 +380,45 @@
         return ForwardingPlan((host, int(port)), self.advertise or self.listen, links, passing)
 
 
+class PolicySection(Section):
+    """The operators' routing policy, as each hardware class can carry it out."""
+
+    needs = ("membership", "forwarding")
+
+    file: str | None = None
+    speed: Annotated[float, Field(ge=0.01, le=100)] = 1.0
+    dwell_down_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+    dwell_up_s: Annotated[float, Field(ge=0, le=3600)] = 20.0
+    up_margin: Annotated[float, Field(ge=1, le=10)] = 1.25
+    rest_s: Annotated[float, Field(ge=0, le=3600)] = 10.0
+    settle_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+    stagger_s: Annotated[float, Field(ge=0.1, le=600)] = 5.0
+    translate_within_s: Annotated[float, Field(ge=1, le=3600)] = 120.0
+    fetch_within_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
+    offer_every_s: Annotated[float, Field(ge=0.1, le=600)] = 2.0
+    come_back_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+
+    @model_validator(mode="after")
+    def _fits(self) -> PolicySection:
+        self.plan()  # Rules says what does not go together
+        return self
+
+    def plan(self) -> PolicyPlan:
+        rules = Rules(
+            dwell_down=self.dwell_down_s,
+            dwell_up=self.dwell_up_s,
+            up_margin=self.up_margin,
+            rest=self.rest_s,
+            settle=self.settle_s,
+            stagger=self.stagger_s,
+            translate_within=self.translate_within_s,
+            fetch_within=self.fetch_within_s,
+            offer_every=self.offer_every_s,
+            come_back=self.come_back_s,
+        )
+        return PolicyPlan(self.file, self.speed, rules)
+
+
 class CollectorSection(Section):
     """`sablewheel ledger collect`: a program of its own, not a part of the server."""
 
@@ -415,6 +456,7 @@
     collector: CollectorSection | None = None
     membership: MembershipSection | None = None
     forwarding: ForwardingSection | None = None
+    policy: PolicySection | None = None
 
     def sections(self) -> dict[str, Any]:
         """Those that are there, under the names that `Features` has for their plans."""
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from ..capability.plan import PolicyPlan
 from ..forwarding.plan import ForwardingPlan
 from ..ledger.plan import Depth, LedgerPlan
 from ..membership.plan import MembershipPlan
@@ -22,6 +23,7 @@
 from ..routing.exchange import UNWITNESSED, Exchange, Witness
 from ..routing.seam import UNREMEMBERED, Memory
 from ..routing.server import Desk
+from ..terms import Machine
 from ..transport.background import Background
 from ..transport.bridge import Bridge
 from ..transport.scheduler import Scheduler
@@ -30,6 +32,7 @@
 from .features import Features
 
 if TYPE_CHECKING:
+    from ..capability.ability import Ability
     from ..forwarding.forward import Forward
     from ..forwarding.links import Links
     from ..membership.shell import Fleet
@@ -51,6 +54,8 @@
     remembered: Callable[[], None]
     fail: Callable[[str], None]
     count: Callable[[str], None]
+    features: Features
+    retune: Callable[[], None] = lambda: None  # the settings that a feature would have are others now
     witness: Witness = UNWITNESSED
     memory: Memory = UNREMEMBERED
     says: tuple[tuple[str, str], ...] = ()  # what all features together have this member say of itself
@@ -67,6 +72,10 @@
     return ()
 
 
+def _no_tells(plan: Any, posting: Posting, features: Features) -> tuple[tuple[str, str], ...]:
+    return ()
+
+
 @dataclass(frozen=True)
 class Declared:
     """One feature. `make` gets the ground and the section's plan, and imports the feature's package."""
@@ -75,6 +84,7 @@
     make: Callable[[Ground, Any], Part]
     blocks: Callable[[Any], bool] = _no_blocks  # whether it has work for the worker thread
     says: Callable[[Any], tuple[tuple[str, str], ...]] = _no_says  # in the fleet's view, of this member
+    tells: Callable[[Any, Posting, Features], tuple[tuple[str, str], ...]] = _no_tells  # the same, of more
 
 
 def _ledger(ground: Ground, plan: LedgerPlan) -> Part:
@@ -168,11 +178,52 @@
     )
 
 
+def _ability(plan: PolicyPlan, posting: Posting, features: Features) -> Ability:
+    """What this server can do: by its settings, the features that are on beside it, and its disk."""
+    from ..capability import ability
+
+    recall = features.recall
+    folder = recall.folder if recall is not None else None
+    absent = set(ability.UNKNOWN_HERE)
+    absent |= {name for name, section in ability.SECTIONS.items() if getattr(features, section, None) is None}
+    start = ability.StartUp(
+        posting.memory_bytes,
+        posting.connections_most,
+        disk=folder is not None and ability.lasting(folder),
+        links=features.forwarding is not None,
+        speed=plan.speed,
+        without=frozenset(absent),
+    )
+    return ability.of(posting.machine, start)
+
+
+def _policy(ground: Ground, plan: PolicyPlan) -> Part:
+    from ..capability.shell import Policies
+
+    fleet, links, forward = ground.fleet, ground.links, ground.forward
+    assert fleet is not None and links is not None and forward is not None  # the section needs theirs
+    own = _ability(plan, ground.posting, ground.features)
+    made = Policies(ground.scheduler, plan, fleet, links, own, ground.posting.customers, ground.retune)
+    forward.placer = made
+    return Part(
+        gate=made.gate,
+        machine=made.machine,
+        hangup=made.hangup,
+        close=lambda _: made.close(),
+        gauges=made.gauges,
+    )
+
+
 DECLARED = (
     Declared("ledger", _ledger, blocks=lambda plan: plan.depth is Depth.DURABLE),
     Declared("recall", _recall, blocks=lambda plan: plan.folder is not None),
     Declared("membership", _membership),
     Declared("forwarding", _forwarding, says=lambda plan: (("link", plan.advertise),)),
+    Declared(
+        "policy",
+        _policy,
+        tells=lambda plan, posting, features: (("class", _ability(plan, posting, features).said),),
+    ),
 )
 
 
@@ -189,6 +240,7 @@
         remembered: Callable[[], None],
         fail: Callable[[str], None],
         count: Callable[[str], None],
+        retune: Callable[[], None] = lambda: None,
     ) -> None:
         self._background = Background(scheduler, moved)
         self._on = [(one, plan) for one in DECLARED if (plan := features.plan(one.section)) is not None]
@@ -204,7 +256,13 @@
             remembered,
             fail,
             count,
-            says=tuple(pair for one, plan in self._on for pair in one.says(plan)),
+            features,
+            retune,
+            says=tuple(
+                pair
+                for one, plan in self._on
+                for pair in (*one.says(plan), *one.tells(plan, posting, features))
+            ),
         )
         made: list[Part] = []
         for one, plan in self._on:
@@ -231,11 +289,25 @@
         return max((part.last_notice() for part in self._made if part.last_notice is not None), default=0)
 
     def desk(self, inner: Desk) -> Desk:
+        for part in self._made:
+            if part.gate is not None:
+                inner = part.gate(inner)
         for part in self._made:
             if part.desk is not None:
                 inner = part.desk(inner)
         return inner
 
+    def machine(self, machine: Machine) -> Machine:
+        for part in self._made:
+            if part.machine is not None:
+                machine = part.machine(machine)
+        return machine
+
+    def hangup(self) -> None:
+        for part in self._made:
+            if part.hangup is not None:
+                part.hangup()
+
     def end_round(self) -> None:
         for end_round in self._end_round:
             end_round()
--- a/sablewheel/trials/policy_fleet.py
+++ b/sablewheel/trials/policy_fleet.py
@@ -16,13 +16,13 @@
 from ..capability.ability import TRAITS, Ability
 from ..capability.bundle import Bundle
 from ..capability.document import FaultyPolicyError, read
+from ..capability.plan import Rules
 from ..capability.rollout import (
     Apply,
     Judge,
     Note,
     Rollout,
     Route,
-    Rules,
     Send,
     Translate,
     Translated,
--- a/tests/test_capability.py
+++ b/tests/test_capability.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import itertools
+import json
+import subprocess
+import sys
 from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sablewheel.capability import ability, translation
+from sablewheel.capability import ability, applying, bundle, codec, translation
 from sablewheel.capability.ability import TRAITS, Ability, AbilityError, Feature, Parameter, StartUp
+from sablewheel.capability.bundle import Bundle
 from sablewheel.capability.document import FaultyPolicyError, read
+from sablewheel.capability.messages import PIECE_MOST, Fetch, Offer, Piece, Refused
 from sablewheel.capability.policy import Flow, Policy, Rung, load
 from sablewheel.capability.translate import InfeasibleError, plan_of, translate
 from sablewheel.capability.translation import NOT_PLACED, ClassPlan, Translation
@@ -261,3 +266,62 @@
     weaker = replace(one, memory=0)
     if any(FEW[name].memory for name in plan.features):  # what the solver thought of another class
         assert verify(replace(made, classes={weaker: plan}), policy, weaker, FEW)
+
+
+def test_a_plan_takes_away_what_the_policy_has_a_say_in_and_nothing_else() -> None:
+    tracks = (Track(Nature.REDOABLE, 1, 4, goal_stretch=0.5),)
+    machine = Machine(tracks, 2, 1e6, 1.0, (Customer(10.0),), halting=Halting.DROPS, share_reads_for=30.0,
+                      told_wait=True, over_share_worth=0.1)  # fmt: skip
+    wants: dict[str, dict[str, int]] = {"customer-quotas": {"percent": 50}, "kept-results": {"seconds": 5}}
+    policy = Policy(1, (Flow("f", require=wants, forbid=("stop-runs",)),))
+    made = applying.settings(machine, policy, ClassPlan(wants, (0,)))
+    changed = {key for key, value in vars(machine).items() if vars(made)[key] is not value}
+    assert changed == {"customers", "share_reads_for", "halting"}
+    assert (made.customers[0].quota, made.share_reads_for, made.halting) == (5.0, 5.0, Halting.NEVER)
+    without = applying.settings(machine, policy, None)
+    assert (without.over_share_worth, without.share_reads_for) == (1.0, 0.0)
+    assert without.customers is machine.customers
+    hints = Policy(1, (Flow("f", ladder=(Rung({"cost-hints": {}, "told-waits": {}}, 1),)),))
+    low = applying.settings(machine, hints, ClassPlan({}, (1,)))
+    assert not low.told_wait and low.tracks[0].goal_stretch == 0 and low.halting is Halting.DROPS
+
+
+def test_messages_come_back_as_they_went_and_others_are_no_messages() -> None:
+    name = translate(read(TEXT), [RICH]).name
+    for message in (Offer(name), Fetch(name, 7), Piece(name, 7, 9, b"ab"), Refused(name, "why")):
+        data = codec.encode(message)
+        assert codec.decode(data) == message
+        for bad in (data[:-1], data + b"\xff", data.replace(b"\x08\x01", b"\x08\x07", 1), b""):
+            with pytest.raises(codec.BadMessageError):
+                codec.decode(bad)
+    for bad in (codec.encode(Offer("x")), codec.encode(Piece(name, 0, 1 << 40, b"")),
+                codec.encode(Piece(name, 0, 1 << 20, bytes(PIECE_MOST + 1)))):  # fmt: skip
+        with pytest.raises(codec.BadMessageError):
+            codec.decode(bad)
+
+
+def test_a_bundle_is_whole_or_none() -> None:
+    policy = read(TEXT)
+    made = Bundle(policy, translate(policy, [RICH, NO_DISK]))
+    assert bundle.load(made.text) == made
+    assert made.rungs(made.digits((1, 1))) == (1, 1) and made.digits((0, 0)) == ""
+    assert bundle.active(f"{made.name}:01") == (made.name, "01") and bundle.active("x:y") == ("", "")
+    for bad in ("", "{}", made.text[:-9], made.text.replace("copies", "kopies", 1), "[1]"):
+        with pytest.raises(bundle.BundleError):
+            other = bundle.load(bad)
+            if other.translation.policy != other.policy.digest:  # what verify would find
+                raise bundle.BundleError(verify(other.translation, other.policy)[0])
+
+
+def test_a_job_is_translated_in_a_process_of_its_own() -> None:
+    def asked(**job: object) -> dict[str, object]:
+        done = subprocess.run([sys.executable, "-m", "sablewheel.capability.translating"], timeout=30,
+                              input=json.dumps(job), capture_output=True, text=True, check=True)  # fmt: skip
+        return dict(json.loads(done.stdout))
+
+    first = asked(text=TEXT, file="p.yaml", classes=[RICH.said])
+    then = bundle.load(str(asked(base=first["bundle"], classes=[RICH.said, NO_DISK.said])["bundle"]))
+    assert then.translation.revision == 1 and set(then.translation.classes) == {RICH, NO_DISK}
+    faulty = asked(text="version: 1\npolicy: x", file="p.yaml", classes=[RICH.said])
+    assert "p.yaml:2" in str(faulty["faults"])
+    assert asked(text=TEXT, classes=["nonsense"])["faults"]
