Trial policy: three hardware classes, a bump during a cut, two baselines

Trial policy: three hardware classes, a bump during a cut, capable members killed, two baselines.

Six real servers behind the fault relay beside two baselines under the same tickets and kills. Found on the way: a server not yet in the view took tickets as if no policy held; a preference denied tickets whose better servers were not reached, now served here, counted as served_below.

--- a/sablewheel/capability/rollout.py
+++ b/sablewheel/capability/rollout.py
@@ -119,12 +119,14 @@
 
 @dataclass(frozen=True)
 class Route:
-    """`here`: it may be served here; else `others` may serve it, or nobody, for the reason `why`."""
+    """`here`: it belongs here; else to `others`, or to nobody, for the reason `why`. `able`: this server runs
+    all that its flow requires, so it is served here if those can't be reached: a preference denies nothing."""
 
     here: bool
     flow: str = ""
     others: tuple[str, ...] = ()
     why: str = ""
+    able: bool = False
 
 
 HERE = Route(True)
@@ -189,7 +191,9 @@
         return self.bundles[name].rungs(digits) if name in self.bundles else ()
 
     def route(self, track: str, customer: str, zone: str) -> Route:
-        """Where a ticket may be served, under what holds now."""
+        """Where a ticket may be served, under what holds now; before there is a view nobody knows."""
+        if self.view is None:
+            return Route(False, "", (), "this server is not in the fleet's view yet")
         name, _ = active(self._fact(ACTIVE))
         if not name:
             return HERE
@@ -210,7 +214,7 @@
             return Route(False, flow.name, (), f"no member can run {wants}")
         here = self._rung_of(held, held.policy.flows.index(flow), flow, self.me)
         why = f"this class can't run {wants}" if here == NOT_PLACED else "others run more of what it prefers"
-        return Route(False, flow.name, names, why)
+        return Route(False, flow.name, names, why, here != NOT_PLACED)
 
     # -- the step
 
@@ -539,9 +543,9 @@
         self._ask(now, Translate(wish.text, wish.file, self._classes()))
 
     def _join_classes(self, now: float) -> None:
-        """Classes in the view that the newest here was not translated for: one member has that done."""
-        held = self.bundles.get(max(self.bundles, key=order, default=""))
-        if held is None or order(held.name) < order(active(self._fact(ACTIVE))[0]):
+        """Classes in the view that what holds or is staged was not translated for: one member has it done."""
+        held = self.bundles.get(max(self._fact(STAGED), active(self._fact(ACTIVE))[0], key=order))
+        if held is None:
             return
         missing = frozenset(self._classes()) - set(held.translation.classes)
         if not missing:
--- a/sablewheel/capability/shell.py
+++ b/sablewheel/capability/shell.py
@@ -51,6 +51,7 @@
 ROUTES_MOST = 4096  # of tracks and customers, remembered until something changes
 
 log = logging.getLogger(__name__)
+changes = logging.getLogger(f"{__name__}.changes")  # bounded apart: denials must not hide what holds
 
 
 class Fleet(Protocol):
@@ -171,12 +172,15 @@
             self._causes[route.flow] = route.why
             pairs = {"flow": route.flow or "-", "reason": route.why, "others": len(route.others)}
             log.warning("flow denied", extra={"pairs": pairs})
-        exchange.deny(0.0 if route.others else self._plan.rules.come_back, not route.others)
+        nowhere = bool(route.flow) and not route.others
+        exchange.deny(self._plan.rules.come_back if nowhere else 0.0, nowhere)
 
-    def served(self, flow: str) -> None:
-        if flow in self._causes:
-            del self._causes[flow]
-            log.info("flow served again", extra={"pairs": {"flow": flow}})
+    def served(self, route: Route) -> None:
+        if not route.here:
+            self._count("served_below")  # with less than it prefers, as the others were not reached
+        if route.flow in self._causes:
+            del self._causes[route.flow]
+            log.info("flow served again", extra={"pairs": {"flow": route.flow}})
 
     def _zone(self, name: str) -> str:
         member = self._view.get(name) if self._view is not None else None
@@ -258,7 +262,7 @@
             case Translate():
                 self._start(effect)
             case Note(what, fields):
-                log.info(what, extra={"pairs": fields})
+                (changes if what == "policy active" else log).info(what, extra={"pairs": fields})
 
     def _start(self, what: Translate) -> None:
         """A process of its own; its input and output are files, so that nobody waits for a pipe."""
@@ -331,8 +335,8 @@
 
     def arrived(self, exchange: Exchange) -> None:
         route = self._policies.route(exchange)
-        if route.here:
-            self._policies.served(route.flow)
+        if route.here or route.able:
+            self._policies.served(route)
             self._inner.arrived(exchange)
         else:
             self._policies.deny(exchange, route)
--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -19,6 +19,7 @@
     "membership": "membership",
     "membership-model": "membership_model",
     "membership-size": "membership_size",
+    "policy": "policy",
     "recall": "recall",
     "recall-cost": "recall_cost",
 }
--- /dev/null
+++ b/sablewheel/trials/policy.py
@@ -0,0 +1,459 @@
+"""The policy's trial: servers of three hardware classes, a policy that not all of them can run, and faults.
+
+Six servers, each with an interpreter of its own, links through the fault relay. A new version comes while two
+are cut off, who are given another; capable servers are killed and come back, twice in a row; one starts again
+on other hardware; all that are left are killed; a translation comes out wrong. Beside them, under the same
+tickets and the same kills, run two baselines: each server by itself, and a fleet at its weakest class's
+subset. What interpreters began is set against what flows require.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import shlex
+import signal
+import socket
+import statistics
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import closing
+from dataclasses import dataclass, field
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+from ..protocol.resp import Parser
+from . import wire
+from .fleet import DOOR, LISTEN, PORT, Block, Fleet, Relay
+from .policy_member import TAMPERED
+from .rig import PATIENCE, Process, Rig, RigError, free_port
+from .verdict import Verdict
+
+BROKEN = ("ignore-class", "minority-activates", "no-dwell", "unverified")
+LINK = 7702
+LINK_DOOR = DOOR + 50
+KINDS = ("disk", "disk", "disk", "plain", "plain", "small")
+FEW = ("m4", "m5")  # who is cut off
+CHANGES_MOST = 2  # of what holds, for one fault
+SLACK = 0.2  # a run that was admitted may begin so long after its server's policy changed
+TRACKS = {"pay": {"share": 0.3, "labelled": True}, "read": {"share": 0.4}, "bulk": {"share": 0.3}}
+WORK = {"pay": 0.03, "read": 0.02, "bulk": 0.02}
+CLASSES = [
+    {"name": "pay", "on-time-s": 1.0, "deadline-s": 2.0, "repeat": "keyed", "window-s": 5.0},
+    {"name": "read", "on-time-s": 1.0, "deadline-s": 2.0, "repeat": "safe"},
+    {"name": "bulk", "on-time-s": 1.0, "deadline-s": 2.0, "repeat": "safe"},
+]
+WORTH = {"pay": 10, "read": 2, "bulk": 1}
+KEPT = 4  # what a read is worth more where results are kept
+POLICY = """\
+version: 1
+policy: {number}
+flows:
+  pay:
+    tracks: [pay]
+    cores: 3
+    worth: 10
+    require: {{durable-recall: {{entries: {entries}}}}}
+  read:
+    tracks: [read]
+    cores: 14
+    worth: 2
+    prefer:
+      - worth: 4
+        features: {{kept-results: {{seconds: 5}}}}
+  bulk:
+    worth: 1
+"""
+MEMBERSHIP: dict[str, object] = {
+    "period-s": 0.25, "probe-timeout-s": 0.1, "found-after-s": 1.0, "join-every-s": 0.3,
+    "vote-timeout-s": 0.5, "sync-every-s": 1.0,
+}  # fmt: skip
+RULES = {"dwell-down-s": 0.8, "dwell-up-s": 5.0, "rest-s": 2.0, "settle-s": 1.0, "stagger-s": 2.0}
+LINE = re.compile(r"^time=(\S+) level=\S+ from=capability\.shell(?:\.changes)? event=(.*)$")
+
+
+@dataclass(frozen=True)
+class Said:
+    """One line of a member's log about policies."""
+
+    when: float
+    member: str
+    what: str
+    pairs: dict[str, str]
+
+
+@dataclass
+class Stage(Fleet):
+    """One of the three fleets. `kind`: ours, a part broken, `alone` or `weakest`, which have no policy."""
+
+    vms: dict[str, int] = field(default_factory=dict)
+    kinds: dict[str, list[tuple[float, str]]] = field(default_factory=dict)  # by server: from when on, what
+
+    def __post_init__(self) -> None:
+        self.names = [f"m{number}" for number in range(self.size)]
+        self.relay_host = f"127.{self.block}.{self.place}.250"
+        self.doors = {name: f"{self.relay_host}:{DOOR + place}" for place, name in enumerate(self.names)}
+        if self.has_policy:
+            doors = [
+                {"owner": name, "port": door + place, "to": f"{self.host(name)}:{port}"}
+                for door, port in ((DOOR, PORT), (LINK_DOOR, LINK))
+                for place, name in enumerate(self.names)
+            ]
+            self.relay = Relay(self.rig, self.label("relay"), self.relay_host, self.seed, doors)
+        for name in self.names:
+            self.vms[name] = free_port()
+            self.rig.interpreter(self.label(name), self.vms[name], work=WORK, cores=8)
+
+    @property
+    def has_policy(self) -> bool:
+        return self.kind not in ("alone", "weakest")
+
+    def policy_file(self, name: str) -> Path:
+        return self.rig.folder / f"{self.label(name)}.policy"
+
+    def give(self, name: str, number: int, entries: int = 1000) -> None:
+        """The operators put a document in place and say so with SIGHUP."""
+        self.policy_file(name).write_text(POLICY.format(number=number, entries=entries))
+        if name in self.processes:
+            self.signal(name, signal.SIGHUP)
+
+    def texts(self, name: str, kind: str) -> str:
+        lines = ["version: 1"]
+        if self.has_policy:
+            place = self.names.index(name)
+            lines = [super().features(name), "forwarding:", f"  listen: {self.host(name)}:{LINK}"]
+            lines.append(f"  advertise: {self.relay_host}:{LINK_DOOR + place}")
+            lines += ["policy:", *(f"  {key}: {value}" for key, value in RULES.items())]
+            if self.policy_file(name).exists():
+                lines.append(f"  file: {self.policy_file(name)}")
+        if kind == "disk":
+            lines += ["recall:", f"  folder: {self.rig.folder / self.label(name)}-disk"]
+        return "\n".join([*lines, ""])
+
+    def start_as(self, name: str, kind: str) -> None:
+        """It starts on hardware of that kind; whether and when it is up is seen by who waits."""
+        rig, label = self.rig, self.label(name)
+        path = rig.folder / f"{label}.yaml"
+        path.write_text(self.texts(name, kind))
+        small = kind == "small"
+        extra = {
+            "cores": 2 if small else 4, "memory-kb": 20000.0, "run-factor": 4.0, "key-kb": 1.0,
+            "halt": "off" if small else "drop", "idle-s": 30.0, "callers": 4,
+            "share-for-s": 0.0 if small else 10.0,
+        }  # fmt: skip
+        told = rig.configuration(
+            label, LISTEN, self.vms[name], name=name, listen=f"{self.host(name)}:{LISTEN}",
+            limits={"memory_mb": 16 if small else 192, "sockets": 1024},
+            settings={"classes": CLASSES, "servers": self.size, "extra": extra},
+        )  # fmt: skip
+        words = ["sablewheel"]
+        if self.has_policy:
+            words = ["sablewheel.trials.policy_member", self.kind]
+        elif self.kind == "weakest":
+            words = ["sablewheel.trials.policy_member", "weakest", "pay"]
+        self.kinds.setdefault(name, []).append((time.monotonic(), kind))
+        self.processes[name] = rig.start(
+            label, *words, shifted=False, RELAY_CONFIG=str(told), SABLEWHEEL_FEATURES=str(path)
+        )
+
+    def start(self, name: str) -> None:
+        self.start_as(name, KINDS[self.names.index(name)])
+
+    def wait_up(self, name: str) -> None:
+        until, place = time.monotonic() + PATIENCE, (self.host(name), LISTEN)
+        while time.monotonic() < until:
+            with contextlib.suppress(OSError), socket.create_connection(place, 1.0) as peer:
+                peer.sendall(wire.check(1))
+                answers = Parser().feed(peer.recv(4096))
+                if answers and answers[0][1] == b"UP":
+                    return
+            time.sleep(0.02)
+        raise RigError(f"{name} does not come up: {self.processes[name].tail()}")
+
+    def kind_at(self, name: str, when: float) -> str:
+        return [kind for since, kind in self.kinds[name] if since <= when][-1]
+
+    def cut(self, cut: bool) -> None:
+        many = [name for name in self.names if name not in FEW]
+        self.relay.set(FEW, many, cut=cut)
+        self.relay.set(many, FEW, cut=cut)
+
+    def said(self) -> list[Said]:
+        lines = []
+        for name in self.names:
+            path = self.rig.folder / f"{self.label(name)}.log"
+            for line in path.read_text(errors="replace").splitlines():
+                if found := LINE.match(line):
+                    words = shlex.split(found[2])
+                    pairs = dict(word.split("=", 1) for word in words[1:] if "=" in word)
+                    lines.append(Said(float(found[1]), name, words[0], pairs))
+        return sorted(lines, key=lambda one: one.when)
+
+    def active(self) -> dict[str, str]:
+        """What each member last said to hold."""
+        return {one.member: one.pairs["policy"] for one in self.said() if one.what == "policy active"}
+
+    def wait_active(self, number: int, names: list[str], within: float) -> bool:
+        until = time.monotonic() + within
+        while time.monotonic() < until:
+            held = self.active()
+            if all(held.get(name, "").startswith(f"{number}.") for name in names):
+                return True
+            time.sleep(0.1)
+        return False
+
+
+@dataclass
+class Act:
+    """The three fleets, and when each fault began and was over."""
+
+    ours: Stage
+    others: list[Stage]
+    spans: dict[str, tuple[float, float]] = field(default_factory=dict)
+    active_at: float = 0.0
+
+    @property
+    def all(self) -> list[Stage]:
+        return [self.ours, *self.others]
+
+    @contextlib.contextmanager
+    def fault(self, what: str) -> Iterator[None]:
+        begun = time.time()
+        yield
+        self.spans[what] = (begun, time.time())
+
+    def kill(self, *names: str) -> None:
+        for stage in self.all:
+            for name in names:
+                stage.processes[name].kill()
+
+    def start(self, *names: str, kind: str = "") -> None:
+        for stage in self.all:
+            for name in names:
+                if kind:
+                    stage.start_as(name, kind)
+                else:
+                    stage.start(name)
+
+
+def run(seed: int, quick: bool, broken: str = "") -> Verdict:
+    """The trial; `broken` names a fault put into the servers on purpose."""
+    verdict = Verdict("policy")
+    with Rig(seed) as rig, closing(Block()) as block:
+        stages = [
+            Stage(rig, block.second, kind, place, len(KINDS), seed, keys=MEMBERSHIP)
+            for place, kind in enumerate((broken or "ours", "alone", "weakest"))
+        ]
+        act = Act(stages[0], stages[1:])
+        for name in ("m0", "m4"):
+            act.ours.policy_file(name).write_text(POLICY.format(number=1, entries=1000))
+        act.start(*act.ours.names)
+        for stage in act.all:
+            for name in stage.names:
+                stage.wait_up(name)
+        if act.ours.wait_agreed(act.ours.names, PATIENCE) is None:
+            raise RigError(f"no view: {act.ours.processes['m0'].tail()}")
+        if not act.ours.wait_active(1, act.ours.names, PATIENCE):
+            raise RigError(f"no policy came into force: {act.ours.processes['m0'].tail(9)}")
+        act.active_at = time.monotonic()
+        plot = _plot(act, 2 if quick else 4)
+        routers = _routers(rig, act, sum(span for span, _ in plot))
+        for span, do in plot:
+            begun = time.monotonic()
+            do()
+            time.sleep(max(begun + span - time.monotonic(), 0.0))
+        for one in routers:
+            one.popen.wait(30)
+        codes = [
+            stage.processes[name].leave()
+            for stage in act.all
+            for name in stage.names
+            if stage.processes[name].alive
+        ]
+        time.sleep(0.1)
+        _judge(act, verdict, codes)
+        act.ours.relay.close()
+    return verdict
+
+
+def _routers(rig: Rig, act: Act, seconds: float) -> list[Process]:
+    return [
+        rig.router(
+            stage.label("router"), [f"{stage.host(name)}:{LISTEN}" for name in stage.names], rate=60,
+            seconds=seconds, tracks=TRACKS,
+        )
+        for stage in act.all
+    ]  # fmt: skip
+
+
+def _plot(act: Act, rounds: int) -> list[tuple[float, Callable[[], None]]]:
+    """What happens, and how long it may take until the next thing does."""
+    ours = act.ours
+
+    def bump() -> None:
+        with act.fault("a new version during a cut"):
+            ours.cut(True)
+            time.sleep(0.3)  # the cut is felt by nobody yet
+            ours.give("m4", 3, 1200)
+            ours.give("m0", 2, 1100)
+            time.sleep(5.0)
+            ours.cut(False)
+            time.sleep(3.0)
+
+    def capable(turn: int) -> None:
+        with act.fault(f"capable members killed, {turn}"):
+            act.kill("m1", "m2")
+            time.sleep(4.2)
+            act.start("m1", "m2")
+            time.sleep(2.5)
+
+    def settle() -> None:
+        """The last return's way up belongs to those faults: they are judged as one."""
+        with act.fault("after them"):
+            time.sleep(7.5)
+
+    def other_hardware() -> None:
+        with act.fault("cold restart on other hardware"):
+            act.kill("m0")
+            act.start("m0", kind="plain")
+            time.sleep(4.5)
+
+    def none_left() -> None:
+        act.kill("m1", "m2")
+        time.sleep(3.0)
+        with act.fault("no capable member left"):
+            time.sleep(2.0)
+        act.start("m1", "m2")
+
+    def wrong() -> None:
+        with act.fault("a wrong translation"):
+            ours.give("m4", TAMPERED)
+            time.sleep(4.0)
+
+    return [
+        (3.0, lambda: None),
+        (9.0, bump),
+        *((6.9, lambda turn=turn: capable(turn)) for turn in range(rounds)),
+        (7.5, settle),
+        (4.5, other_hardware),
+        (7.5, none_left),
+        (4.5, wrong),
+    ]
+
+
+def _judge(act: Act, verdict: Verdict, codes: list[int]) -> None:
+    ours, rig = act.ours, act.ours.rig
+    lines = ours.said()
+    holds = [one for one in lines if one.what == "policy active"]
+    tries = {stage.kind: list(rig.held(stage.label("router"))) for stage in act.all}
+    begun = {stage.kind: _begun(stage) for stage in act.all}
+    served = [
+        (name, when, ours.kind_at(name, when))
+        for one in tries[ours.kind]
+        if one["track"] == "pay"
+        for name, when in begun[ours.kind].get(one["name"], [])
+        if when > act.active_at + SLACK
+    ]
+    unfit = [one for one in served if one[2] != "disk"]
+    verdict.check(
+        "no ticket served by a class that can't run what its flow requires",
+        not unfit and len(served) > 100, f"{len(unfit)} of {len(served)}",
+    )  # fmt: skip
+    by_epoch: dict[str, set[tuple[str, str]]] = {}
+    for line in holds:
+        by_epoch.setdefault(line.pairs["epoch"], set()).add((line.pairs["policy"], line.pairs["rungs"]))
+    double = {epoch: those for epoch, those in by_epoch.items() if len(those) > 1}
+    verdict.check("no epoch with two active translations", not double, double or len(by_epoch))
+    numbers = {one.pairs["policy"].split(".")[0] for one in holds}
+    verdict.check("versions came into force", {"1", "2", "3"} <= numbers, sorted(numbers))
+    first = {one.pairs["epoch"] for one in holds if one.pairs["policy"].startswith("1.")
+             and one.when < min(span[0] for span in act.spans.values())}  # fmt: skip
+    verdict.check("the first version at one epoch everywhere", len(first) == 1, sorted(first))
+    refused = sum(one.what == "policy refused" for one in lines)
+    verdict.check("a wrong translation is refused by who can't run it", refused > 0, refused)
+    changes = _changes(act, holds)
+    for what, many in changes.items():
+        verdict.check(f"changes of what holds, {what}: at most {CHANGES_MOST}", many <= CHANGES_MOST, many)
+    ladder = [many for what, many in changes.items() if what.startswith("capable")]
+    verdict.check("flows did step down and up", sum(ladder) >= 2, ladder)
+    since, until = act.spans["no capable member left"]
+    denied = [one for one in tries[ours.kind] if one["track"] == "pay" and since <= one["sent"] < until]
+    quick = [one["until"] - one["from"] for one in denied if one["how"] == "denied"]
+    late = statistics.median(quick) if quick else 9.0
+    told = sum("come_back" in one for one in denied)
+    verdict.check(
+        "a flow nobody can run is denied early, with a come-back time",
+        len(quick) >= 0.95 * len(denied) > 5 and told >= 0.95 * len(quick) and late < 0.1,
+        f"{len(quick)} of {len(denied)}, {told} told, {1000 * late:.1f} ms",
+    )  # fmt: skip
+    causes = {one.pairs.get("reason", "") for one in lines if one.what == "flow denied"}
+    verdict.check("and its cause is in the log", "no member can run durable-recall" in causes, len(causes))
+    worth = {stage.kind: _worth(stage, tries[stage.kind], begun[stage.kind]) for stage in act.all}
+    for stage in act.others:
+        verdict.check(
+            f"worth served above the baseline {stage.kind}", worth[ours.kind] > worth[stage.kind],
+            f"{worth[ours.kind]} to {worth[stage.kind]}",
+        )  # fmt: skip
+    verdict.check("all left in order at the end", not any(codes), codes)
+    paths = [rig.folder / f"{ours.label(name)}.log" for name in ours.names]
+    logs = "".join(path.read_text(errors="replace") for path in paths)
+    verdict.check("no fault of our own in the logs", "Traceback" not in logs, logs.count("Traceback"))
+    hows = Counter(one["how"] for one in tries[ours.kind])
+    counters = Counter[str]()
+    for name in ours.names:
+        for key, value in rig.counters(ours.processes[name]).items():
+            if key.startswith(("policy_denied", "policy_refused", "forward_")) and value.isdigit():
+                counters[key] += int(value)
+    tracks = Counter(one["track"] for one in tries[ours.kind] if one["how"] == "denied")
+    verdict.figures |= {
+        "tickets": len(tries[ours.kind]),
+        **{how: hows[how] for how in ("completed", "denied", "terminated", "lost", "unanswered")},
+        "pay_served": len(served),
+        "pay_served_unfit": len(unfit),
+        "epochs": len(by_epoch),
+        **{f"denied_{track}": many for track, many in sorted(tracks.items())},
+        **dict(sorted(counters.items())),
+        **{f"worth_{kind}": value for kind, value in worth.items()},
+    }
+
+
+def _begun(stage: Stage) -> dict[str, list[tuple[str, float]]]:
+    """By ticket, the servers that ran it and when."""
+    found: dict[str, list[tuple[str, float]]] = {}
+    for name in stage.names:
+        for word, ticket, when in stage.rig.runs(stage.label(name)):
+            if word == "begin":
+                found.setdefault(ticket, []).append((name, when))
+    return found
+
+
+def _worth(stage: Stage, tries: list[dict[str, Any]], begun: dict[str, list[tuple[str, float]]]) -> int:
+    """What completed tickets are worth: nothing without what is required, more with what is preferred."""
+    total = 0
+    for one in tries:
+        if one["how"] != "completed" or one["name"] not in begun:
+            continue
+        name, when = begun[one["name"]][-1]
+        kind = stage.kind_at(name, when)
+        if one["track"] != "pay" or kind == "disk":
+            total += WORTH[one["track"]]
+        if one["track"] == "read" and kind != "small" and stage.kind != "weakest":
+            total += KEPT
+    return total
+
+
+def _changes(act: Act, holds: list[Said]) -> dict[str, int]:
+    """Changes of what holds in the whole fleet, by fault; repeats of one fault in a row are judged as one."""
+    order = sorted({(int(one.pairs["epoch"]), one.pairs["policy"], one.pairs["rungs"]) for one in holds})
+    first: dict[int, float] = {}
+    for one in holds:
+        first.setdefault(int(one.pairs["epoch"]), one.when)  # they are in the order of time
+    moments = [first[now[0]] for was, now in pairwise(order) if was[1:] != now[1:]]
+    joined: dict[str, tuple[float, float]] = {}
+    for what, (since, until) in act.spans.items():
+        name = "capable members killed in a row" if what.startswith(("capable", "after")) else what
+        known = joined.get(name, (since, until))
+        joined[name] = (min(known[0], since), max(known[1], until))
+    return {name: sum(since <= at < until for at in moments) for name, (since, until) in joined.items()}
--- /dev/null
+++ b/sablewheel/trials/policy_member.py
@@ -0,0 +1,62 @@
+"""A server of the policy's trial: ours, broken on purpose, or the baseline of a fleet at its weakest class.
+
+python -m sablewheel.trials.policy_member ours | ignore-class | minority-activates | no-dwell | unverified
+python -m sablewheel.trials.policy_member weakest TRACK     a server that denies what the weakest can't run
+
+In all but the baseline the translation of one document, number TAMPERED, comes out wrong: it has every class
+run what the richest does.
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+from dataclasses import replace
+from typing import Any
+
+from ..capability import shell
+from ..capability.bundle import Bundle
+from ..capability.plan import PolicyPlan
+from ..capability.rollout import BROKEN, Translated
+from ..routing.dispatch import Dispatch
+from ..routing.exchange import Exchange
+
+TAMPERED = 9
+
+
+class Odd(shell.Policies):
+    """Policies with a part broken, and one translation in the way of a faulty solver."""
+
+    def __init__(self, scheduler: Any, plan: PolicyPlan, *rest: Any) -> None:
+        kind = sys.argv[1]
+        super().__init__(scheduler, replace(plan, broken=kind if kind in BROKEN else ""), *rest)
+
+    def _answer(self, data: bytes) -> Translated:
+        told = super()._answer(data)
+        if told.made is None or told.made.policy.number != TAMPERED:
+            return told
+        made = told.made.translation
+        best = max(made.classes.values(), key=lambda plan: len(plan.features))
+        wrong = replace(made, classes=dict.fromkeys(made.classes, best))
+        return Translated(Bundle(told.made.policy, wrong))
+
+
+def weakest(track: bytes) -> None:
+    arrived = Dispatch.arrived
+
+    def only_weak(self: Dispatch, exchange: Exchange) -> None:
+        if exchange.track == track:
+            return exchange.deny(0.0, True)
+        arrived(self, exchange)
+
+    setattr(Dispatch, "arrived", only_weak)  # noqa: B010  for this process alone
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "weakest":
+        weakest(sys.argv[2].encode())
+    elif sys.argv[1] == "ours" or sys.argv[1] in BROKEN:
+        setattr(shell, "Policies", Odd)  # noqa: B010  the program imports it from there
+    else:
+        raise SystemExit(f"{sys.argv[1]!r} is none of ours, weakest, {', '.join(BROKEN)}")
+    runpy.run_module("sablewheel", run_name="__main__")
