--- a/sablewheel/capability/translating.py
+++ b/sablewheel/capability/translating.py
@@ -12,6 +12,7 @@
 
 import json
 import sys
+from pathlib import Path
 from typing import Any
 
 from . import ability, bundle
@@ -39,12 +40,22 @@
     """Print what a document would come to for the fleet of a running member."""
     from ..membership.asking import ask
 
-    host, _, port = member.rpartition(":")
-    told = ask((host, int(port)), 3.0)[1]
+    from ..membership.codec import BadPacketError
+    from ..membership.plan import address_of
+
+    place = address_of(member)
+    if place is None:
+        print(f"{member}: an IPv4 address and a port are wanted", file=sys.stderr)
+        return 2
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+        told = ask(place, 3.0)[1]
+    except (OSError, UnicodeDecodeError, BadPacketError) as trouble:
+        print(f"{file}, {member}: {trouble}", file=sys.stderr)
+        return 1
     members = told.view.members if told.view is not None else ()
     said = [one.said("class") for one in members if one.said("class")]
-    with open(file, encoding="utf-8") as opened:
-        answer = done({"text": opened.read(), "file": file, "classes": sorted(set(said))})
+    answer = done({"text": text, "file": file, "classes": sorted(set(said))})
     if "faults" in answer:
         print("\n".join(answer["faults"]), file=sys.stderr)
         return 1
--- /dev/null
+++ b/tests/test_capability_shell.py
@@ -0,0 +1,225 @@
+"""The policy's shell: a document to a translation in a process of its own, views to what is served here."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sablewheel.capability import codec
+from sablewheel.capability.bundle import Bundle
+from sablewheel.capability.messages import Fetch, Offer
+from sablewheel.capability.plan import PolicyPlan, Rules
+from sablewheel.capability.rollout import ACTIVE, STAGED
+from sablewheel.capability.shell import Policies
+from sablewheel.capability.translating import shown
+from sablewheel.membership.view import Fact, Member, View
+from sablewheel.program.features import FaultyFeaturesError, check
+from sablewheel.routing.exchange import Exchange
+from sablewheel.terms import Customer, Halting, Machine, Nature, Router, Ticket, Track
+from sablewheel.trials.policy_fleet import CLASSES
+
+POLICY = """\
+version: 1
+policy: 4
+flows:
+  pay:
+    tracks: [pay]
+    require: {durable-recall: }
+    forbid: [stop-runs]
+"""
+TRACK = Track(Nature.REDOABLE, 1.0, 4.0)
+
+
+class World:
+    """Timers that ring when asked, a fleet and links that note what they are told, and a clock."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.timers: list[tuple[float, Callable[[], None]]] = []
+        self.me, self.judged, self.sent = "m0", dict[str, str](), list[tuple[str, Any]]()
+        self.viewed: Callable[[View], None] = lambda view: None
+        self.handler: Callable[[str, bytes], None] = lambda sender, payload: None
+        self.broken: Callable[[str], None] = lambda peer: None
+        self.view = View(1, ())
+
+    # what the shell calls
+    def after(self, span: float, do: Callable[[], None]) -> World:
+        self.timers.append((self.now + span, do))
+        return self
+
+    def cancel(self) -> None: ...
+    def spawn(self, do: Callable[..., None], *values: Any) -> None:
+        do(*values)
+
+    def on_view(self, callback: Callable[[View], None]) -> None:
+        self.viewed = callback
+
+    def judge(self, fact: Fact) -> None:
+        self.judged[fact.key] = fact.value
+
+    def send(self, to: str, kind: str, payload: bytes, within: float) -> bool:
+        self.sent.append((to, codec.decode(payload)))
+        return True
+
+    def on(self, kind: str, handler: Callable[[str, bytes], None]) -> None:
+        self.handler = handler
+
+    def on_broken(self, callback: Callable[[str], None]) -> None:
+        self.broken = callback
+
+    # what tests call
+    def install(self, epoch: int, classes: dict[str, str], **facts: str) -> None:
+        members = [
+            Member(name, name, "z1", "r1", 1, (("class", CLASSES[kind].said),))
+            for name, kind in classes.items()
+        ]
+        told = [Fact(f"policy/{key}", value) for key, value in facts.items()]
+        self.view = View(epoch, tuple(sorted(members)), tuple(sorted(told)))
+        self.viewed(self.view)
+
+    def run(self, span: float) -> None:
+        self.now += span
+        due = [one for one in self.timers if one[0] <= self.now]
+        self.timers = [one for one in self.timers if one[0] > self.now]
+        for _, do in due:
+            do()
+
+    def until(self, reached: Callable[[], bool]) -> None:
+        end = time.monotonic() + 20.0
+        while not reached():
+            assert time.monotonic() < end
+            self.run(0.1)
+            time.sleep(0.01)
+
+
+class Caller:
+    """Who waits for the answer."""
+
+    def __init__(self) -> None:
+        self.told: list[Any] = []
+
+    def completed(self, exchange: Exchange, result: bytes) -> None:
+        self.told.append(result)
+
+    def denied(self, exchange: Exchange, come_back: float, nowhere: bool) -> None:
+        self.told.append((come_back, nowhere))
+
+    def terminated(self, exchange: Exchange) -> None:
+        self.told.append(None)
+
+
+class Desk:
+    """The dispatch."""
+
+    def __init__(self) -> None:
+        self.served: list[bytes] = []
+
+    def arrived(self, exchange: Exchange) -> None:
+        self.served.append(exchange.track)
+
+    def gone(self, exchange: Exchange) -> None: ...
+
+
+def policies(world: World, kind: str, file: Path | None) -> tuple[Policies, list[int]]:
+    changed: list[int] = []
+    rules = Rules(settle=0.5, stagger=1.0, come_back=3.0)
+    plan = PolicyPlan(str(file) if file is not None else None, rules=rules)
+    made: Any = Policies  # its scheduler is a small part of the real one
+    return made(
+        world, plan, world, world, CLASSES[kind], {}, lambda: changed.append(1), lambda: world.now
+    ), changed
+
+
+def ask(made: Policies, track: bytes) -> tuple[list[bytes], list[Any]]:
+    desk, caller = Desk(), Caller()
+    customer: Customer | None = None
+    ticket = Ticket(TRACK, Router(), customer, 0.0, 1.0)
+    made.gate(desk).arrived(Exchange(b"n", track, b"", 1, None, ticket, caller))
+    return desk.served, caller.told
+
+
+def test_a_document_is_translated_beside_the_server_and_what_holds_is_applied(tmp_path: Path) -> None:
+    file, world = tmp_path / "policy.yaml", World()
+    file.write_text(POLICY)
+    made, changed = policies(world, "rich", file)
+    heard: list[tuple[int, dict[str, frozenset[str]]]] = []
+    made.on_active(lambda number, able: heard.append((number, able)))
+    assert ask(made, b"pay") == ([], [(0.0, False)])  # before there is a view nobody knows
+    world.install(1, {"m0": "rich", "m1": "diskless", "m2": "rich"})
+    assert ask(made, b"pay") == ([b"pay"], [])
+    world.until(lambda: STAGED in world.judged)
+    name = world.judged[STAGED]
+    assert {to for to, message in world.sent if message == Offer(name)} == {"m1", "m2"}
+    world.install(2, {"m0": "rich", "m1": "diskless", "m2": "rich"}, staged=name)
+    world.install(3, {"m0": "rich", "m1": "diskless", "m2": "rich"}, active=world.judged[ACTIVE], staged=name)
+    assert changed and heard == [(0, {}), (4, {"pay": frozenset({"m0", "m2"})})]
+    machine = Machine((TRACK,), 2, 1e6, 1.0, halting=Halting.DROPS)
+    assert made.machine(machine).halting is Halting.NEVER
+    assert ask(made, b"pay") == ([b"pay"], []) and ask(made, b"other") == ([b"other"], [])
+    assert made.gauges()["policy"] == name
+    file.write_text(POLICY.replace("policy: 4", "polciy: 5"))
+    made.hangup()
+    world.until(lambda: made.gauges().get("policy_untranslated") == 1)
+    assert made.gauges()["policy"] == name
+    file.unlink()
+    made.hangup()
+    assert made.gauges()["policy_unread"] == 1
+    made.close()
+
+
+def test_a_ticket_goes_to_who_may_serve_it_and_is_denied_where_nobody_can(tmp_path: Path) -> None:
+    giver, file = World(), tmp_path / "policy.yaml"
+    file.write_text(POLICY)
+    given, _ = policies(giver, "rich", file)
+    fleet = {"m0": "diskless", "m1": "rich", "m2": "rich"}
+    giver.me = "m1"
+    given.rollout.me = "m1"
+    giver.install(1, fleet)
+    giver.until(lambda: STAGED in giver.judged)
+    bundle = next(iter(given.rollout.bundles.values()))
+    assert isinstance(bundle, Bundle)
+
+    world = World()
+    made, _ = policies(world, "diskless", None)
+    held = f"{bundle.name}:"
+    world.install(1, fleet, active=held, staged=bundle.name)
+    assert ask(made, b"pay") == ([], [(0.0, False)])  # the document is not here yet: nobody guesses
+    asked = [(to, message) for to, message in world.sent if isinstance(message, Fetch)]
+    assert asked
+    for sender, payload in (("m1", b"\xff\xff"), ("stranger", codec.encode(Offer(bundle.name)))):
+        world.handler(sender, payload)
+    assert made.gauges()["policy_messages_bad"] == 1
+    giver.sent.clear()
+    giver.handler("m0", codec.encode(asked[-1][1]))
+    world.handler(asked[-1][0], codec.encode(giver.sent[-1][1]))
+    assert made.gauges()["policy"] == bundle.name
+    exchange = Exchange(b"n", b"pay", b"", 1, None, Ticket(TRACK, Router(), None, 0.0, 1.0), Caller())
+    assert {made.place(exchange) for _ in range(4)} == {"m1", "m2"}
+    world.broken("m2")
+    assert {made.place(exchange) for _ in range(4)} == {"m1"}
+    assert ask(made, b"pay") == ([], [(0.0, False)])  # it could not be passed on: others may be tried
+    world.install(2, {"m0": "diskless"}, active=held, staged=bundle.name)
+    assert made.place(exchange) is None and ask(made, b"pay") == ([], [(3.0, True)])
+    assert made.gauges()["policy_denied_nobody"] == 1 and made.gauges()["policy_denied_elsewhere"] == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("policy:\n  speed: 1.0\n", "needs the section membership"),
+        ("policy:\n  dwell-up-s: 1\n  dwell-down-s: 2\n", "dwell-up-s 1 must be at least dwell-down-s 2"),
+        ("policy:\n  dwel-up-s: 1\n", "dwell-up-s may be meant"),
+    ],
+)
+def test_faults_of_the_section_are_told(text: str, says: str) -> None:
+    with pytest.raises(FaultyFeaturesError, match=says):
+        check("f", f"version: 1\n{text}")
+
+
+def test_the_tool_says_when_the_member_cannot_be_asked(tmp_path: Path) -> None:
+    with pytest.raises(OSError):
+        shown(str(tmp_path / "none"), "127.0.0.1:9")
