--- a/sablewheel/capability/rollout.py
+++ b/sablewheel/capability/rollout.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from ..membership.view import Fact, View
+from ..membership.view import Fact, Member, View
 from . import ability, bundle
 from .ability import CATALOGUE, Ability, AbilityError, Catalogue
 from .bundle import Bundle, BundleError, active, order
@@ -366,19 +366,41 @@
 
     def _uncovered(self, held: Bundle) -> str:
         """Which flow would lack members for its load with the largest zone lost; empty if none. A fleet or a
-        flow of one zone has no other to lose it to: there the whole counts."""
-        zones = {one.zone for one in self.view.members} if self.view is not None else set()
-        for place, flow in enumerate(held.policy.flows):
-            if not flow.require:
-                continue
-            by_zone = self._capacity(held, place, flow, flow.bottom)
+        flow of one zone has no other to lose it to: there the whole counts.
+
+        A flow shares its members with all flows that have no others: so their loads count together, which is
+        exact where the sets of members lie within one another, and else a bound from below.
+        """
+        members = self.view.members if self.view is not None else ()
+        zones = {one.zone for one in members}
+        flows = [
+            (flow, {one.name for one in members if self._may_take(held, place, flow, one)})
+            for place, flow in enumerate(held.policy.flows)
+            if flow.require
+        ]
+        for flow, names in flows:
+            sharing = [other for other, those in flows if those <= names]
+            load = sum(other.cores for other in sharing)
+            by_zone: dict[str, float] = {}
+            for one in members:
+                if one.name in names and one.name in self._abilities:
+                    by_zone[one.zone] = by_zone.get(one.zone, 0.0) + self._abilities[one.name].capacity
             several = len(zones & set(flow.zones) if flow.zones else zones) > 1
             left = sum(by_zone.values()) - (max(by_zone.values(), default=0.0) if several else 0.0)
-            if left <= 0 or left < flow.cores:
-                lost = " with its largest zone lost" if several else ""
-                return f"flow {flow.name} has {left:g} cores{lost}, it needs {max(flow.cores, 0.001):g}"
+            if left <= 0 or left < load:
+                who = (
+                    f"flow {flow.name} has"
+                    if len(sharing) < 2
+                    else (f"flows {', '.join(other.name for other in sharing)} have")
+                )
+                lost = " with the largest zone lost" if several else ""
+                return f"{who} {left:g} cores{lost}, {max(load, 0.001):g} are needed"
         return ""
 
+    def _may_take(self, held: Bundle, place: int, flow: Flow, member: Member) -> bool:
+        runs = self._rung_of(held, place, flow, member.name) != NOT_PLACED
+        return runs and (not flow.zones or member.zone in flow.zones)
+
     def _wanted(self, held: Bundle, place: int, flow: Flow, rung: int | None) -> int:
         """The rung that the members of now have room for; `rung`: where it is, None if it begins."""
         if not flow.ladder:
--- a/tests/stories/capability.feature
+++ b/tests/stories/capability.feature
@@ -61,10 +61,16 @@
     When the policy "disk" number 1 is given to rich-0
     And 10 s pass
     Then nothing holds anywhere
-    And a policy waits, since "with its largest zone lost"
+    And a policy waits, since "flow pay has 0 cores with the largest zone lost"
     When rich-1 and rich-2 are up again
     Then version 1.0 holds everywhere within 20 s
 
+  Scenario: Two flows that share their servers are counted together
+    When the policy "both" number 1 is given to rich-0
+    And 10 s pass
+    Then nothing holds anywhere
+    And a policy waits, since "flows pay, fee have 16 cores with the largest zone lost, 20 are needed"
+
   Scenario: Capable servers lost, the flow steps down everywhere at once
     Given the policy "pay" number 1 holds
     When rich-1 and rich-2 are down
--- a/tests/test_capability_stories.py
+++ b/tests/test_capability_stories.py
@@ -50,6 +50,8 @@
       replicated-labels: {{entries: 300000}}
       durable-recall: {{entries: 300000}}
 """,
+    "both": PAY.split("    prefer")[0].replace("replicated-labels: {{copies: 3}}", "durable-recall: ")
+    + "  fee:\n    tracks: [fee]\n    cores: 10\n    require: {{durable-recall: }}\n",
     "faulty": PAY.replace("copies: 3", "copies: 30").replace("durable-recall", "durable-recal"),
 }
 
