--- a/sablewheel/capability/translate.py
+++ b/sablewheel/capability/translate.py
@@ -22,7 +22,8 @@
 from .policy import Flow, Policy, Wants
 from .translation import CLASSES_MOST, NOT_PLACED, ClassPlan, Translation
 
-TIME_MOST = 60.0  # of the solver's own deterministic units, about seconds; past it the best found is taken
+TIME_MOST = 60.0  # of the solver's own deterministic units, about seconds, for all classes together
+TIME_LEAST = 0.25  # for one of them; past its time the best that was found is taken
 JOINT_MOST = 2000  # classes times flows that are solved all together
 CANDIDATES = 4  # classes tried for a flow that has none, in larger fleets
 SMALLEST_TRIED = 3  # lines up to which a smallest set is looked for by size; larger ones are only minimal
@@ -77,7 +78,8 @@
     if not asked or len(classes) + len(kept) > CLASSES_MOST:
         raise ValueError(f"{len(classes) + len(kept)} classes; 1 to {CLASSES_MOST} are wanted")
     rungs = {one: plan.rungs for one, plan in kept.items()}
-    rungs |= {one: _solve(policy, [one], catalogue)[one] for one in classes}
+    most = max(TIME_MOST / max(len(classes), 1), TIME_LEAST)
+    rungs |= {one: _solve(policy, [one], catalogue, most=most)[one] for one in classes}
     if bare := _bare(policy, rungs):
         alone = [flow for flow in bare if not _anywhere(flow, asked, catalogue)]
         if alone:
@@ -120,8 +122,8 @@
         found: list[tuple[int, int, Ability, tuple[int, ...]]] = []
         for one in sorted(fit, key=lambda one: (len(forced.get(one, ())), one))[:CANDIDATES]:
             try:
-                then = _solve(policy, [one], catalogue, {*forced.get(one, ()), place})[one]
-            except InfeasibleError:
+                then = _solve(policy, [one], catalogue, {*forced.get(one, ()), place}, most=TIME_LEAST)[one]
+            except (InfeasibleError, UndecidedError):
                 continue
             left = len(_bare(policy, rungs | {one: then}))
             found.append((left, _worth(policy, rungs[one]) - _worth(policy, then), one, then))
@@ -245,12 +247,12 @@
     return used
 
 
-def _solver() -> cp_model.CpSolver:
+def _solver(most: float = TIME_MOST) -> cp_model.CpSolver:
     solver = cp_model.CpSolver()
     solver.parameters.num_workers = 1
     solver.parameters.random_seed = 1
     solver.parameters.linearization_level = 2
-    solver.parameters.max_deterministic_time = TIME_MOST
+    solver.parameters.max_deterministic_time = most
     return solver
 
 
@@ -260,6 +262,7 @@
     catalogue: Catalogue,
     forced: Iterable[int] = (),
     covered: Iterable[int] = (),
+    most: float = TIME_MOST,
 ) -> Rungs:
     """Rungs by class; each class serves the flows `forced`, and at least one those `covered`. Raises
     `InfeasibleError` without conflicts."""
@@ -278,12 +281,12 @@
             for rung, literal in enumerate(literals)
         )
     )
-    solver = _solver()
+    solver = _solver(most)
     status: object = solver.solve(model)
     if status == cp_model.INFEASIBLE:
         raise InfeasibleError(())
     if status not in FOUND:
-        raise UndecidedError(f"nothing found within {TIME_MOST:g} of the solver's units")
+        raise UndecidedError(f"nothing found within {most:g} of the solver's units")
     return {
         part.one: tuple(
             next((rung for rung, literal in enumerate(literals) if solver.value(literal)), NOT_PLACED)
