Stories of policies give the same verdict under any hash seed

Stories of policies give the same verdict under any hash seed, and stand beside membership's.

The peers of an offer came out of a set: their order, and so the made network's chance, followed the process's hash seed.

--- a/sablewheel/capability/rollout.py
+++ b/sablewheel/capability/rollout.py
@@ -551,7 +551,7 @@
             return
         if now >= self._next_offer:
             self._next_offer = now + self.rules.offer_every
-            for peer in {self._next_peer() for _ in range(FANOUT)} - {""}:
+            for peer in sorted({self._next_peer() for _ in range(FANOUT)} - {""}):
                 self._effects.append(Send(peer, Offer(top)))
         self._wakes.append(self._next_offer)
 
