Affinity: sessions that stay with their server, their core and a fleet in memory

Need: clients that nobody can change must stay with their server through policy versions, and be moved for a named cause only, without two owners running one session's labelled work.

--- /dev/null
+++ b/sablewheel/affinity/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions that stay with their server: keys, bindings, placing, and moves only for a named cause."""
--- /dev/null
+++ b/sablewheel/affinity/binding.py
@@ -0,0 +1,60 @@
+"""A session's binding: who owns it, under which policy version, at which number. Pure values.
+
+The number only grows; of two bindings of one session the one with the higher number holds. Each change is a
+compare-and-set on the number, so there are never two bindings with one number that differ.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+
+class State(Enum):
+    """HELD: its owner serves it. PASSING: its owner takes no more labelled work and hands it to the heir.
+    ENDED: nobody's; the next ticket begins a new session above this number."""
+
+    HELD = "held"
+    PASSING = "passing"
+    ENDED = "ended"
+
+
+class Cause(Enum):
+    """Why a session was moved or brought to another version; each is counted apart. There is no other."""
+
+    IDLE = "idle"  # it ended, idle longer than set; the next ticket begins a new one
+    RETIRED = "retired"  # its version is kept no longer
+    MANDATORY = "mandatory"  # a change that is marked so
+    DRAIN = "drain"  # its owner leaves
+    REMOVED = "removed"  # its owner was taken out of the view, or came back as another self
+    INCAPABLE = "incapable"  # its owner can no longer run what the flow requires
+
+
+@dataclass(frozen=True)
+class Binding:
+    """One entry of the collection `sessions`. `incarnation`: the owner's, so that a restart is another."""
+
+    key: str
+    number: int
+    owner: str
+    incarnation: int
+    version: int
+    state: State = State.HELD
+    heir: str = ""  # while it is passing
+
+    def passing(self, heir: str) -> Binding:
+        return replace(self, number=self.number + 1, state=State.PASSING, heir=heir)
+
+    def taken(self, owner: str, incarnation: int, version: int) -> Binding:
+        """As the next owner holds it, or the same owner under another version."""
+        return Binding(self.key, self.number + 1, owner, incarnation, version)
+
+    def ended(self) -> Binding:
+        return replace(self, number=self.number + 1, state=State.ENDED, heir="")
+
+
+def newer(one: Binding | None, other: Binding | None) -> Binding | None:
+    """The one that holds; the first where the numbers are equal."""
+    if one is None or other is None:
+        return one or other
+    return other if other.number > one.number else one
--- /dev/null
+++ b/sablewheel/trials/affinity_fleet.py
@@ -0,0 +1,562 @@
+"""Servers with sessions in a made fleet: a register, runs that take time, and what an onlooker must find.
+
+The register is one object that takes compare-and-sets, as a majority of holders would: a member reaches it
+while it can speak both ways with a majority of the last agreed view, itself included, and only at the newest
+epoch that it holds. Its answers may be lost after the write was made. A server runs what its sessions tell it
+to run, claims labels first, passes tickets on, and keeps every ticket's outcome.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import inf
+from typing import Any
+
+from ..affinity.binding import Binding, State
+from ..affinity.events import (
+    Active,
+    Answered,
+    Came,
+    Deny,
+    Drain,
+    Event,
+    Got,
+    Here,
+    Loads,
+    Note,
+    Over,
+    Pass,
+    Read,
+    Refused,
+    Tick,
+    Unreached,
+    Verdict,
+    Viewed,
+    Why,
+    Write,
+)
+from ..affinity.placing import Load
+from ..affinity.plan import Settings
+from ..affinity.sessions import Phase, Sessions
+from ..membership.view import Member, View
+from ..terms import Nature
+from .made_fleet import MadeFleet
+
+Key = str
+
+
+@dataclass(frozen=True)
+class Claim:
+    """Who may run a label, the only one ever; `number` of its session's binding."""
+
+    label: str
+    owner: str
+    incarnation: int
+    number: int
+
+
+@dataclass
+class Register:
+    """What a majority of holders holds."""
+
+    bindings: dict[Key, Binding] = field(default_factory=dict)
+    claims: dict[str, Claim] = field(default_factory=dict)
+    outcomes: dict[str, str] = field(default_factory=dict)
+    history: list[tuple[float, Binding]] = field(default_factory=list)
+    fenced: bool = True  # claims below the binding's number are refused
+
+    def write(self, now: float, key: Key, expect: int, value: Binding) -> tuple[Verdict, Binding | None]:
+        held = self.bindings.get(key)
+        if (held.number if held is not None else 0) != expect:
+            return Verdict.LOST, held
+        self.bindings[key] = value
+        self.history.append((now, value))
+        return Verdict.WON, value
+
+    def claim(self, key: Key, claim: Claim) -> tuple[str, int]:
+        """`won`, `refused` with the number that stands there, or `running` if another has it."""
+        held = self.bindings.get(key)
+        if self.fenced and held is not None and claim.number < held.number:
+            return "refused", held.number
+        if claim.label in self.claims:
+            return "known", 0
+        self.claims[claim.label] = claim
+        return "won", 0
+
+    def free(self, claim: Claim) -> None:
+        """By its owner, who knows that it did not run."""
+        if self.claims.get(claim.label) == claim:
+            del self.claims[claim.label]
+
+
+@dataclass
+class Run:
+    """A labelled run under way, as an onlooker sees it."""
+
+    at: str
+    key: Key
+    label: str
+    number: int
+    since: float
+    passed: bool = False  # it goes on as a claim: its owner is gone, or has waited for it long enough
+
+
+@dataclass
+class Watch:
+    """What must never be. `wrong` names each breach once."""
+
+    runs: list[Run] = field(default_factory=list)
+    begun: Counter[str] = field(default_factory=Counter)  # label -> runs
+    highest: dict[Key, tuple[int, str]] = field(default_factory=dict)
+    wrong: list[str] = field(default_factory=list)
+
+    def begin(self, now: float, run: Run) -> None:
+        self.begun[run.label] += 1
+        if self.begun[run.label] > 1:
+            self.wrong.append(f"{now:.2f} label {run.label} runs a second time, at {run.at}")
+        number, owner = self.highest.get(run.key, (0, run.at))
+        if run.number < number and owner != run.at:
+            self.wrong.append(
+                f"{now:.2f} {run.at} begins {run.label} of {run.key} under {run.number}, after {owner} under "
+                f"{number}"
+            )
+        for one in self.runs:
+            if one.key == run.key and one.at != run.at and not one.passed:
+                self.wrong.append(
+                    f"{now:.2f} {run.at} begins {run.label} of {run.key} while {one.at} runs {one.label}"
+                )
+        if run.number >= number:
+            self.highest[run.key] = (run.number, run.at)
+        self.runs.append(run)
+
+    def end(self, at: str, label: str) -> None:
+        self.runs = [one for one in self.runs if (one.at, one.label) != (at, label)]
+
+    def pass_on(self, at: str, key: Key | None = None) -> None:
+        for one in self.runs:
+            if one.at == at and key in (None, one.key):
+                one.passed = True
+
+
+# -- one server
+
+
+@dataclass(frozen=True)
+class Claimed:
+    """The register's answer to a claim that was asked for at `asked`."""
+
+    came: Came
+    claim: Claim
+    verdict: str
+    number: int
+    asked: float
+
+
+@dataclass(frozen=True)
+class Begin:
+    """Run it now; `claim` None: a redoable one."""
+
+    came: Came
+    claim: Claim | None
+
+
+@dataclass(frozen=True)
+class Ask:
+    """Claim its label."""
+
+    came: Came
+    claim: Claim
+
+
+@dataclass(frozen=True)
+class Free:
+    """It was won, and will not run."""
+
+    came: Came
+    claim: Claim
+
+
+def label_of(came: Came) -> str:
+    return f"{came.key}-{came.ref}"
+
+
+class Server:
+    """Sessions and, beside them, the little that a server does with what they say."""
+
+    def __init__(self, name: str, incarnation: int, settings: Settings, now: float) -> None:
+        self.sessions = Sessions(name, incarnation, settings, now)
+        self.tickets: dict[int, Came] = {}
+
+    @property
+    def wake_at(self) -> float:
+        return self.sessions.wake_at
+
+    def step(self, now: float, event: Event | Claimed) -> list[Any]:
+        if isinstance(event, Claimed):
+            return self._claimed(now, event)
+        if isinstance(event, Came):
+            self.tickets[event.ref] = event
+        if isinstance(event, Unreached):
+            self.tickets[event.came.ref] = event.came
+        if isinstance(event, Over):
+            self.tickets.pop(event.ref, None)
+        return self._carry(now, self.sessions.step(now, event))
+
+    def _carry(self, now: float, effects: list[Any]) -> list[Any]:
+        out: list[Any] = []
+        for effect in effects:
+            came = self.tickets.get(effect.ref) if isinstance(effect, Here) else None
+            if came is None:
+                if isinstance(effect, Deny | Pass):
+                    self.tickets.pop(effect.ref, None)
+                out.append(effect)
+            elif came.strict:
+                me = self.sessions
+                out += [effect, Ask(came, Claim(label_of(came), me.me, me.incarnation, effect.number))]
+            else:
+                out += [effect, Begin(came, None)]
+        return out
+
+    def _claimed(self, now: float, said: Claimed) -> list[Any]:
+        came = said.came
+        if came.ref not in self.tickets:
+            return [Free(came, said.claim)] if said.verdict == "won" else []
+        if said.verdict == "refused":
+            return self._carry(now, self.sessions.step(now, Refused(came, said.number)))
+        if said.verdict == "won":
+            if self.sessions.may_begin(now, came.key, said.claim.number, said.asked):
+                return [Begin(came, said.claim)]
+            out: list[Any] = [Free(came, said.claim)]
+        else:
+            out = []
+        why = Why.NO_MAJORITY if said.verdict == "unreachable" else Why.STALE
+        del self.tickets[came.ref]
+        rest = self.sessions.step(now, Over(came.ref, came.key))
+        return [*out, Deny(came.ref, 0.2, why), *self._carry(now, rest)]
+
+
+# -- the fleet
+
+REMOVED_AFTER = 3.0  # seconds without a sign after which the others agree that a member is gone
+ANSWER_WITHIN = 0.3  # a question to the register without an answer is given up then
+LOADS_EVERY = 0.2
+
+
+@dataclass
+class Ticket:
+    """One as its customer sees it."""
+
+    came: Came
+    at: str  # the server that its router brought it to
+    outcome: str = ""  # completed, denied or terminated
+    why: str = ""
+    ran_at: str = ""
+    version: int = 0
+    number: int = 0
+    where: str = ""  # the server that has it now
+
+
+class World:
+    """A fleet of servers under one agreed view, with tickets, a register, and faults by name."""
+
+    def __init__(self, names: list[str], settings: Settings, seed: int = 1, warm_up: float = 10.0) -> None:
+        self.settings, self.warm_up = settings, warm_up
+        self.fleet = MadeFleet(Got, Tick(), seed, self._heard)
+        self.register = Register(fenced=settings.broken != "two-owners")
+        self.watch = Watch()
+        self.chance = random.Random(f"{seed}-world")
+        self.tickets: list[Ticket] = []
+        self.notes: list[tuple[float, str, Note]] = []
+        self.policy = Active(1)
+        self.warm_since: dict[str, float] = {}
+        self.run_takes: Callable[[], float] = lambda: 0.05
+        self.lose_answers = 0.0  # share of the register's answers that are lost after the deed
+        self.no_majority = False
+        self.draining: set[str] = set()
+        self.down: set[str] = set()
+        self._lives: Counter[str] = Counter()
+        self.view = View(1, tuple(Member(name, f"at-{name}", incarnation=1) for name in sorted(names)))
+        for name in names:
+            self._lives[name] = 1
+            self.warm_since[name] = -inf
+            self._start(name)
+        self.fleet.later(LOADS_EVERY, self._loads)
+        self.run(0.5)
+
+    # -- members
+
+    def server(self, name: str) -> Server:
+        core = self.fleet.cores[name]
+        assert isinstance(core, Server)
+        return core
+
+    def sessions(self, name: str) -> Sessions:
+        return self.server(name).sessions
+
+    @property
+    def alive(self) -> list[str]:
+        return sorted(self.fleet.cores)
+
+    def _start(self, name: str) -> None:
+        incarnation = self._lives[name]
+        self.fleet.add(name, lambda now: Server(name, incarnation, self.settings, now))
+        self.down.discard(name)
+        self.draining.discard(name)
+        self._tell_all()
+
+    def start(self, name: str) -> None:
+        """A server comes (back), cold, and is taken into the view."""
+        self._lives[name] += 1
+        self.warm_since[name] = self.fleet.now
+        self._start(name)
+        self._agree([one for one in self.view.members if one.name != name]
+                    + [Member(name, f"at-{name}", incarnation=self._lives[name])])  # fmt: skip
+
+    def kill(self, name: str) -> None:
+        """SIGKILL. The others agree that it is gone a little later."""
+        for ticket in self.tickets:
+            if ticket.where == name and not ticket.outcome:
+                self._lost_with(ticket, name)
+        self.fleet.crash(name)
+        self.watch.pass_on(name)
+        self.down.add(name)
+        self.fleet.later(REMOVED_AFTER, lambda: self._remove_if(lambda one: one in self.down, name))
+
+    def pause(self, name: str, span: float) -> None:
+        """SIGSTOP for so long. Past the suspicion the others take it out; when it wakes it asks in again."""
+        self.fleet.pause(name, span)
+        if span > REMOVED_AFTER:
+            self.fleet.later(REMOVED_AFTER, lambda: self._remove_if(lambda _: True, name))
+            self.fleet.later(span + 1.0, lambda: self._again(name))
+
+    def _again(self, name: str) -> None:
+        if name in self.fleet.cores and name not in self.view:
+            self._lives[name] += 1
+            self._agree([*self.view.members, Member(name, f"at-{name}", incarnation=self._lives[name])])
+
+    def leave(self, name: str, grace: float) -> None:
+        """SIGTERM: it drains for its grace, says that it leaves, and is gone."""
+        self.draining.add(name)
+        self._loads(again=False)
+        self.fleet.tell(name, Drain(grace))
+
+        def gone() -> None:
+            if name in self.fleet.cores:
+                for ticket in self.tickets:
+                    if ticket.where == name and not ticket.outcome:
+                        self._lost_with(ticket, name)
+                self.fleet.crash(name)
+                self.watch.pass_on(name)
+                self._remove_if(lambda _: True, name)
+
+        self.fleet.later(grace, gone)
+
+    def cut_off(self, names: list[str], for_good: bool = True) -> None:
+        """Nobody else hears these or is heard; those without a majority are taken out if it stays so."""
+        others = [one for one in self.view.names if one not in names]
+        self.fleet.cut(names, others)
+        few = names if len(names) * 2 < len(self.view.names) else others
+        if for_good and len(few) * 2 < len(self.view.names):
+            for name in few:
+                self.fleet.later(REMOVED_AFTER, lambda name=name: self._remove_if(  # type: ignore[misc]
+                    lambda one: not self.reaches(one), name))  # fmt: skip
+
+    def heal(self) -> None:
+        """All links are whole; who was taken out asks in again."""
+        self.fleet.heal()
+        self._tell_all()
+        for name in self.alive:
+            if name not in self.view:
+                self.fleet.later(0.5, lambda name=name: self._again(name))  # type: ignore[misc]
+
+    def _remove_if(self, gone: Callable[[str], bool], name: str) -> None:
+        if name in self.view and gone(name):
+            self._agree([one for one in self.view.members if one.name != name])
+
+    def _agree(self, members: list[Member]) -> None:
+        self.view = View(self.view.epoch + 1, tuple(sorted(members)), self.view.facts)
+        for name in self._lives:
+            mine = self.view.get(name)
+            if mine is None or mine.incarnation != self._lives[name] or name not in self.fleet.cores:
+                self.watch.pass_on(name)
+        self._tell_all()
+
+    def _tell_all(self) -> None:
+        """Each that is not cut off hears of the view and the policy, each at its own time."""
+        view, policy = self.view, self.policy
+        for name in self.alive:
+            if self._speaks(name):
+                after = self.chance.uniform(0.005, 0.05)
+                self.fleet.later(after, lambda name=name: self.fleet.tell(name, Viewed(view)))  # type: ignore[misc]
+                self.fleet.later(after, lambda name=name: self.fleet.tell(name, policy))  # type: ignore[misc]
+
+    def _loads(self, again: bool = True) -> None:
+        now, loads = self.fleet.now, dict[str, Load]()
+        for name in self.alive:
+            warmth = min(1.0, 0.1 + 0.9 * (now - self.warm_since[name]) / self.warm_up)
+            weight = 0.0 if name in self.draining else 1.0
+            loads[name] = Load(len(self.sessions(name).owned), warmth, weight)
+        for name in self.alive:
+            if self._speaks(name):
+                self.fleet.tell(name, Loads(loads))
+        if again:
+            self.fleet.later(LOADS_EVERY, self._loads)
+
+    # -- policy
+
+    def bump(
+        self, version: int, able: dict[str, frozenset[str]] | None = None, mandatory: bool = False
+    ) -> None:
+        self.policy = Active(version, able or {}, mandatory)
+        self._tell_all()
+
+    # -- the register
+
+    def _speaks(self, name: str) -> bool:
+        """Whether it can speak both ways with a majority of the view, itself among them if it is in."""
+        heard = 0
+        for one in self.view.names:
+            if one == name:
+                heard += 1
+            elif one in self.fleet.cores and self.fleet.paused.get(one, 0.0) <= self.fleet.now:
+                heard += not (self.fleet.link(name, one).cut or self.fleet.link(one, name).cut)
+        return heard * 2 > len(self.view.names)
+
+    def reaches(self, name: str) -> bool:
+        if self.no_majority or name not in self.fleet.cores or not self._speaks(name):
+            return False
+        held = self.sessions(name).view
+        return held is not None and held.epoch == self.view.epoch and name in held
+
+    def _ask(self, name: str, deed: Callable[[], Any], answer: Callable[[Any], Any], lost: Any) -> None:
+        """One question, there and back; `deed` is done at the register, its answer told as an event."""
+
+        def arrive() -> None:
+            if not self.reaches(name):
+                return self.fleet.later(ANSWER_WITHIN, lambda: self.fleet.tell(name, lost))
+            said = deed()
+            if self.chance.random() < self.lose_answers:
+                return self.fleet.later(ANSWER_WITHIN, lambda: self.fleet.tell(name, lost))
+            return self.fleet.later(
+                self.chance.uniform(0.002, 0.01), lambda: self.fleet.tell(name, answer(said))
+            )
+
+        self.fleet.later(self.chance.uniform(0.002, 0.01), arrive)
+
+    # -- what servers do
+
+    def _heard(self, now: float, name: str, effect: Any) -> None:
+        register = self.register
+        match effect:
+            case Write(ref, key, expect, value, _):
+                self._ask(name, lambda: register.write(self.fleet.now, key, expect, value),
+                          lambda said: Answered(ref, *said), Answered(ref, Verdict.UNREACHABLE))  # fmt: skip
+            case Read(ref, key):
+                self._ask(name, lambda: register.bindings.get(key),
+                          lambda held: Answered(ref, Verdict.WON, held),
+                          Answered(ref, Verdict.UNREACHABLE))  # fmt: skip
+            case Ask(came, asked):
+                self._ask(name, lambda: register.claim(came.key, asked),
+                          lambda said: Claimed(came, asked, said[0], said[1], now),
+                          Claimed(came, asked, "unreachable", 0, now))  # fmt: skip
+            case Free(_, won):
+                self.fleet.later(0.005, lambda: register.free(won))
+            case Here(ref, number, version, why):
+                ticket = self.tickets[ref]
+                ticket.where, ticket.why, ticket.version, ticket.number = name, why.value, version, number
+            case Pass(ref, to):
+                self._pass(name, ref, to)
+            case Deny(ref, _, why):
+                self._decide(ref, "denied", why.value)
+            case Begin(came, claim):
+                self._begin(now, name, came, claim)
+            case Note():
+                self.notes.append((now, name, effect))
+        if name in self.fleet.cores:
+            for passed, held in self.sessions(name).owned.items():
+                if held.phase is Phase.GIVING and held.open:
+                    self.watch.pass_on(name, passed)
+
+    def _begin(self, now: float, name: str, came: Came, claim: Claim | None) -> None:
+        ticket = self.tickets[came.ref]
+        ticket.ran_at = name
+        if claim is not None:
+            self.watch.begin(now, Run(name, came.key, claim.label, claim.number, now))
+        life = self._lives[name]
+
+        def end() -> None:
+            if claim is not None:
+                self.watch.end(name, claim.label)
+            if self._lives[name] == life or name in self.fleet.cores:
+                self._decide(came.ref, "completed")
+                self.fleet.tell(name, Over(came.ref, came.key))
+
+        self.fleet.later(self.run_takes(), end)
+
+    def _pass(self, name: str, ref: int, to: str) -> None:
+        ticket = self.tickets[ref]
+        came = Came(ref, ticket.came.key, ticket.came.nature, ticket.came.flow, name)
+        broken = to not in self.fleet.cores or self.fleet.link(name, to).cut or self.fleet.link(to, name).cut
+        if broken:
+            ticket.where = name
+            self.fleet.later(0.05, lambda: self.fleet.tell(name, Unreached(ticket.came, to)))
+            return
+        ticket.where = to
+        self.fleet.later(self.chance.uniform(0.001, 0.003), lambda: self.fleet.tell(to, came))
+
+    def _lost_with(self, ticket: Ticket, name: str) -> None:
+        """Its server is gone. What only passed through it is known again where it came from."""
+        ran = label_of(ticket.came) in self.register.claims
+        if ticket.at == name or ticket.at not in self.fleet.cores or ran:
+            return self._decide(ticket.came.ref, "terminated", "lost")  # it may have run: no second run
+        ticket.where, back = ticket.at, ticket.at
+        self.fleet.later(0.05, lambda: self.fleet.tell(back, Unreached(ticket.came, name)))
+        return None
+
+    def _decide(self, ref: int, outcome: str, why: str = "") -> None:
+        ticket = self.tickets[ref]
+        if not ticket.outcome:
+            ticket.outcome, ticket.why = outcome, why or ticket.why
+
+    # -- tickets
+
+    def bring(self, at: str, key: Key, nature: Nature = Nature.REDOABLE, flow: str = "") -> Ticket:
+        """A router brings a ticket to one server; each labelled one has a label of its own."""
+        ticket = Ticket(Came(len(self.tickets), key, nature, flow), at, where=at)
+        self.tickets.append(ticket)
+        if at not in self.fleet.cores:
+            ticket.outcome, ticket.why = "terminated", "nobody there"
+        else:
+            self.fleet.tell(at, ticket.came)
+        return ticket
+
+    def run(self, span: float) -> None:
+        self.fleet.run(span)
+
+    # -- what an onlooker sees
+
+    def owner(self, key: Key) -> str:
+        """As the register holds it; empty if nobody's."""
+        held = self.register.bindings.get(key)
+        return held.owner if held is not None and held.state is not State.ENDED else ""
+
+    def moves(self, since: float = 0.0) -> list[tuple[float, Key, str, str]]:
+        """Changes of owner in the register's history: when, which, from, to."""
+        owners: dict[Key, str] = {}
+        found = []
+        for when, binding in self.register.history:
+            before = owners.get(binding.key, "")
+            if binding.state is State.ENDED:
+                owners[binding.key] = ""
+                continue
+            if before and binding.owner != before and when >= since:
+                found.append((when, binding.key, before, binding.owner))
+            owners[binding.key] = binding.owner
+        return found
+
+    def count(self, what: str) -> int:
+        """Over all servers that live."""
+        return sum(self.sessions(name).counts[what] for name in self.alive)
