Affinity: every order of a handover to a depth, and the tests closest to the core

Change: trial affinity-model tries each order from seven starts (drain, pause past removal, waking, cut handover, two askers, owner out of reach, retired version), with readable counterexamples; tests of keys, bounds, budget and the owner's decisions. A ticket that finds its session gone on is given back once instead of denied.

The search found a real fault: a successor rested since it heard of the view, and a claim won before could begin at the same instant; it now rests from the register's answer at the new epoch.

--- a/sablewheel/affinity/events.py
+++ b/sablewheel/affinity/events.py
@@ -50,6 +50,7 @@
     nature: Nature
     flow: str = ""
     sender: str = ""
+    back: bool = False  # it was passed on before, and came back since its session had gone on
 
     @property
     def strict(self) -> bool:
@@ -73,6 +74,14 @@
     to: str
 
 
+@dataclass(frozen=True, slots=True)
+class Returned:
+    """A ticket that was passed on came back unserved: its session is another's, by what that server knows."""
+
+    came: Came
+    binding: Binding | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Refused:
     """A holder refused its claim: a higher number than `number` stands there."""
@@ -181,7 +190,7 @@
 
 
 Event: TypeAlias = (
-    Came | Over | Unreached | Refused | Answered | Viewed | Active | Loads | Drain | Tick | Got
+    Came | Over | Unreached | Returned | Refused | Answered | Viewed | Active | Loads | Drain | Tick | Got
 )
 
 
@@ -206,6 +215,15 @@
     to: str
 
 
+@dataclass(frozen=True, slots=True)
+class Back:
+    """Give it back to the server that passed it on: it never ran here, and its session is another's."""
+
+    ref: int
+    sender: str
+    binding: Binding
+
+
 @dataclass(frozen=True, slots=True)
 class Deny:
     """It never ran; come back after so many seconds. A label whose outcome is known may be answered so."""
@@ -246,4 +264,4 @@
     fields: Mapping[str, object] = field(default_factory=dict)
 
 
-Effect: TypeAlias = Here | Pass | Deny | Write | Read | Send | Note
+Effect: TypeAlias = Here | Pass | Back | Deny | Write | Read | Send | Note
--- a/sablewheel/affinity/sessions.py
+++ b/sablewheel/affinity/sessions.py
@@ -6,11 +6,11 @@
 - A live owner gives a session away in three steps: it takes no more labelled work and writes `passing`, waits
   until its labelled runs end or pass on as claims (their labels stay claimed, nobody runs them again), and
   only then tells the heir to take it. Until that, nobody else may take from an owner that is in the view.
-- An owner that is out of the view, or back as another self, is succeeded `claim_within` after that at the
-  earliest. If it was only paused or cut off, its later claims are refused, by epoch and by number; one that
-  was won before begins within `claim_within` of its asking or is freed (`may_begin`). So all that it began it
-  began before its successor, and that goes on as the claim that it is. This rests on clocks that run at one
-  rate, not on clocks that agree; that a label runs once rests on no clock.
+- An owner that is out of the view, or back as another self, is succeeded, `claim_within` after the register
+  was read at the new epoch. If it was only paused or cut off, its later claims are refused, by epoch and by
+  number; one that was won before begins within `claim_within` of its asking or is freed (`may_begin`). So all
+  that it began it began before its successor, and that goes on as the claim that it is. This rests on clocks
+  that run at one rate, not on clocks that agree; that a label runs once rests on no clock.
 - A new policy version moves nothing. Each change of a binding has a `Cause`, and moves have a budget.
 
 Bounds: `Settings` names them all. A session that is forgotten for lack of room is not lost: its binding stays
@@ -33,6 +33,7 @@
 from .events import (
     Active,
     Answered,
+    Back,
     Came,
     Declined,
     Deny,
@@ -50,6 +51,7 @@
     Read,
     Refused,
     Reply,
+    Returned,
     Send,
     Take,
     Tick,
@@ -103,7 +105,7 @@
 
 class Stage(Enum):
     READING = auto()
-    RESTING = auto()  # its owner has just gone out of the view
+    RESTING = auto()  # a claim that its owner, who is gone, won before may still begin
     OFFERED = auto()
     WRITING = auto()
 
@@ -120,6 +122,7 @@
     asked: int = 0  # the question or offer that is open
     at: float = inf
     asker: tuple[str, int] | None = None  # who offered it to this server, and its turn
+    read_at: float = -inf  # the register's last answer came
     take: Take | None = None  # the owner's word that this server may take it
     entry: Binding | None = None
     cause: Cause | None = None
@@ -152,8 +155,6 @@
         self._last_ref = 0
         self._asked: dict[int, str] = {}  # open questions to the register, by their session
         self._due_at = inf
-        self._gone: dict[tuple[str, int], float] = {}  # selves that went out of the view, and when
-        self._viewed_first = inf
         self._out: list[Effect] = []
 
     # -- what comes in
@@ -167,6 +168,8 @@
                 self._over(now, ref, key)
             case Unreached(came, to):
                 self._unreached(now, came, to)
+            case Returned(came, binding):
+                self._returned(now, came, binding)
             case Refused(came, number):
                 self._refused(now, came, number)
             case Answered(ref, verdict, entry):
@@ -211,7 +214,7 @@
             held is not None
             and held.phase is not Phase.GIVING
             and held.first <= number <= held.binding.number
-            and now - asked <= self.settings.claim_within
+            and now - asked < self.settings.claim_within
         )
 
     def gauges(self) -> dict[str, object]:
@@ -271,8 +274,8 @@
         return None
 
     def _hold(self, now: float, held: Held, came: Came, why: Why) -> None:
-        """It waits for the next owner; one that was passed on has had its hop, and can't go on to it."""
-        if came.sender or len(held.waiting) >= self.settings.waiting_most:
+        """It waits for the next owner."""
+        if len(held.waiting) >= self.settings.waiting_most:
             return self._without(came, why)
         if not held.waiting:
             held.wait_until = now + self.settings.bind_within
@@ -294,9 +297,10 @@
             self._out.append(Here(came.ref, 0, self.version, why))
 
     def _forward(self, came: Came, route: Binding) -> None:
-        if came.sender:  # one hop, and it has had it
-            self._send(came.sender, Told(route))
-            return self._without(came, Why.STALE)
+        if came.sender:  # it has had its hop: who passed it on does so anew
+            self.counts["given_back"] += 1
+            self._out.append(Back(came.ref, came.sender, route))
+            return None
         self.counts["passed"] += 1
         self._out.append(Pass(came.ref, route.owner))
         return None
@@ -319,6 +323,16 @@
             return self._serve(now, held, came)
         return self._without(came, Why.UNREACHED)
 
+    def _returned(self, now: float, came: Came, binding: Binding | None) -> None:
+        """It goes to the owner once more; after that it is decided here, and never goes round."""
+        if binding is not None:
+            self._told(now, binding)
+        elif (route := self.routes.get(came.key)) is not None:
+            del self.routes[route.key]
+        if came.back:
+            return self._without(came, Why.STALE)
+        return self._came(now, replace(came, back=True))
+
     def _refused(self, now: float, came: Came, number: int) -> None:
         """A higher number stands there than this server knew: its own next, or another owner's."""
         held = self.owned.get(came.key)
@@ -349,7 +363,7 @@
             held.asked = 0
             self._written(now, held, verdict, entry)
         elif (seek := self.seeks.get(key)) is not None and seek.asked == ref:
-            seek.asked = 0
+            seek.asked, seek.read_at = 0, now
             if verdict is Verdict.UNREACHABLE:
                 self._fail(seek, Why.NO_MAJORITY)
             elif seek.stage is Stage.WRITING and verdict is Verdict.WON:
@@ -366,12 +380,6 @@
             return self._place(now, seek)
         if not self._lives(entry):
             seek.cause = Cause.REMOVED
-            since = self._gone.get((entry.owner, entry.incarnation), self._viewed_first)
-            rest = since + self.settings.claim_within
-            if now < rest:  # a claim that it won before may still begin
-                self._stage(seek, Stage.RESTING)
-                seek.until = max(seek.until, rest + self.settings.bind_within)
-                return self._arm_seek(seek, rest)
             return self._place(now, seek)
         if entry.owner == self.me:
             self._drop(seek)
@@ -408,12 +416,24 @@
         self._last_ref += 1
         self._stage(seek, Stage.OFFERED)
         seek.target, seek.asked = target, self._last_ref
-        self._arm_seek(seek, min(now + self.settings.offer_within, seek.until))
+        within = self.settings.offer_within + (self.settings.claim_within if seek.cause else 0.0)
+        self._arm_seek(seek, min(now + within, seek.until))
         self._send(target, Offer(seek.key, seek.asked, tuple(sorted(seek.flows)), seek.forced))
         return None
 
     def _write(self, now: float, seek: Seek) -> None:
-        """This server writes itself in."""
+        """This server writes itself in; after one that is gone, once all its claims have begun or lapsed.
+
+        The register answered at this epoch: it takes no claim of an older one since. So none was asked for
+        later than that answer.
+        """
+        if seek.cause is Cause.REMOVED and now < (rest := seek.read_at + self.settings.claim_within):
+            self._stage(seek, Stage.RESTING)
+            seek.until = max(seek.until, rest + self.settings.bind_within)
+            for came in [one for one in seek.waiting if not one.strict]:
+                seek.waiting.remove(came)
+                self._without(came, Why.HANDOVER)
+            return self._arm_seek(seek, rest)
         entry, version = seek.entry, self._next_version(seek)
         if entry is None:
             first = (self.view.epoch if self.view else 0) << EPOCH_SHIFT | 1
@@ -823,14 +843,6 @@
     def _viewed(self, now: float, view: View) -> None:
         if self.view is not None and view.epoch <= self.view.epoch:
             return
-        self._viewed_first = min(self._viewed_first, now)
-        here = {(one.name, one.incarnation) for one in view.members}
-        for one in self.view.members if self.view is not None else ():
-            if (one.name, one.incarnation) not in here:
-                self._gone[one.name, one.incarnation] = now
-        for gone, since in list(self._gone.items()):
-            if now - since > self.settings.claim_within:
-                del self._gone[gone]
         self.view = view
         self._budget.set(now, self.settings.moves_per_s / max(len(view.members), 1))
         mine = view.get(self.me)
@@ -914,7 +926,10 @@
 
     def _late_seek(self, now: float, seek: Seek) -> None:
         if seek.stage is Stage.RESTING:
-            self._found(now, seek, seek.entry)
+            if self._has_room(seek.flows, self._next_version(seek), seek.forced):
+                self._write(now, seek)
+            else:
+                self._place(now, seek)
         elif now >= seek.until:
             self._fail(seek, Why.NO_MAJORITY if seek.stage is not Stage.OFFERED else Why.FULL)
         elif seek.stage is Stage.OFFERED:
--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -12,6 +12,7 @@
 from ..trials.verdict import Verdict
 
 TRIALS = {
+    "affinity-model": "affinity_model",
     "ledger": "ledger",
     "ledger-cost": "ledger_cost",
     "ledger-size": "ledger_size",
--- a/sablewheel/trials/affinity_fleet.py
+++ b/sablewheel/trials/affinity_fleet.py
@@ -11,7 +11,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 from typing import Any
 
@@ -19,6 +19,7 @@
 from ..affinity.events import (
     Active,
     Answered,
+    Back,
     Came,
     Deny,
     Drain,
@@ -31,6 +32,7 @@
     Pass,
     Read,
     Refused,
+    Returned,
     Tick,
     Unreached,
     Verdict,
@@ -199,7 +201,7 @@
             return self._claimed(now, event)
         if isinstance(event, Came):
             self.tickets[event.ref] = event
-        if isinstance(event, Unreached):
+        if isinstance(event, Unreached | Returned):
             self.tickets[event.came.ref] = event.came
         if isinstance(event, Over):
             self.tickets.pop(event.ref, None)
@@ -210,7 +212,7 @@
         for effect in effects:
             came = self.tickets.get(effect.ref) if isinstance(effect, Here) else None
             if came is None:
-                if isinstance(effect, Deny | Pass):
+                if isinstance(effect, Deny | Back):
                     self.tickets.pop(effect.ref, None)
                 out.append(effect)
             elif came.strict:
@@ -256,6 +258,7 @@
     ran_at: str = ""
     version: int = 0
     number: int = 0
+    hops: int = 0  # how often it was passed on
     where: str = ""  # the server that has it now
 
 
@@ -469,6 +472,8 @@
                 ticket.where, ticket.why, ticket.version, ticket.number = name, why.value, version, number
             case Pass(ref, to):
                 self._pass(name, ref, to)
+            case Back(ref, sender, binding):
+                self._back(ref, sender, binding)
             case Deny(ref, _, why):
                 self._decide(ref, "denied", why.value)
             case Begin(came, claim):
@@ -496,8 +501,19 @@
 
         self.fleet.later(self.run_takes(), end)
 
+    def _back(self, ref: int, sender: str, binding: Binding) -> None:
+        """Over the same way that it came; if that is cut, its sender finds its time up."""
+        ticket = self.tickets[ref]
+        said = Returned(replace(ticket.came, back=ticket.hops > 1), binding)
+        if sender not in self.fleet.cores:
+            return self._decide(ref, "terminated", "lost")
+        ticket.where = sender
+        self.fleet.later(self.chance.uniform(0.001, 0.003), lambda: self.fleet.tell(sender, said))
+        return None
+
     def _pass(self, name: str, ref: int, to: str) -> None:
         ticket = self.tickets[ref]
+        ticket.hops += 1
         came = Came(ref, ticket.came.key, ticket.came.nature, ticket.came.flow, name)
         broken = to not in self.fleet.cores or self.fleet.link(name, to).cut or self.fleet.link(to, name).cut
         if broken:
--- /dev/null
+++ b/sablewheel/trials/affinity_model.py
@@ -0,0 +1,514 @@
+"""A session's handover between three servers, every order of what may happen, to a depth.
+
+The real sessions, no process: from states where a session is about to change hands, each next thing is tried
+in each order: any message on its way arrives (what does not is late: that is a pause, or lost for good), an
+answer of the register is lost after the deed, a timer rings, a labelled run ends, a server crashes, the fleet
+agrees that one is gone. Checked at each step: no two owners run the session's labelled work, no label runs
+twice, none begins below another's number, no two servers hold one number. From the states at the bottom, with
+the faults over, each ticket has its outcome and the session one owner. A violation is printed as the steps to
+it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import pickle
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..affinity.binding import Binding, State
+from ..affinity.events import (
+    Active,
+    Answered,
+    Back,
+    Came,
+    Deny,
+    Drain,
+    Got,
+    Over,
+    Pass,
+    Read,
+    Returned,
+    Tick,
+    Unreached,
+    Verdict,
+    Viewed,
+)
+from ..affinity.events import Send as Say
+from ..affinity.events import Write as Put
+from ..affinity.plan import Settings
+from ..affinity.sessions import Phase
+from ..membership.view import Member, View
+from ..terms import Nature
+from .affinity_fleet import Ask, Begin, Claimed, Free, Register, Run, Server, Watch
+from .verdict import Verdict as Found
+
+BROKEN = ("no-handover", "two-owners")
+NAMES = ("a", "b", "c")
+KEY = "k"
+SETTLE = 12.0  # seconds without faults after which all must be well
+STEPS_MOST = 2_000  # of one settling
+FIRST = 5  # the number at which `a` holds the session at the start
+Trace = tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Way:
+    """Something on its way: between servers, to the register, or back from it."""
+
+    kind: str  # say, pass, view, ask, answer
+    sender: str
+    to: str
+    what: Any
+    asked: float = 0.0
+    epoch: int = 0
+
+    def __str__(self) -> str:
+        what = getattr(self.what, "message", self.what)
+        return f"{self.sender} -> {self.to}: {_short(what)}"
+
+
+def _ref(one: Way) -> int:
+    return int(one.what.ref if one.kind == "pass" else one.what.came.ref)
+
+
+def _short(what: Any) -> str:
+    match what:
+        case Put(_, _, expect, value, _):
+            return f"write {_bound(value)} if {expect}"
+        case Answered(_, verdict, entry):
+            return f"{verdict.value}, {_bound(entry) if entry else 'nothing stands there'}"
+        case Ask(came, claim):
+            return f"claim of ticket {came.ref} under {claim.number}"
+        case Claimed(came, claim, verdict, _, _):
+            return f"claim of ticket {came.ref} under {claim.number}: {verdict}"
+        case Came(ref):
+            return f"ticket {ref}"
+        case Returned(came, one):
+            return f"ticket {came.ref} back, {_bound(one) if one else ''}"
+        case View(epoch, members):
+            return f"view {epoch} of {' '.join(one.name for one in members)}"
+    binding = getattr(what, "binding", None)
+    return type(what).__name__.lower() + (f" {_bound(binding)}" if binding else "")
+
+
+def _bound(one: Binding) -> str:
+    return f"{one.owner}#{one.number} {one.state.value}" + (f" to {one.heir}" if one.heir else "")
+
+
+@dataclass
+class Scene:
+    """Three servers, the register, what is on its way, the clock. `left`: how often each fault may yet be."""
+
+    settings: Settings
+    servers: dict[str, Server] = field(default_factory=dict)
+    register: Register = field(default_factory=Register)
+    watch: Watch = field(default_factory=Watch)
+    way: list[Way] = field(default_factory=list)
+    view: View = View(1, tuple(Member(one, one, incarnation=1) for one in NAMES))  # noqa: RUF009
+    now: float = 10.0
+    outcomes: dict[int, str] = field(default_factory=dict)
+    left: dict[str, int] = field(default_factory=dict)
+    passed: int = 0  # tickets so far
+    hops: dict[int, int] = field(default_factory=dict)
+
+    def tell(self, name: str, event: Any) -> None:
+        server = self.servers.get(name)
+        if server is None:
+            return
+        for effect in server.step(self.now, event):
+            match effect:
+                case Say(to, message):
+                    self.way.append(Way("say", name, to, message))
+                case Pass(ref, to):
+                    came = server.tickets.get(ref)
+                    if came is None:
+                        self.watch.wrong.append(f"{name} passes ticket {ref} on, which it has decided")
+                        continue
+                    self.way.append(Way("pass", name, to, Came(ref, KEY, came.nature, "", name)))
+                    self.hops[ref] = self.hops.get(ref, 0) + 1
+                case Back(ref, to, binding):
+                    came = Came(ref, KEY, Nature.LABELLED, back=self.hops[ref] > 1)
+                    self.way.append(Way("back", name, to, Returned(came, binding)))
+                case Put() | Read() | Ask():
+                    epoch = server.sessions.view.epoch if server.sessions.view else 0
+                    self.way.append(Way("ask", name, "register", effect, self.now, epoch))
+                case Free(_, claim):
+                    self.register.free(claim)
+                case Deny(ref, _, why):
+                    self.outcomes.setdefault(ref, f"denied {why.value}")
+                case Begin(came, claim):
+                    assert claim is not None
+                    run = Run(name, KEY, claim.label, claim.number, self.now)
+                    self.watch.begin(self.now, run)
+        held = server.sessions.owned.get(KEY)
+        if held is not None and held.phase is Phase.GIVING:
+            self.watch.pass_on(name, KEY)  # it waited for them as long as it may
+
+    def check(self) -> str:
+        """What is wrong here, if anything."""
+        holding: dict[int, str] = {}
+        for name, server in self.servers.items():
+            held = server.sessions.owned.get(KEY)
+            if held is not None and holding.setdefault(held.binding.number, name) != name:
+                return f"{name} and {holding[held.binding.number]} both hold it at {held.binding.number}"
+        return self.watch.wrong[0] if self.watch.wrong else ""
+
+    # -- what may happen next
+
+    def actions(self) -> list[str]:
+        found = [f"deliver {place}" for place in range(len(self.way))]
+        if self.left.get("lose"):
+            found += [f"lose {place}" for place in range(len(self.way)) if self.way[place].kind != "view"]
+        found += [f"ring {name}" for name, one in self.servers.items() if one.wake_at < self.now + 5.0]
+        found += [f"end {one.label}" for one in self.watch.runs]
+        for what in ("crash", "remove", "ticket", "drain", "bump"):
+            if self.left.get(what):
+                found += [f"{what} {name}" for name in self._whom(what)]
+        return found
+
+    def _whom(self, what: str) -> list[str]:
+        if what == "bump":
+            return ["all"]
+        if what == "remove":  # the fleet agrees that the owner at the start is gone: rightly or not
+            return ["a"] if "a" in self.view else []
+        if what == "ticket":
+            return [name for name in NAMES if name in self.servers]
+        if what in ("crash", "drain"):
+            return [name for name in ("a", "b") if name in self.servers and name in self.view]
+        return []
+
+    def act(self, action: str) -> str:
+        """Do it; how it reads in a trace."""
+        what, _, which = action.partition(" ")
+        says = getattr(self, f"_{what}")(which)
+        return f"{self.now:6.2f} {says}"
+
+    def _deliver(self, which: str) -> str:
+        one = self.way.pop(int(which))
+        if one.kind == "ask":
+            self._ask(one)
+        elif one.kind == "view":
+            self.tell(one.to, Viewed(one.what))
+        elif one.kind == "say":
+            self.tell(one.to, Got(one.sender, one.what))
+        elif one.to in self.servers:
+            self.tell(one.to, one.what)
+        elif one.kind in ("pass", "back"):
+            self.outcomes.setdefault(_ref(one), "terminated: its server is gone")
+        return str(one)
+
+    def _ask(self, one: Way) -> None:
+        """The register does it, if who asks is of the newest view; the answer is on its way."""
+        if one.epoch != self.view.epoch or one.sender not in self.view:
+            said: Any = self._lost(one)
+        elif isinstance(one.what, Put):
+            written = self.register.write(self.now, KEY, one.what.expect, one.what.value)
+            said = Answered(one.what.ref, *written)
+        elif isinstance(one.what, Read):
+            said = Answered(one.what.ref, Verdict.WON, self.register.bindings.get(KEY))
+        else:
+            verdict, number = self.register.claim(KEY, one.what.claim)
+            said = Claimed(one.what.came, one.what.claim, verdict, number, one.asked)
+        self.way.append(Way("answer", "register", one.sender, said))
+
+    def _lost(self, one: Way) -> Any:
+        if isinstance(one.what, Ask):
+            return Claimed(one.what.came, one.what.claim, "unreachable", 0, one.asked)
+        return Answered(one.what.ref, Verdict.UNREACHABLE)
+
+    def _lose(self, which: str) -> str:
+        """What is told of a lost question or answer is that no majority was reached."""
+        self.left["lose"] -= 1
+        one = self.way.pop(int(which))
+        if one.kind == "ask":
+            self.way.append(Way("answer", "register", one.sender, self._lost(one)))
+        elif one.kind == "answer" and isinstance(one.what, Answered):
+            self.tell(one.to, Answered(one.what.ref, Verdict.UNREACHABLE))
+        elif one.kind == "answer":
+            self.tell(one.to, Claimed(one.what.came, one.what.claim, "unreachable", 0, one.what.asked))
+        elif one.kind in ("pass", "back"):
+            self.outcomes.setdefault(_ref(one), "terminated: it may have arrived")
+        return f"lost: {one}"
+
+    def _ring(self, which: str) -> str:
+        self.now = max(self.now, self.servers[which].wake_at)
+        self.tell(which, Tick())
+        return f"timer of {which}"
+
+    def _end(self, label: str) -> str:
+        run = next(one for one in self.watch.runs if one.label == label)
+        self.watch.end(run.at, label)
+        ref = int(label.rpartition("-")[2])
+        self.outcomes.setdefault(ref, f"completed at {run.at}")
+        self.tell(run.at, Over(ref, KEY))
+        return f"the run of ticket {ref} at {run.at} ends"
+
+    def _crash(self, name: str) -> str:
+        self.left["crash"] -= 1
+        self.gone(name)
+        return f"{name} crashes"
+
+    def gone(self, name: str) -> None:
+        server = self.servers.pop(name)
+        for ref in server.tickets:
+            self.outcomes.setdefault(ref, "terminated: its server is gone")
+        self.watch.runs = [one for one in self.watch.runs if one.at != name]
+        self.way = [one for one in self.way if one.sender != name or one.kind in ("ask", "say")]
+
+    def _remove(self, name: str) -> str:
+        self.left["remove"] -= 1
+        self.view = View(self.view.epoch + 1, tuple(one for one in self.view.members if one.name != name))
+        self.watch.pass_on(name)
+        for to in self.servers:
+            self.way.append(Way("view", "fleet", to, self.view))
+        return f"the fleet agrees that {name} is gone, at epoch {self.view.epoch}"
+
+    def _ticket(self, name: str) -> str:
+        self.left["ticket"] -= 1
+        self.bring(name)
+        return f"ticket {max(self.outcomes_asked())} comes to {name}"
+
+    def bring(self, name: str) -> int:
+        ref = self.passed = self.passed + 1
+        self.tell(name, Came(ref, KEY, Nature.LABELLED))
+        return ref
+
+    def outcomes_asked(self) -> range:
+        return range(self.passed + 1)
+
+    def _drain(self, name: str) -> str:
+        self.left["drain"] -= 1
+        self.tell(name, Drain(10.0))
+        return f"{name} is told to leave"
+
+    def _bump(self, _: str) -> str:
+        self.left["bump"] -= 1
+        for name in list(self.servers):
+            self.tell(name, Active(9))
+        return "a new policy version is active, and the old one kept no longer"
+
+    # -- to compare and to settle
+
+    def key(self) -> bytes:
+        seen: list[object] = [round(self.now, 2), self.view.epoch, sorted(self.left.items())]
+        for name, server in self.servers.items():
+            own = server.sessions
+            held, seek = own.owned.get(KEY), own.seeks.get(KEY)
+            seen.append((
+                name, own.view.epoch if own.view else 0, own.version, own.routes.get(KEY), list(own._due),
+                sorted(own._asked.items()), own._drain is None, sorted(server.tickets),
+                held and (held.binding, held.phase, sorted(held.open), [one.ref for one in held.waiting],
+                          held.asked, held.first, held.due, sorted(held.tried), held.at, held.since,
+                          held.next),
+                seek and (seek.stage, [one.ref for one in seek.waiting], seek.asked, seek.at, seek.asker,
+                          seek.take, seek.entry, seek.target, sorted(seek.tried), seek.forced, seek.paid),
+            ))  # fmt: skip
+        runs = sorted((one.at, one.label, one.number, one.passed) for one in self.watch.runs)
+        stands = (self.register.bindings.get(KEY), sorted(self.register.claims))
+        way = sorted(str((one.kind, one.sender, one.to, one.what, one.asked)) for one in self.way)
+        return hashlib.blake2b(repr((seen, runs, stands, way)).encode(), digest_size=12).digest()
+
+    def settle(self) -> str:
+        """All faults over: who crashed is taken out, each message arrives. What is wrong then."""
+        self.left = {"remove": 1}
+        if "a" in self.view and "a" not in self.servers:
+            self._remove("a")
+        lost = [one for one in self.view.names if one not in self.servers]
+        if lost:
+            members = tuple(one for one in self.view.members if one.name not in lost)
+            self.view = View(self.view.epoch + 1, members)
+            self.way += [Way("view", "fleet", to, self.view) for to in self.servers]
+        until, steps = self.now + SETTLE, 0
+        fresh: list[int] = []
+        while steps < STEPS_MOST:
+            steps += 1
+            if self.way:
+                self.act("deliver 0")
+            elif self.watch.runs:
+                self.act(f"end {self.watch.runs[0].label}")
+            elif wakes := [(one.wake_at, name) for name, one in self.servers.items() if one.wake_at <= until]:
+                self.act(f"ring {min(wakes)[1]}")
+            elif not fresh:
+                self.now = max(self.now, until)
+                until = self.now + SETTLE
+                fresh = [self.bring(name) for name in sorted(self.servers) if name in self.view]
+            else:
+                break
+            if wrong := self.check():
+                return wrong
+        waits = [ref for ref in range(1, self.passed + 1) if ref not in self.outcomes]
+        if waits:
+            return f"tickets without an outcome: {waits}"
+        bad = [f"{one} {self.outcomes[one]}" for one in fresh if "completed" not in self.outcomes[one]]
+        if bad:
+            return f"in calm, tickets were not served: {bad}"
+        holders = [name for name, one in self.servers.items() if KEY in one.sessions.owned]
+        stands = self.register.bindings.get(KEY)
+        good = stands is not None and stands.state is State.HELD and [stands.owner] == holders
+        if not good:
+            return f"held by {holders}, and the register says {stands and _bound(stands)}"
+        return ""
+
+
+def _begin(broken: str) -> Scene:
+    """`a` owns the session, all know it, and one labelled run of it is under way at `a`."""
+    settings = Settings(broken=broken, keep_versions=1, idle=600.0)
+    scene = Scene(settings)
+    scene.register.fenced = broken != "two-owners"
+    for name in NAMES:
+        scene.servers[name] = Server(name, 1, settings, scene.now)
+        scene.tell(name, Viewed(scene.view))
+        scene.tell(name, Active(1))
+    scene.now += 5.0
+    stands = Binding(KEY, FIRST, "a", 1, 1)
+    scene.register.bindings[KEY] = stands
+    scene.bring("a")
+    _flow(scene)
+    return scene
+
+
+def _flow(scene: Scene) -> None:
+    while scene.way:
+        scene.act("deliver 0")
+
+
+def _drain(broken: str) -> Scene:
+    scene = _begin(broken)
+    scene.left = {"ticket": 1, "lose": 1}
+    scene.tell("a", Drain(10.0))
+    return scene
+
+
+def _paused(broken: str) -> Scene:
+    """One labelled ticket more is at `a`, its claim on the way, when the fleet agrees that `a` is gone."""
+    scene = _begin(broken)
+    scene.bring("b")
+    _flow(scene)
+    scene.bring("a")
+    scene.left = {"remove": 1, "ticket": 1}
+    scene.act("remove a")
+    return scene
+
+
+def _woken(broken: str) -> Scene:
+    """`a` was paused when its claim had just been won. The others took it out, and its successor runs
+    labelled work; now `a` wakes, with the answer to its claim, old timers and a new view before it."""
+    scene = _begin(broken)
+    scene.bring("a")
+    scene.act("deliver 0")  # its claim is won; the answer waits for it
+    scene.left = {"remove": 1}
+    scene.act("remove a")
+    scene.left = {"ticket": 2}
+    for name in "bc":  # they hear of it
+        scene.act(f"deliver {next(place for place, one in enumerate(scene.way) if one.to == name)}")
+    scene.bring("b")
+    for _ in range(STEPS_MOST):
+        if any(one.at != "a" for one in scene.watch.runs):
+            break
+        others = [place for place, one in enumerate(scene.way) if one.to != "a"]
+        if others:
+            scene.act(f"deliver {others[0]}")
+        else:
+            scene.act("ring " + min("bc", key=lambda name: scene.servers[name].wake_at))
+    return scene
+
+
+def _halfway(broken: str) -> Scene:
+    """`a` is handing over to another when one of them crashes, or `a` is taken out."""
+    scene = _begin(broken)
+    scene.act(f"end {scene.watch.runs[0].label}")
+    scene.tell("a", Drain(10.0))
+    scene.act("deliver 0")
+    scene.left = {"crash": 1, "remove": 1, "ticket": 1, "lose": 1}
+    return scene
+
+
+def _nobody(broken: str) -> Scene:
+    """Nobody owns it, and its tickets come to two servers at once."""
+    scene = _begin(broken)
+    scene.act(f"end {scene.watch.runs[0].label}")
+    held = scene.servers["a"].sessions.owned.pop(KEY)
+    scene.register.bindings[KEY] = held.binding.ended()
+    scene.bring("b")
+    scene.bring("c")
+    scene.left = {"ticket": 1, "lose": 1}
+    return scene
+
+
+def _cut(broken: str) -> Scene:
+    """The owner can't be reached from `b`, who has a ticket of the session; nobody is taken out."""
+    scene = _begin(broken)
+    scene.bring("b")
+    scene.left = {"lose": 1, "ticket": 1}
+    while scene.way and scene.way[0].kind != "pass":
+        scene.act("deliver 0")
+    lost = scene.way.pop(0)
+    scene.tell("b", Unreached(Came(lost.what.ref, KEY, Nature.LABELLED), "a"))
+    return scene
+
+
+def _retired(broken: str) -> Scene:
+    """The session's version is kept no longer, with a claim on its way and a run open."""
+    scene = _begin(broken)
+    scene.bring("a")
+    scene.left = {"bump": 1, "ticket": 1, "lose": 1}
+    scene.act("bump all")
+    return scene
+
+
+STARTS: dict[str, Callable[[str], Scene]] = {
+    "its owner drains": _drain,
+    "its owner was paused past its removal": _paused,
+    "its owner wakes after its removal": _woken,
+    "a handover is cut in its middle": _halfway,
+    "nobody owns it, two servers ask": _nobody,
+    "its owner can't be reached": _cut,
+    "its version is retired": _retired,
+}
+
+
+def explore(scene: Scene, depth: int, most: int, leaves: int) -> tuple[int, int, Trace, str]:
+    """States seen, leaves settled, and the first violation with its steps."""
+    queue: deque[tuple[bytes, int, Trace]] = deque([(pickle.dumps(scene), 0, ())])
+    seen, settled, bottom = {scene.key()}, 0, 0
+    if wrong := scene.check():
+        return 1, 0, (), wrong
+    while queue:
+        held, done, trace = queue.popleft()
+        for action in pickle.loads(held).actions():
+            now: Scene = pickle.loads(held)
+            path = (*trace, now.act(action))
+            if wrong := now.check():
+                return len(seen), settled, path, wrong
+            mark = now.key()
+            if mark in seen or len(seen) >= most:
+                continue
+            seen.add(mark)
+            if done + 1 < depth:
+                queue.append((pickle.dumps(now), done + 1, path))
+                continue
+            bottom += 1
+            if settled < leaves and bottom % 7 == 0:  # a share of them, the same each time
+                settled += 1
+                if wrong := now.settle():
+                    return len(seen), settled, (*path, "       all faults are over, and all arrives"), wrong
+    return len(seen), settled, (), ""
+
+
+def run(seed: int, quick: bool, broken: str = "") -> Found:
+    """Nothing here is drawn by `seed`: every order is tried."""
+    del seed
+    verdict = Found("affinity-model")
+    depth, most, leaves = (6, 60_000, 100) if quick else (8, 600_000, 1000)
+    for label, start in STARTS.items():
+        states, settled, trace, wrong = explore(start(broken), depth, most, leaves)
+        says = f"{states} states, {settled} settled" + (f": {wrong}" if wrong else "")
+        whole = depth < states < most  # cut short, it would not be every order
+        verdict.check(f"{label}: nothing wrong in any order to depth {depth}", not wrong and whole, says)
+        if trace:
+            verdict.figures[f"trace ({label})"] = "\n    ".join(["", *trace])
+        verdict.figures[f"states ({label})"] = states
+    return verdict
--- /dev/null
+++ b/tests/test_affinity.py
@@ -0,0 +1,250 @@
+"""Sessions that stay: keys, bounds, the budget, an owner's decisions, every order of a handover to a depth."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sablewheel.affinity.binding import Binding, Cause, State, newer
+from sablewheel.affinity.budget import DEPTH, Budget
+from sablewheel.affinity.events import (
+    Active,
+    Answered,
+    Came,
+    Deny,
+    Got,
+    Here,
+    Loads,
+    Offer,
+    Over,
+    Pass,
+    Read,
+    Refused,
+    Reply,
+    Returned,
+    Send,
+    Take,
+    Tick,
+    Told,
+    Unreached,
+    Verdict,
+    Viewed,
+    Why,
+    Write,
+)
+from sablewheel.affinity.keys import FIELD_MOST, KEY_SIZE, Carried, key_of
+from sablewheel.affinity.placing import Load, begin_on, bounds, move_to
+from sablewheel.affinity.plan import Settings
+from sablewheel.affinity.sessions import Phase, Sessions
+from sablewheel.membership.view import Member, View
+from sablewheel.terms import Nature
+from sablewheel.trials.affinity_model import STARTS, explore
+
+VIEW = View(1, tuple(Member(name, name, incarnation=1) for name in ("a", "b", "c")))
+RULES = [("customer", "subject"), ("customer", "router"), ("customer", "subject", "router")]
+
+
+def server(me: str = "a", **keys: Any) -> Sessions:
+    one = Sessions(me, 1, Settings(**keys), 0.0)
+    one.step(0.0, Viewed(VIEW))
+    one.step(0.0, Active(1))
+    return one
+
+
+def owner(key: str = "k", nature: Nature = Nature.REDOABLE, now: float = 0.0, **keys: Any) -> Sessions:
+    """A server that owns `key` at number 5, by what the register holds."""
+    one = server(**keys)
+    own(one, key, nature, now)
+    return one
+
+
+def own(one: Sessions, key: str, nature: Nature = Nature.REDOABLE, now: float = 0.0, ref: int = 1) -> None:
+    (read,) = [effect for effect in one.step(now, Came(ref, key, nature)) if isinstance(effect, Read)]
+    one.step(now, Answered(read.ref, Verdict.WON, Binding(key, 5, one.me, 1, 1)))
+    assert key in one.owned
+
+
+@pytest.mark.parametrize("rule", RULES)
+def test_a_label_stays_with_its_session_whatever_router_it_comes_by(rule: tuple[str, ...]) -> None:
+    keys = {key_of(rule, Carried("c1", "s1", router, "label")) for router in ("r1", "r2")}
+    assert len(keys) == 1 and None not in keys
+
+
+def test_keys_of_different_fields_differ_and_have_one_size() -> None:
+    rule = ("customer", "subject")
+    pairs = [("a", "bc"), ("ab", "c"), ("a|subject:1:b", "c")]
+    keys = {key_of(rule, Carried(customer, subject)) for customer, subject in pairs}
+    assert len(keys) == len(pairs) and all(len(one or "") == KEY_SIZE for one in keys)
+    assert key_of(rule, Carried("c1")) is None and key_of(rule, Carried("c", "s" * (FIELD_MOST + 1))) is None
+
+
+@given(st.lists(st.integers(0, 40), min_size=2, max_size=8), st.floats(1.05, 3.0))
+@settings(derandomize=True, max_examples=60, deadline=None)
+def test_there_is_always_room_below_a_bound(sessions: list[int], factor: float) -> None:
+    loads = {f"m{place}": Load(much, 0.1 + place / 10) for place, much in enumerate(sessions)}
+    most = bounds(loads, loads, factor, 1)
+    assert begin_on("k", loads, most) and move_to("k", loads, most)
+    assert all(loads[name].sessions < most[name] for name in begin_on("k", loads, most))
+
+
+def test_a_cold_server_is_bound_to_its_warmth_and_the_least_loaded_gets_the_most() -> None:
+    loads = {"cold": Load(0, 0.1), "warm": Load(100), "idle": Load(20)}
+    most = bounds(loads, loads, 1.25, 4)
+    assert most["cold"] < most["warm"] / 5
+    first = Counter(move_to(f"k{place}", loads, most)[0] for place in range(400))
+    assert first["idle"] > 3 * first["cold"] and first["warm"] == 0
+
+
+def test_a_server_that_goes_moves_only_its_own_keys() -> None:
+    loads = {f"m{place}": Load() for place in range(8)}
+    most = dict.fromkeys(loads, 1000)
+    before = {key: begin_on(key, loads, most)[0] for key in map(str, range(300))}
+    del loads["m3"], most["m3"]
+    after = {key: begin_on(key, loads, most)[0] for key in before}
+    assert all(before[key] == "m3" for key in before if before[key] != after[key])
+
+
+@given(st.floats(0.1, 100), st.lists(st.floats(0, 2), max_size=60))
+@settings(derandomize=True, max_examples=60, deadline=None)
+def test_no_span_sees_more_moves_than_the_budget(rate: float, waits: list[float]) -> None:
+    budget, now, taken = Budget(rate, 0.0), 0.0, 0
+    for wait in waits:
+        now += wait
+        while budget.take(now):
+            taken += 1
+        assert taken <= rate * now + max(DEPTH, rate) + 1e-6
+
+
+def test_a_budget_of_nothing_moves_nothing() -> None:
+    assert not Budget(0.0, 0.0).take(1e9)
+
+
+def test_the_higher_number_holds() -> None:
+    old, new = Binding("k", 5, "a", 1, 1), Binding("k", 6, "b", 1, 1)
+    assert newer(old, new) is new and newer(new, old) is new and newer(None, old) is old
+    assert old.passing("b").number == 6 and old.passing("b").taken("b", 1, 1).state is State.HELD
+
+
+def test_a_ticket_goes_to_its_owner_and_is_not_passed_on_twice() -> None:
+    one, there = server("b"), Binding("k", 5, "a", 1, 1)
+    one.step(0.0, Got("a", Reply("k", 0, False)))  # an answer to nothing
+    (read,) = one.step(0.0, Came(1, "k", Nature.LABELLED))
+    assert isinstance(read, Read)
+    assert one.step(0.1, Answered(read.ref, Verdict.WON, there)) == [Pass(1, "a")]
+    assert one.step(0.2, Came(2, "k", Nature.REDOABLE)) == [Pass(2, "a")]
+    back = Came(3, "k", Nature.LABELLED, back=True)
+    (deny,) = one.step(0.3, Returned(back, there))
+    assert isinstance(deny, Deny) and deny.why is Why.STALE
+
+
+@pytest.mark.parametrize("nature", Nature)
+def test_without_its_owner_only_what_may_run_twice_is_served(nature: Nature) -> None:
+    one = server("b")
+    (effect,) = one.step(0.0, Unreached(Came(1, "k", nature), "a"))
+    assert isinstance(effect, Here if nature is Nature.REDOABLE else Deny) and effect.why is Why.UNREACHED
+    assert "k" not in one.owned
+
+
+def test_no_majority_denies_labelled_tickets_and_loses_none() -> None:
+    one = server()
+    (read,) = one.step(0.0, Came(1, "k", Nature.LABELLED))
+    one.step(0.0, Came(2, "k", Nature.REDOABLE))
+    assert isinstance(read, Read)
+    effects = one.step(0.1, Answered(read.ref, Verdict.UNREACHABLE))
+    assert [type(effect) for effect in effects] == [Deny, Here] and not one.seeks
+
+
+def test_a_new_version_moves_nobody_and_new_sessions_begin_under_it() -> None:
+    one = owner(keep_versions=2)
+    assert one.step(1.0, Active(2)) == []
+    (here,) = one.step(1.0, Came(2, "k", Nature.REDOABLE))
+    assert isinstance(here, Here) and here.version == 1
+    effects = one.step(2.0, Active(3))  # now version 1 is kept no longer
+    assert [effect.value.version for effect in effects if isinstance(effect, Write)] == [3]
+
+
+def test_a_retired_version_is_changed_where_the_session_is_and_a_mandatory_one_at_once() -> None:
+    for event, cause in ((Tick(), Cause.RETIRED), (Active(3, mandatory=True), Cause.MANDATORY)):
+        one = owner(retire_after=50.0)
+        one.step(1.0, Active(2))
+        (write,) = one.step(60.0, event)
+        assert isinstance(write, Write) and (write.expect, write.value.owner) == (5, "a")
+        one.step(60.1, Answered(write.ref, Verdict.WON, write.value))
+        assert one.counts[f"brought_{cause.value}"] == 1 and one.owned["k"].phase is Phase.SERVING
+
+
+def test_an_owner_that_can_no_longer_run_a_flow_hands_over_after_its_labelled_runs() -> None:
+    one = owner(nature=Nature.LABELLED)
+    one.step(0.0, Loads({"b": Load(5), "c": Load(5)}))
+    (write,) = one.step(1.0, Active(1, {"": frozenset({"b"})}))
+    assert isinstance(write, Write) and (write.value.state, write.value.heir) == (State.PASSING, "b")
+    assert one.step(1.1, Answered(write.ref, Verdict.WON, write.value)) == []  # one run is open
+    assert one.step(1.1, Came(2, "k", Nature.LABELLED)) == []  # it waits for the heir
+    (take,) = one.step(1.2, Over(1, "k"))
+    assert isinstance(take, Send) and isinstance(take.message, Take) and take.to == "b"
+    assert not one.may_begin(1.2, "k", 5, 1.2)
+    done = Binding("k", 7, "b", 1, 1)
+    assert one.step(1.3, Got("b", Told(done))) == [Pass(2, "b")] and "k" not in one.owned
+
+
+def test_a_claim_that_was_won_before_a_pause_does_not_begin_after_it() -> None:
+    one = owner(nature=Nature.LABELLED, claim_within=0.5)
+    assert one.may_begin(0.4, "k", 5, 0.0) and not one.may_begin(0.5, "k", 5, 0.0)
+    assert not one.may_begin(0.4, "k", 4, 0.0) and not one.may_begin(0.4, "other", 5, 0.0)
+
+
+def test_a_refused_claim_makes_its_server_look_again() -> None:
+    one = owner(nature=Nature.LABELLED)
+    (read,) = one.step(1.0, Refused(Came(1, "k", Nature.LABELLED), 6))
+    assert isinstance(read, Read) and "k" not in one.owned
+    assert one.step(1.1, Answered(read.ref, Verdict.WON, Binding("k", 6, "b", 1, 1))) == [Pass(1, "b")]
+
+
+def test_room_is_made_by_idle_redoable_sessions_never_by_one_with_open_labels() -> None:
+    one = owner("open", Nature.LABELLED, sessions_most=3)
+    own(one, "labelled", Nature.LABELLED, 1.0, 2)
+    one.step(1.0, Over(2, "labelled"))
+    own(one, "redoable", now=2.0, ref=3)
+    own(one, "next", now=3.0, ref=4)
+    assert set(one.owned) == {"open", "labelled", "next"}
+    own(one, "another", Nature.LABELLED, now=4.0, ref=5)
+    assert set(one.owned) == {"open", "labelled", "another"}
+    own(one, "more", Nature.LABELLED, now=4.0, ref=6)
+    assert set(one.owned) == {"open", "another", "more"}
+    (read,) = one.step(5.0, Got("b", Offer("late", 9)))
+    assert isinstance(read, Read)
+    (reply,) = one.step(5.0, Answered(read.ref, Verdict.WON))
+    assert isinstance(reply, Send) and reply.message == Reply("late", 9, True)
+
+
+def test_an_idle_session_ends_and_one_in_use_does_not() -> None:
+    one = owner("idle", idle=10.0)
+    own(one, "open", Nature.LABELLED, 0.0, 2)
+    one.step(2.0, Tick())  # the time that a search for its owner would have had
+    assert one.wake_at == 10.0
+    (write,) = one.step(10.0, Tick())
+    assert isinstance(write, Write) and write.value.state is State.ENDED and set(one.owned) == {"open"}
+
+
+@pytest.mark.parametrize("start", STARTS)
+def test_no_order_of_a_handover_breaks_a_promise(start: str) -> None:
+    states, settled, trace, wrong = explore(STARTS[start](""), 5, 60_000, 40)
+    assert not wrong, "\n".join([wrong, *trace])
+    assert states > 50 and settled
+
+
+@pytest.mark.parametrize(
+    ("broken", "start"),
+    [
+        ("no-handover", "its owner drains"),
+        ("two-owners", "its owner can't be reached"),
+        ("two-owners", "its owner wakes after its removal"),
+    ],
+)
+def test_the_search_catches_a_broken_handover(broken: str, start: str) -> None:
+    *_, wrong = explore(STARTS[start](broken), 5, 60_000, 40)
+    assert wrong
