--- a/sablewheel/affinity/sessions.py
+++ b/sablewheel/affinity/sessions.py
@@ -680,6 +680,7 @@
 
     def _work_off(self, now: float) -> None:
         """What is due, as far as the budget goes."""
+        stuck = False
         for _ in range(len(self._due)):
             if not self._pay(now):
                 break
@@ -692,23 +693,27 @@
             if held.phase is not Phase.SERVING:  # a change of its own is under way
                 self._budget.give_back()
                 self._due.append(key)
+                stuck = True
                 continue
             held.due = None
-            self._settle_due(now, held, cause)
+            stuck = not self._settle_due(now, held, cause) or stuck
         if self._due:
-            budget = self._drain or self._budget
-            self._due_at = now + max(min(budget.wait(now), self.settings.repeat), 1e-3)
+            wait = min((self._drain or self._budget).wait(now), self.settings.repeat)
+            self._due_at = now + (self.settings.repeat if stuck else max(wait, 1e-3))
 
-    def _settle_due(self, now: float, held: Held, cause: Cause) -> None:
+    def _settle_due(self, now: float, held: Held, cause: Cause) -> bool:
+        """Move or change it; False if there is nobody to give it to, yet."""
         stays = cause in (Cause.RETIRED, Cause.MANDATORY) and self.settings.broken != "rehash-on-bump"
         if stays and self._can(self.me, self.version, held.flows):
             held.cause = cause
-            return self._change(now, held, held.binding.taken(self.me, self.incarnation, self.version))
-        if not self._hand_over(now, held, cause):
-            self._budget.give_back()
-            self.counts["no_heir"] += 1
-            self._queue(held, cause)
-        return None
+            self._change(now, held, held.binding.taken(self.me, self.incarnation, self.version))
+            return True
+        if self._hand_over(now, held, cause):
+            return True
+        self._budget.give_back()
+        self.counts["no_heir"] += 1
+        self._queue(held, cause)
+        return False
 
     def _pay(self, now: float) -> bool:
         if self.settings.broken == "no-budget":
@@ -791,6 +796,7 @@
             held.phase, held.since = Phase.GIVING, now
             if held.open:
                 self.counts["passed_as_claims"] += len(held.open)
+                self._note("passed as claims", key=held.binding.key, runs=len(held.open))
         heir = held.binding.heir
         if self.view is None or heir not in self.view or now - held.since > self.settings.bind_within:
             held.tried.add(heir)
@@ -905,11 +911,11 @@
             if (held := self.owned.get(key)) is not None:
                 self._late_held(now, held)
         for version, since in list(self._past.items()):
-            if now - since >= self.settings.retire_after:
+            if now >= since + self.settings.retire_after:
                 self._retire(version)
         while self.owned:
             held = next(iter(self.owned.values()))
-            if now - held.used < self.settings.idle:
+            if now < held.used + self.settings.idle:
                 break
             if held.open or held.waiting or held.phase is not Phase.SERVING:
                 held.used = now  # it is in use
--- a/sablewheel/trials/affinity_fleet.py
+++ b/sablewheel/trials/affinity_fleet.py
@@ -437,9 +437,13 @@
     def _ask(self, name: str, deed: Callable[[], Any], answer: Callable[[Any], Any], lost: Any) -> None:
         """One question, there and back; `deed` is done at the register, its answer told as an event."""
 
+        until = self.fleet.now + ANSWER_WITHIN
+
         def arrive() -> None:
             if not self.reaches(name):
-                return self.fleet.later(ANSWER_WITHIN, lambda: self.fleet.tell(name, lost))
+                if self.fleet.now < until:  # it asks again, as a view may be on its way
+                    return self.fleet.later(0.05, arrive)
+                return self.fleet.tell(name, lost)
             said = deed()
             if self.chance.random() < self.lose_answers:
                 return self.fleet.later(ANSWER_WITHIN, lambda: self.fleet.tell(name, lost))
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -1,4 +1,4 @@
-"""Sessions that stay: keys, bounds, the budget, an owner's decisions, every order of a handover to a depth."""
+"""Sessions that stay: keys, bounds, the budget, an owner's decisions, each order of a handover to a depth."""
 
 from __future__ import annotations
 
