--- /dev/null
+++ b/sablewheel/trials/replication_stage.py
@@ -0,0 +1,324 @@
+"""A fleet of replicas in memory with what stands round each: tickets that claim, run, finish, wait and join.
+
+The keeper's part in small, for stories and sizes: each run is counted at the stage, whoever made it, and each
+answer is compared with what the run gave.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from typing import Any
+
+from ..replication.entries import Entry, Outcome, State, merge
+from ..replication.messages import (
+    Answer,
+    Claim,
+    Finish,
+    Free,
+    Got,
+    Note,
+    Read,
+    Stored,
+    Tick,
+    Viewed,
+    Write,
+)
+from ..replication.placement import Site
+from ..replication.plan import Settings
+from ..replication.replica import Replica
+from ..replication.store import Store
+from .made_fleet import MadeFleet
+
+POLL = 0.1
+BROKEN = ("one-copy", "no-fence", "clock-wins", "early-vote", "drop-on-view")
+
+
+class OneCopy(Replica):
+    """Broken on purpose: one holder's word is enough."""
+
+    def needed(self, holders: int) -> int:
+        return min(holders, 1)
+
+
+class NoFence(Replica):
+    """Broken on purpose: answers, and counts answers, whatever the epoch."""
+
+    def foreign(self, epoch: int) -> bool:
+        return False
+
+
+class EarlyVote(Replica):
+    """Broken on purpose: counts for a majority before it is caught up."""
+
+    def is_ready(self, slot: int) -> bool:
+        return slot in self.ranges.mine
+
+
+class ClockWins(Replica):
+    """Broken on purpose: of two copies the one that came last stays, as with the later time stamp."""
+
+    def make_store(self) -> Store:
+        return LastStays(self._set.entries_most, self._set.bytes_most)
+
+
+class LastStays(Store):
+    def merged(self, held: Entry, came: Entry) -> Entry:
+        return came
+
+
+class DropOnView(Replica):
+    """Broken on purpose: lets go of a range as soon as it is another's, and takes it for known."""
+
+    def _viewed(self, viewed: Viewed) -> None:
+        super()._viewed(viewed)
+        for slot in list(self.ranges.kept):
+            del self.ranges.kept[slot]
+            self.store.drop(slot)
+        for slot in list(self.ranges.unready):
+            self.ranges.mine[slot].ready = self.epoch
+        self.ranges.unready.clear()
+
+
+KINDS: dict[str, type[Replica]] = {
+    "": Replica,
+    "one-copy": OneCopy,
+    "no-fence": NoFence,
+    "clock-wins": ClockWins,
+    "early-vote": EarlyVote,
+    "drop-on-view": DropOnView,
+}
+
+
+@dataclass
+class Try:
+    """One ticket with a label, at one server, and what became of it."""
+
+    server: str
+    label: str
+    came: float
+    due: float
+    takes: float
+    stays: bool = True  # its run gets to its end there
+    verdict: str = ""  # completed, denied, terminated
+    result: bytes = b""
+
+
+@dataclass
+class Stage:
+    """`zones`: of each member. A view is told to all of it, or to those named."""
+
+    zones: dict[str, str]
+    seed: int = 1
+    settings: Settings = field(
+        default_factory=lambda: Settings(longest=8.0, slots=8, cold_waits=False, repair_every=0.5)
+    )
+    kind: type[Replica] = Replica
+    group: Callable[[str], bytes] = lambda label: label.encode()
+
+    def __post_init__(self) -> None:
+        self.fleet = MadeFleet(Got, Tick(), self.seed, self._heard)
+        self.births: Counter[str] = Counter()
+        self.epoch = 0
+        self.members: tuple[str, ...] = ()
+        self.tries: dict[int, Try] = {}
+        self.runs: Counter[str] = Counter()
+        self.ran_by: dict[str, list[str]] = {}
+        self.results: dict[str, bytes] = {}
+        self.stored: set[tuple[str, str]] = set()
+        self.notes: list[tuple[float, str, Note]] = []
+        self.answers: dict[int, Answer] = {}
+        self._refs = 0
+        self._born_at: dict[str, int] = {}
+
+    # -- members and views
+
+    def start(self, *names: str) -> None:
+        """A member's process starts, with nothing of an earlier one."""
+        for name in names:
+            self.births[name] += 10
+            birth, chance = self.births[name], random.Random(f"{self.seed} {name} {self.births[name]}")
+            self.fleet.add(name, partial(self._made, name, birth, chance))
+
+    def _made(self, name: str, birth: int, chance: random.Random, now: float) -> Replica:
+        return self.kind(name, birth, self.settings, chance, now)
+
+    def view(self, names: Iterable[str], to: Iterable[str] | None = None) -> Viewed:
+        """The next view, with these members; told to those of them that are `to`, if named."""
+        self.epoch += 1
+        self.members = tuple(sorted(names))
+        sites = tuple(Site(name, self.births[name], self.zones[name]) for name in self.members)
+        self.viewed = Viewed(self.epoch, sites)
+        self.tell_view(self.members if to is None else to)
+        return self.viewed
+
+    def tell_view(self, names: Iterable[str]) -> None:
+        for name in names:
+            if name in self.fleet.cores:
+                self.fleet.tell(name, self.viewed)
+
+    def returns(self, *names: str) -> None:
+        """Of one that was out: it comes back in as itself, with a higher incarnation, not a new process."""
+        for name in names:
+            self.births[name] += 1
+
+    def found(self, *names: str, settle: float = 2.0) -> None:
+        """All of these start and form the fleet."""
+        self.start(*names)
+        self.view(names)
+        self.fleet.run(settle)
+
+    def core(self, name: str) -> Replica:
+        core = self.fleet.cores[name]
+        assert isinstance(core, Replica)
+        return core
+
+    def holders(self, label: str) -> tuple[str, ...]:
+        """Under the last view."""
+        some = next(one for one in self.members if one in self.fleet.cores)
+        core = self.core(some)
+        view = core.ranges.views.get(self.epoch) or core.ranges.views[core.ranges.epoch]
+        return view.names(core.slot(self.group(label)))
+
+    def unready(self) -> int:
+        """Ranges that do not count yet, over all members that are there."""
+        cores = [self.core(name) for name in self.members if name in self.fleet.cores]
+        return sum(len(core.ranges.unready) for core in cores if core.epoch)
+
+    def settle(self, most: float = 10.0) -> bool:
+        return self.fleet.run_until(lambda: self.unready() == 0, most)
+
+    def held(self, name: str, label: str) -> Entry | None:
+        core = self.core(name)
+        held = core.store.get(core.slot(self.group(label)), ("labels", label.encode()))
+        return held.entry if held is not None else None
+
+    # -- tickets
+
+    def come(
+        self, server: str, label: str, due: float = 3.0, takes: float = 0.05, stays: bool = True,
+        under: int = 0,
+    ) -> Try:  # fmt: skip
+        """A ticket of this label comes to that server."""
+        now = self.fleet.now
+        one = Try(server, label, now, now + due, takes, stays)
+        self._ask(one, under)
+        return one
+
+    def _ask(self, one: Try, under: int = 0) -> None:
+        self._refs += 1
+        self.tries[self._refs] = one
+        life = max(self.settings.longest - (self.fleet.now - one.came), 0.1)
+        label = one.label.encode()
+        self.fleet.tell(one.server, Claim(self._refs, label, self.group(one.label), life, label, under))
+        self._watch(one)
+
+    def _watch(self, one: Try) -> None:
+        def give_up() -> None:
+            if not one.verdict:
+                one.verdict = "terminated"
+
+        self.fleet.later(max(one.due - self.fleet.now, 0.0), give_up)
+
+    def write(self, server: str, collection: str, key: str, expect: int, value: bytes) -> int:
+        self._refs += 1
+        life = self.settings.longest
+        self.fleet.tell(server, Write(self._refs, collection, key.encode(), expect, value, life))
+        return self._refs
+
+    def read(self, server: str, collection: str, key: str) -> int:
+        self._refs += 1
+        self.fleet.tell(server, Read(self._refs, collection, key.encode(), b""))
+        return self._refs
+
+    def answer(self, ref: int, most: float = 2.0) -> Answer:
+        self.fleet.run_until(lambda: ref in self.answers, most)
+        return self.answers[ref]
+
+    def _heard(self, now: float, name: str, effect: Any) -> None:
+        match effect:
+            case Answer(ref, verdict, entry):
+                one = self.tries.pop(ref, None)
+                if one is None:
+                    self.answers[ref] = effect
+                else:
+                    self._answered(one, verdict, entry)
+            case Stored(key):
+                self.stored.add((name, key.decode()))
+            case Note():
+                self.notes.append((now, name, effect))
+
+    def _answered(self, one: Try, verdict: str, entry: Entry) -> None:
+        fleet = self.fleet
+        if verdict == "won":
+            if one.verdict:  # nobody waits for it any more: it is not begun
+                fleet.later(0.0, lambda: fleet.tell(one.server, Free(one.label.encode())))
+                return
+            self._run(one)
+        elif one.verdict:
+            return
+        elif verdict == "known":
+            outcome = entry.outcomes[0]
+            one.verdict = "completed" if outcome.how == "worked" else "terminated"
+            one.result = outcome.result
+        elif verdict in ("running", "read", "busy"):
+            free = verdict == "read" and entry.state in (State.FREE, State.FREED)
+            fleet.later(POLL, lambda: self._again(one, free))
+        elif verdict == "unreachable" and one in self._read_only:
+            fleet.later(POLL, lambda: self._again(one, False))  # it may have run: it is not denied
+        else:
+            one.verdict = "denied"
+
+    def _again(self, one: Try, free: bool) -> None:
+        if one.verdict or one.server not in self.fleet.cores:
+            return
+        if free:
+            return self._ask(one)
+        self._read_only.append(one)
+        self._refs += 1
+        self.tries[self._refs] = one
+        label = one.label
+        self.fleet.tell(one.server, Read(self._refs, "labels", label.encode(), self.group(label)))
+
+    @property
+    def _read_only(self) -> list[Try]:
+        """Those that learned that another may run their label."""
+        self.__dict__.setdefault("_waiting", [])
+        waiting: list[Try] = self.__dict__["_waiting"]
+        return waiting
+
+    def _run(self, one: Try) -> None:
+        self.runs[one.label] += 1
+        self.ran_by.setdefault(one.label, []).append(one.server)
+        result = f"{one.label} by {one.server}, run {self.runs[one.label]}".encode()
+        self.results.setdefault(one.label, result)
+        life = self.births[one.server] // 10
+
+        def end() -> None:
+            if one.server not in self.fleet.cores or self.births[one.server] // 10 != life or not one.stays:
+                return
+            if not one.verdict:
+                one.verdict, one.result = "completed", result
+            self.fleet.tell(one.server, Finish(one.label.encode(), "worked", result))
+
+        self.fleet.later(one.takes, end)
+
+    # -- what must hold
+
+    def wrong(self) -> str:
+        """What broke, if anything: a label that ran twice, or an answer with other bytes."""
+        for label, many in sorted(self.runs.items()):
+            if many > 1:
+                return f"{label} ran {many} times: at {', '.join(self.ran_by[label])}"
+        for core in self.fleet.cores.values():
+            if isinstance(core, Replica) and core.counts["two_outcomes"]:
+                return f"two outcomes of one label, seen by {core.name}"
+        return ""
+
+
+def drifted(one: Entry, by: str) -> Entry:
+    """A copy that differs by an outcome nobody knows of, as after a fault of memory."""
+    return merge(one, replace(one, outcomes=(Outcome(one.number, (by, 0, 0), "worked", b"other"),)))
