Stories of replication in the operators' words, on the fleet in memory

33 scenarios: repeats at other servers, pauses past removal, cold returns, cuts both ways and one way, a lost zone, catch-up cut in its middle, drift, two outcomes, full holders, sessions. They found that a member which came back cold did not take its own earlier self for dead, so ranges whose majority was lost never counted.

--- a/sablewheel/replication/catchup.py
+++ b/sablewheel/replication/catchup.py
@@ -48,7 +48,7 @@
         self.kept: dict[int, Range] = {}  # no longer; kept until the new holders have theirs
         self.unready: set[int] = set()
         self.past_told: set[str] = set()
-        self.births: dict[str, int] = {}
+        self.births: dict[str, int] = {name: birth}
         self.gone: set[Seat] = set()
         self.names: tuple[str, ...] = ()
         self.places: frozenset[str] = frozenset()
--- /dev/null
+++ b/tests/stories/test_replication_stories.py
@@ -0,0 +1,391 @@
+"""The stories of `replication.feature`, on a fleet in memory with a made clock."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from sablewheel.replication.messages import Viewed
+from sablewheel.trials.replication_stage import Stage, Try, drifted
+
+scenarios("replication.feature")
+NAMES = "abcde"
+ORDER = {"first": 0, "second": 1, "third": 2}
+
+
+class Story:
+    def __init__(self) -> None:
+        self.stage = Stage({name: f"z{name}" for name in NAMES}, settings=replace(SETTINGS))
+        self.stage.found(*NAMES)
+        self.holders = self.stage.holders("record")
+        self.others = [name for name in NAMES if name not in self.holders]
+        self.tries: list[Try] = []
+        self.more: list[Try] = []
+        self.moves: list[int] = []
+
+    def who(self, words: str) -> str:
+        if words in NAMES:
+            return words
+        if words.endswith(" holder"):
+            return self.holders[ORDER[words.removeprefix("the ").removesuffix(" holder")]]
+        return self.others[words == "yet another server"]
+
+    def come(self, at: str, takes: float = 0.05, stays: bool = True, wait: float = 0.4) -> None:
+        self.tries.append(self.stage.come(self.who(at), "record", takes=takes, stays=stays))
+        self.stage.fleet.run(wait)
+
+    def back_with_nothing(self, *names: str) -> None:
+        for name in names:
+            self.stage.fleet.crash(name)
+        self.stage.view(set(NAMES) - set(names))
+        self.stage.fleet.run(0.5)
+        self.stage.start(*names)
+        self.stage.view(NAMES)
+
+    def some(self, many: int, tag: str) -> list[Try]:
+        made = [self.stage.come(NAMES[one % 5], f"{tag}{one}") for one in range(many)]
+        self.stage.fleet.run(1.0)
+        return made
+
+
+SETTINGS = Stage({}).settings
+
+
+@pytest.fixture
+def story() -> Story:
+    return Story()
+
+
+@given("a fleet of a, b, c, d and e, each in a zone of its own")
+def _fleet(story: Story) -> None:
+    assert story.stage.unready() == 0
+
+
+@given("200 other records have run")
+def _others(story: Story) -> None:
+    assert all(one.verdict == "completed" for one in story.some(200, "other"))
+
+
+@given("holders that take 3 entries only")
+def _small(story: Story) -> None:
+    for name in NAMES:
+        story.stage.core(name).store._entries_most = 3
+
+
+# -- tickets
+
+
+@when(parsers.re(r"the record comes to (?P<who>(?!all).+?)(?: and takes (?P<takes>\d+) seconds?)?$"))
+@when(parsers.re(r"it comes again at (?P<who>.+)$"))
+def _comes(story: Story, who: str, takes: str | None = None) -> None:
+    if who.endswith(" and never ends there"):
+        return story.come(who.removesuffix(" and never ends there"), stays=False)
+    story.come(who, float(takes or 0.05))
+
+
+@when("the record comes to all servers at one moment")
+def _to_all(story: Story) -> None:
+    story.tries += [story.stage.come(name, "record") for name in NAMES]
+    story.stage.fleet.run(1.0)
+
+
+@when(parsers.re(r"(?P<many>\d+) more records come to all servers"))
+def _more(story: Story, many: str) -> None:
+    story.more = story.some(int(many), "more")
+
+
+@when("a ticket of another label comes to b")
+def _another(story: Story) -> None:
+    story.more = [story.stage.come("b", "another")]
+    story.stage.fleet.run(1.0)
+
+
+@when(parsers.re(r"(?P<many>\d+) seconds? pass(es)?"))
+def _pass(story: Story, many: str) -> None:
+    story.stage.fleet.run(float(many))
+
+
+# -- servers
+
+
+@when(parsers.re(r"(?P<who>.+) is paused for (?P<span>\d+) seconds"))
+def _paused(story: Story, who: str, span: str) -> None:
+    story.stage.fleet.pause(story.who(who), float(span))
+
+
+@when(parsers.re(r"(?P<who>.) is killed$"))
+def _killed(story: Story, who: str) -> None:
+    story.stage.fleet.crash(who)
+
+
+@when(parsers.re(r"(?P<who>.) starts again with nothing"))
+def _starts(story: Story, who: str) -> None:
+    story.stage.start(who)
+
+
+@when(parsers.re(r"the fleet knows (?P<who>.) anew"))
+def _anew(story: Story, who: str) -> None:
+    story.stage.view(NAMES)
+    story.stage.fleet.run(0.5)
+
+
+@when(parsers.re(r"the fleet takes (?P<who>.) out"))
+def _out(story: Story, who: str) -> None:
+    story.stage.view(set(NAMES) - {who})
+    story.stage.fleet.run(0.3)
+
+
+@when(parsers.re(r"(?P<who>.) comes back in, as it was"))
+def _in(story: Story, who: str) -> None:
+    story.stage.returns(who)
+    story.stage.view(NAMES)
+    story.stage.fleet.run(1.0)
+
+
+@when(parsers.re(r"(?P<who>the .+ holder) is killed and comes back with nothing"))
+def _cold(story: Story, who: str) -> None:
+    story.back_with_nothing(story.who(who))
+    assert story.stage.settle()
+
+
+@when("the first and the second holder come back with nothing at one moment")
+def _two_cold(story: Story) -> None:
+    story.back_with_nothing(*story.holders[:2])
+
+
+@when("all servers come back with nothing")
+def _all_cold(story: Story) -> None:
+    for name in NAMES:
+        story.stage.fleet.crash(name)
+    story.stage.start(*NAMES)
+    story.stage.view(NAMES)
+
+
+@when("one after another leaves and comes back with nothing")
+def _one_by_one(story: Story) -> None:
+    for name in NAMES:
+        story.back_with_nothing(name)
+        assert story.stage.settle()
+
+
+@when("the zone of the first holder is lost")
+def _zone(story: Story) -> None:
+    name = story.holders[0]
+    story.stage.fleet.crash(name)
+    story.stage.view(set(NAMES) - {name})
+    story.stage.fleet.run(0.5)
+
+
+# -- links
+
+
+@when(parsers.re(r"(?P<who>.) is cut off from all others"))
+def _cut_off(story: Story, who: str) -> None:
+    story.stage.fleet.cut([who], set(NAMES) - {who})
+
+
+@when("a zone with a and b in it is cut off")
+def _cut_zone(story: Story) -> None:
+    story.stage.fleet.cut("ab", "cde")
+    story.stage.view("cde")
+
+
+@when(parsers.re(r"nothing that others send reaches (?P<who>.)"))
+def _deaf(story: Story, who: str) -> None:
+    story.stage.fleet.cut(set(NAMES) - {who}, [who], both=False)
+
+
+@when("the cut heals")
+def _heals(story: Story) -> None:
+    story.stage.fleet.heal()
+    out = set(NAMES) - set(story.stage.members)
+    if out:
+        story.stage.returns(*out)
+        story.stage.view(NAMES)
+
+
+@when(parsers.re(r"messages of (?P<who>.) to others need 1 second"))
+def _slow(story: Story, who: str) -> None:
+    for name in set(NAMES) - {who}:
+        link = story.stage.fleet.link(who, name)
+        link.least, link.most = 1.0, 1.2
+
+
+@when("a third of all messages is lost, and some come twice")
+def _lossy(story: Story) -> None:
+    for one in NAMES:
+        for other in NAMES:
+            link = story.stage.fleet.link(one, other)
+            link.drop, link.double = 0.33, 0.2
+
+
+@when("the first holder leaves, and only the second holder hears of it for 1 second")
+def _late_view(story: Story) -> None:
+    gone, hears = story.holders[:2]
+    rest = set(NAMES) - {gone}
+    story.stage.fleet.crash(gone)
+    story.stage.view(rest, to=[hears])
+    story.stage.fleet.later(1.0, lambda: story.stage.tell_view(rest - {hears}))
+
+
+@when("the first holder comes back with nothing, and is cut off in the middle of its catch-up")
+def _cut_catching_up(story: Story) -> None:
+    name = story.holders[0]
+    story.stage.settings = replace(story.stage.settings, batch=4)
+    story.back_with_nothing(name)
+    core = story.stage.core(name)
+    assert story.stage.fleet.run_until(lambda: core.counts["entries_in"] > 8, 2.0)
+    assert core.ranges.unready
+    story.stage.fleet.cut([name], set(NAMES) - {name})
+
+
+@when("one holder loses the record's entry")
+def _loses(story: Story) -> None:
+    core = story.stage.core(story.holders[1])
+    core.store.drop(core.slot(b"record"))
+
+
+@when("one holder has an outcome that nobody else knows")
+def _drifts(story: Story) -> None:
+    core = story.stage.core(story.holders[1])
+    held = story.stage.held(core.name, "record")
+    assert held is not None
+    until = story.stage.fleet.now + 8
+    core.store.accept(core.slot(b"record"), ("labels", b"record"), drifted(held, "z"), until)
+
+
+# -- sessions
+
+
+@when(parsers.re(r"server (?P<who>.) (?:binds the session|moves it) at number (?P<number>\d)"))
+def _moves(story: Story, who: str, number: str) -> None:
+    story.moves.append(story.stage.write(who, "sessions", "session", int(number), who.encode()))
+    story.stage.answer(story.moves[-1])
+
+
+@when(parsers.re(r"a record of that session comes to (?P<who>.) under number (?P<number>\d)"))
+def _under(story: Story, who: str, number: str) -> None:
+    story.stage.group = lambda label: b"session"
+    story.more = [story.stage.come(who, "of the session", under=int(number))]
+    story.stage.fleet.run(1.0)
+
+
+# -- what must be so
+
+
+@then("the record ran once, and all who waited got its answer")
+def _same(story: Story) -> None:
+    assert story.stage.runs["record"] == 1 and not story.stage.wrong()
+    assert [one.verdict for one in story.tries if one.verdict != "denied"], story.tries
+    for one in story.tries:
+        assert one.verdict == "denied" or one.result == story.stage.results["record"], one
+    assert story.tries[-1].verdict == "completed"
+
+
+@then("the record ran once, and who came last got its answer")
+def _last(story: Story) -> None:
+    assert story.stage.runs["record"] == 1
+    assert (story.tries[-1].verdict, story.tries[-1].result) == ("completed", story.stage.results["record"])
+
+
+@then("the record ran once")
+def _once(story: Story) -> None:
+    assert story.stage.runs["record"] == 1 and not story.stage.wrong(), story.stage.wrong()
+
+
+@then("the record ran at most once")
+def _at_most_once(story: Story) -> None:
+    assert not story.stage.wrong(), story.stage.wrong()
+    assert all(one.result in (b"", story.stage.results.get("record")) for one in story.tries)
+
+
+@then("the record never ran")
+def _never(story: Story) -> None:
+    assert story.stage.runs["record"] == 0
+
+
+@then("the record ran twice, the second time on purpose")
+def _twice(story: Story) -> None:
+    assert story.stage.runs["record"] == 2 and len(story.stage.ran_by["record"]) == 2
+
+
+@then("who came last was given an error, and not a denial")
+def _error(story: Story) -> None:
+    assert story.tries[-1].verdict == "terminated"
+
+
+@then("who came last was denied, or got the answer")
+def _denied(story: Story) -> None:
+    one = story.tries[-1]
+    assert one.verdict == "denied" or one.result == story.stage.results["record"], one
+
+
+@then("that other one was completed")
+def _other(story: Story) -> None:
+    assert [one.verdict for one in story.more] == ["completed"]
+
+
+@then("every server counts again for all that it holds")
+def _ready(story: Story) -> None:
+    assert story.stage.settle(3.0), story.stage.unready()
+
+
+@then("the cut-off one counts for nothing yet")
+def _not_yet(story: Story) -> None:
+    core = story.stage.core(story.holders[0])
+    assert core.ranges.unready and not core.is_ready(max(core.ranges.unready))
+
+
+@then("each of these ran once")
+def _each_once(story: Story) -> None:
+    assert [one for one in story.more if one.verdict == "completed"] == story.more
+    assert all(story.stage.runs[one.label] == 1 for one in story.more)
+
+
+@then("each of these ran at most once, and some were denied")
+def _some_denied(story: Story) -> None:
+    verdicts = {one.verdict for one in story.more}
+    assert "denied" in verdicts and not story.stage.wrong()
+    assert all(story.stage.runs[one.label] == (one.verdict == "completed") for one in story.more)
+
+
+@then("every holder has the record's outcome")
+def _repaired(story: Story) -> None:
+    for name in story.holders:
+        held = story.stage.held(name, "record")
+        assert held is not None and held.outcomes[0].result == story.stage.results["record"]
+
+
+@then("both outcomes are on every holder, and were told with their evidence")
+def _both(story: Story) -> None:
+    held = {story.stage.held(name, "record") for name in story.holders}
+    assert {len(one.outcomes) for one in held if one is not None} == {2}
+    told = [note for _, _, note in story.stage.notes if note.what == "two outcomes"]
+    assert told and all("worked" in str(note.fields["outcomes"]) for note in told)
+
+
+@then("it comes again, and is not run")
+def _again(story: Story) -> None:
+    story.come("another server")
+    assert story.stage.runs["record"] == 1 and story.tries[-1].verdict == "completed"
+
+
+@then("it took no entry")
+def _took_none(story: Story) -> None:
+    assert story.stage.core(story.holders[0]).counts["entries_in"] == 0
+
+
+@then("the moves were won, won and stale")
+def _told(story: Story) -> None:
+    assert [story.stage.answers[ref].verdict for ref in story.moves] == ["won", "won", "stale"]
+
+
+@then("that record was denied, and never ran")
+def _fenced(story: Story) -> None:
+    assert story.more[0].verdict == "denied" and not story.stage.runs["of the session"]
+
+
+def test_the_stories_see_a_view() -> None:
+    assert isinstance(Stage({"a": "z"}).view("a", to=[]), Viewed)
