--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -23,6 +23,8 @@
 from ..ledger.plan import Answers, Calendar, CollectorPlan, Depth, ExportPlan, LedgerPlan, Length
 from ..membership.plan import MembershipPlan, Settings
 from ..recall.plan import RecallPlan, Start, Unreadable
+from ..replication.plan import ReplicationPlan
+from ..replication.plan import Settings as ReplicaSettings
 
 VERSION = 1
 VARIABLE = "SABLEWHEEL_FEATURES"
@@ -55,6 +57,7 @@
     collector: CollectorPlan | None = None
     membership: MembershipPlan | None = None
     forwarding: ForwardingPlan | None = None
+    replication: ReplicationPlan | None = None
 
     @property
     def any(self) -> bool:
@@ -378,6 +381,47 @@
         return ForwardingPlan((host, int(port)), self.advertise or self.listen, links, passing)
 
 
+class ReplicationSection(Section):
+    """Labelled runs, bindings and documents on several members each."""
+
+    needs = ("membership", "forwarding")
+
+    copies: Annotated[int, Field(ge=1, le=9)] = 3
+    entries_most: Annotated[int, Field(ge=100, le=10_000_000)] = 200_000
+    memory_mb: Annotated[int, Field(ge=1, le=65536)] = 64
+    result_most_kb: Annotated[int, Field(ge=0, le=512)] = 64
+    claim_within_s: Annotated[float, Field(ge=0.02, le=30)] = 0.4
+    repeat_after_s: Annotated[float, Field(ge=0.005, le=5)] = 0.08
+    hold_most_s: Annotated[float, Field(ge=0, le=10)] = 0.25
+    deny_after_s: Annotated[float, Field(ge=0.05, le=60)] = 0.3
+    repair_every_s: Annotated[float, Field(ge=0.1, le=3600)] = 2.0
+    cold: Literal["wait", "run"] = "wait"
+
+    @model_validator(mode="after")
+    def _fits(self) -> ReplicationSection:
+        if self.copies % 2 == 0:
+            raise ValueError(f"copies {self.copies}: odd is wanted: one more outlives no more losses")
+        if self.claim_within_s < 2 * self.repeat_after_s:
+            raise ValueError(
+                f"claim-within-s {self.claim_within_s:g} must be at least twice repeat-after-s "
+                f"{self.repeat_after_s:g}, or one lost frame denies a ticket"
+            )
+        return self
+
+    def plan(self) -> ReplicationPlan:
+        settings = ReplicaSettings(
+            copies=self.copies,
+            entries_most=self.entries_most,
+            bytes_most=self.memory_mb << 20,
+            result_most=self.result_most_kb << 10,
+            patience=self.claim_within_s,
+            retry=self.repeat_after_s,
+            repair_every=self.repair_every_s,
+            cold_waits=self.cold == "wait",
+        )
+        return ReplicationPlan(settings, self.hold_most_s, self.deny_after_s)
+
+
 class CollectorSection(Section):
     """`sablewheel ledger collect`: a program of its own, not a part of the server."""
 
@@ -415,6 +459,7 @@
     collector: CollectorSection | None = None
     membership: MembershipSection | None = None
     forwarding: ForwardingSection | None = None
+    replication: ReplicationSection | None = None
 
     def sections(self) -> dict[str, Any]:
         """Those that are there, under the names that `Features` has for their plans."""
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -12,13 +12,14 @@
 import os
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from ..forwarding.plan import ForwardingPlan
 from ..ledger.plan import Depth, LedgerPlan
 from ..membership.plan import MembershipPlan
 from ..recall.plan import RecallPlan
+from ..replication.plan import ReplicationPlan
 from ..routing.exchange import UNWITNESSED, Exchange, Witness
 from ..routing.seam import UNREMEMBERED, Memory
 from ..routing.server import Desk
@@ -33,6 +34,7 @@
     from ..forwarding.forward import Forward
     from ..forwarding.links import Links
     from ..membership.shell import Fleet
+    from ..replication.keeper import Keeper
 
 
 @dataclass
@@ -57,6 +59,7 @@
     fleet: Fleet | None = None  # by membership
     links: Links | None = None  # by forwarding
     forward: Forward | None = None  # by forwarding; who places tickets sets its placer
+    replication: Keeper | None = None  # by replication; bindings and documents go through it
 
 
 def _no_blocks(plan: Any) -> bool:
@@ -168,11 +171,43 @@
     )
 
 
+def _replication(ground: Ground, plan: ReplicationPlan) -> Part:
+    from ..replication.keeper import Keeper, longest
+
+    fleet, links, posting = ground.fleet, ground.links, ground.posting
+    assert fleet is not None and links is not None and ground.forward is not None  # the section needs them
+    slack = posting.machine.slack
+    settings = replace(plan.settings, longest=longest(posting.tracks, slack))
+    keeper = ground.replication = Keeper(
+        ground.scheduler,
+        links,
+        replace(plan, settings=settings),
+        posting.name,
+        fleet.node.me.incarnation,
+        ground.memory,
+        ground.witness,
+        ground.never_begun,
+        ground.count,
+        posting.seed,
+        slack,
+    )
+    ground.forward.owner = keeper
+    fleet.on_view(keeper.view)
+    return Part(
+        witness=keeper,
+        memory=keeper,
+        settled=keeper.settled,
+        close=lambda _: keeper.close(),
+        gauges=keeper.gauges,
+    )
+
+
 DECLARED = (
     Declared("ledger", _ledger, blocks=lambda plan: plan.depth is Depth.DURABLE),
     Declared("recall", _recall, blocks=lambda plan: plan.folder is not None),
     Declared("membership", _membership),
     Declared("forwarding", _forwarding, says=lambda plan: (("link", plan.advertise),)),
+    Declared("replication", _replication),
 )
 
 
--- a/sablewheel/recall/recorder.py
+++ b/sablewheel/recall/recorder.py
@@ -231,13 +231,13 @@
             return True
         return False
 
-    def prepare(self, ticket: Ticket) -> None:
+    def prepare(self, exchange: Exchange) -> None:
         """What a run of it will wait for beside the cores, and whether its label has room: the controller's
         to weigh against its budget.
         """
         if self._store is None:
             return
-        now = self._scheduler.clock.now
+        now, ticket = self._scheduler.clock.now, exchange.ticket
         self._expire(now)
         ticket.overhead = self._commit_wait(now)
         if self._store.disk in (Disk.FULL, Disk.FAILING):
--- /dev/null
+++ b/sablewheel/replication/keeper.py
@@ -0,0 +1,458 @@
+"""Replication in the server: a claim on a majority before each labelled run, its outcome there after it.
+
+Decides nothing about copies. A run is held until its claim is won. Where another server has the label, the
+try leaves this server's table and cores at once; its answer is given from here, from the outcome's bytes,
+when there is one, and in an error when its time is up: it may have run, so it is not denied. Where no
+majority is to be had, it never begins and is denied; the next ones are at the door, before they are held.
+
+Peers are spoken with over links that may lose anything; the replica repeats.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from math import inf
+from typing import Protocol
+
+from ..membership.view import View
+from ..routing.exchange import Caller, Exchange, Place, Witness, digest
+from ..routing.holding import DUE_SPARE
+from ..routing.labels import Labels
+from ..routing.seam import Memory
+from ..terms import Nature, Outcome, Router, Ticket, Track
+from ..transport.scheduler import Scheduler, Timer
+from . import codec
+from .entries import Entry, State
+from .messages import (
+    Answer,
+    Claim,
+    Effect,
+    Event,
+    Finish,
+    Free,
+    Got,
+    Message,
+    Note,
+    Piece,
+    Read,
+    Send,
+    Stored,
+    Tick,
+    Viewed,
+    Write,
+)
+from .placement import WEIGHT_MOST, Site
+from .plan import ReplicationPlan
+from .replica import LABELS, UNPLACED, Replica
+
+KIND = "replica"
+WITHIN = 1.0  # seconds after which a frame is worth nothing: what matters is sent again
+PIECE_WITHIN = 3.0
+COME_BACK = 0.5  # what a denied ticket is told, where no majority is to be had
+POLL_FIRST, POLL_LAST = 0.02, 0.25  # between looks for another's outcome, doubling
+GONE = "gone/"  # the facts of the view by which the fleet says that a member never comes back
+TIMES_KEPT = 50
+DOUBTS_MOST = 4096  # labelled tickets that may have run on a peer, remembered while they come back
+LOUD = ("view", "caught up", "two outcomes")
+
+log = logging.getLogger(__name__)
+Run = Callable[[Exchange], None]
+
+
+class Wires(Protocol):
+    """Where frames go (forwarding's links)."""
+
+    def send(self, to: str, kind: str, payload: bytes, within: float) -> bool: ...
+    def on(self, kind: str, handler: Callable[[str, bytes], None], parted: bool = False) -> None: ...
+
+
+class Asked:
+    """A labelled run that waits for its claim."""
+
+    __slots__ = ("began", "exchange", "run")
+
+    def __init__(self, exchange: Exchange, run: Run, began: float) -> None:
+        self.exchange, self.run, self.began = exchange, run, began
+
+
+class Waiting:
+    """A try, and those that joined it here, that wait for the outcome of another server's run."""
+
+    __slots__ = ("due", "key", "rest", "those")
+
+    def __init__(self, key: bytes, due: float, those: list[tuple[Exchange, Caller]]) -> None:
+        self.key, self.due, self.those, self.rest = key, due, those, POLL_FIRST
+
+
+class Held:
+    """An answer that waits for its outcome to be on a majority."""
+
+    __slots__ = ("caller", "exchange", "result")
+
+    def __init__(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        self.exchange, self.result, self.caller = exchange, result, caller
+
+
+class Keeper:
+    """Memory and witness of one server's labelled runs, in front of those given as `inner`."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        links: Wires,
+        plan: ReplicationPlan,
+        name: str,
+        birth: int,
+        memory: Memory,
+        witness: Witness,
+        never_begun: Run,
+        count: Callable[[str], None],
+        seed: int = 0,
+        slack: float = 0.0,
+        clock: Callable[[], float] = time.monotonic,
+        kind: type[Replica] = Replica,
+    ) -> None:
+        self._scheduler, self._links, self._plan, self._clock = scheduler, links, plan, clock
+        self._memory, self._witness, self._never_begun = memory, witness, never_begun
+        self._count, self._slack = count, slack
+        chance = random.Random(f"{seed}-{name}-{birth}")
+        self.replica = kind(name, birth, plan.settings, chance, clock())
+        self._refs = 0
+        self._asked: dict[int, Asked] = {}
+        self._claims: dict[bytes, Exchange] = {}  # won here, by label, until their ends
+        self._waits: dict[int, Waiting] = {}
+        self._waiting = 0
+        self._unstored: dict[bytes, list[Held]] = {}  # outcomes on their way, and the answers that wait
+        self._others: dict[int, Callable[[Answer], None]] = {}  # who asked for a read or a write
+        self._doubted: dict[bytes, None] = {}
+        self._times: deque[float] = deque(maxlen=TIMES_KEPT)
+        self._timer: Timer | None = None
+        self._timer_at = 0.0
+        self._open = True
+        links.on(KIND, self._heard, parted=True)  # one that leaves still says what its runs became
+
+    # -- what the dispatch asks and tells
+
+    @property
+    def ready(self) -> bool:
+        return self._memory.ready
+
+    def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
+        return self._memory.recalled(born, labels)
+
+    def adopted(self) -> tuple[list[Exchange], int]:
+        return self._memory.adopted()
+
+    def may_not_run(self, exchange: Exchange) -> bool:
+        return self._memory.may_not_run(exchange)
+
+    def prepare(self, exchange: Exchange) -> None:
+        """What a claim will take, and whether there may be one: the controller's to weigh."""
+        self._memory.prepare(exchange)
+        label, ticket = exchange.label, exchange.ticket
+        if label is None or exchange.first is not None:
+            return
+        if not self.reachable(label):
+            if exchange.name not in self._doubted:
+                ticket.room_in = max(ticket.room_in, COME_BACK)
+                self._count("replication_denied")
+        elif self._times:
+            ranked = sorted(self._times)
+            ticket.overhead += ranked[int(0.9 * len(ranked))]
+
+    def reachable(self, group: bytes) -> bool:
+        return self.replica.reachable(group, self._clock(), self._plan.deny_after)
+
+    def remember(self, exchange: Exchange) -> None:
+        self._memory.remember(exchange)
+
+    def release(self, exchange: Exchange) -> None:
+        self._memory.release(exchange)
+
+    def before_run(self, exchange: Exchange, run: Run) -> None:
+        """Hold the run until its claim is won."""
+        label, ticket = exchange.label, exchange.ticket
+        life = ticket.arrived + ticket.track.window + self._slack - self._scheduler.clock.now
+        if label is None or ticket.track.nature is not Nature.LABELLED or life <= 0:
+            return self._memory.before_run(exchange, run)
+        self._refs += 1
+        self._asked[self._refs] = Asked(exchange, run, self._clock())
+        same = digest(exchange.track, exchange.body)
+        self._step(Claim(self._refs, label, label, life, same))
+
+    def ended(self, exchange: Exchange, outcome: Outcome, result: bytes) -> None:
+        """A run is over, or never began."""
+        label = exchange.label
+        if label is not None and self._claims.get(label) is exchange:
+            del self._claims[label]
+            if outcome is Outcome.MOOT:
+                self._step(Free(label))
+            else:
+                self._unstored[label] = []
+                worked = outcome is Outcome.WORKED
+                self._step(Finish(label, "worked" if worked else "failed", result if worked else b""))
+        self._memory.ended(exchange, outcome, result)
+
+    # -- the witness: answers wait for outcomes
+
+    def completed(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        held = self._unstored.get(exchange.label) if exchange.label is not None else None
+        if held is None:
+            return self._witness.completed(exchange, result, caller)
+        one, now = Held(exchange, result, caller), self._scheduler.clock.now
+        held.append(one)
+        wait = min(self._plan.hold_most, max(exchange.ticket.due - DUE_SPARE - now, 0.0))
+        self._scheduler.after(wait, lambda: self._let_go(held, one))
+
+    def _let_go(self, held: list[Held], one: Held) -> None:
+        """Its bound has passed: rule 1 comes before any feature."""
+        if one in held:
+            held.remove(one)
+            self._count("replication_answers_ahead")
+            self._witness.completed(one.exchange, one.result, one.caller)
+
+    def denied(self, exchange: Exchange) -> None:
+        self._witness.denied(exchange)
+
+    def terminated(self, exchange: Exchange) -> None:
+        self._witness.terminated(exchange)
+
+    def gone(self, exchange: Exchange) -> None:
+        self._witness.gone(exchange)
+
+    # -- what a claim came to
+
+    def _answered(self, answer: Answer) -> None:
+        other = self._others.pop(answer.ref, None)
+        if other is not None:
+            return other(answer)
+        waiting = self._waits.pop(answer.ref, None)
+        if waiting is not None:
+            return self._looked(waiting, answer)
+        asked = self._asked.pop(answer.ref, None)
+        if asked is None:
+            return
+        exchange, entry = asked.exchange, answer.entry
+        self._count(f"replication_{answer.verdict}")
+        label = exchange.label
+        assert label is not None
+        if answer.verdict == "won":
+            self._times.append(self._clock() - asked.began)
+            if exchange.place is not Place.RUNNING or (exchange.closed and not exchange.joined):
+                self._step(Free(label))  # nobody waits for it any more
+                return self._never_ran(exchange)
+            self._claims[label] = exchange
+            return self._memory.before_run(exchange, asked.run)
+        if answer.verdict in ("known", "running"):
+            if entry.digest and entry.digest != digest(exchange.track, exchange.body):
+                self._count("replication_differs")
+                return self._end(exchange, lambda one: one.terminate())
+            return self._elsewhere(exchange, label, entry)
+        if exchange.name in self._doubted:
+            return self._end(exchange, lambda one: one.terminate())
+        self._count("replication_denied_late")
+        self._end(exchange, lambda one: one.deny(COME_BACK, False))
+
+    def _end(self, exchange: Exchange, how: Callable[[Exchange], None]) -> None:
+        """It never runs here: it and those that joined it get their answers, and it leaves the table."""
+        for one in [exchange, *exchange.joined]:
+            how(one)
+        self._never_ran(exchange)
+
+    def _never_ran(self, exchange: Exchange) -> None:
+        if exchange.place is Place.RUNNING:
+            self._never_begun(exchange)
+
+    def _elsewhere(self, exchange: Exchange, label: bytes, entry: Entry) -> None:
+        """Another server has its label. The try is no longer the controller's: waiting takes no core."""
+        due = exchange.ticket.due - DUE_SPARE
+        those = []
+        for one in [exchange, *exchange.joined]:
+            caller = one.detach()
+            if caller is not None:
+                those.append((one, caller))
+        waiting = Waiting(label, due, those)
+        self._waiting += len(those)
+        self._never_ran(exchange)
+        if entry.state is State.DONE:
+            return self._tell(waiting, entry)
+        self._scheduler.after(POLL_FIRST, lambda: self._look(waiting))
+
+    def _look(self, waiting: Waiting) -> None:
+        """Whether there is an outcome by now; past the time there is an error, and no denial."""
+        if self._scheduler.clock.now >= waiting.due or not self._open:
+            self._count("replication_unknown")
+            return self._tell(waiting, None)
+        self._refs += 1
+        self._waits[self._refs] = waiting
+        self._step(Read(self._refs, LABELS, waiting.key, waiting.key))
+
+    def _looked(self, waiting: Waiting, answer: Answer) -> None:
+        if answer.verdict == "known":
+            return self._tell(waiting, answer.entry)
+        waiting.rest = min(2 * waiting.rest, POLL_LAST)
+        left = max(waiting.due - self._scheduler.clock.now, 0.0)
+        self._scheduler.after(min(waiting.rest, left), lambda: self._look(waiting))
+
+    def _tell(self, waiting: Waiting, entry: Entry | None) -> None:
+        """Their answers: the outcome's very bytes, or an error."""
+        self._waiting -= len(waiting.those)
+        outcome = entry.outcomes[0] if entry is not None else None
+        for exchange, caller in waiting.those:
+            if outcome is not None and outcome.how == "worked":
+                first = self._stand_in(exchange)
+                exchange.place, exchange.first = Place.JOINED, first
+                exchange.witness.completed(exchange, outcome.result, caller)
+                exchange.place, exchange.first = Place.OVER, None
+                self._count("replication_answered_from_outcome")
+            else:
+                exchange.witness.terminated(exchange)
+                caller.terminated(exchange)
+
+    def _stand_in(self, exchange: Exchange) -> Exchange:
+        """For the run elsewhere, which is billed there."""
+        ticket = Ticket(exchange.ticket.track, Router(), None, exchange.ticket.arrived, 0.0)
+        first = Exchange(exchange.label or b"", exchange.track, b"", 0, exchange.label, ticket, None)
+        first.billed = True
+        return first
+
+    # -- forwarding asks: a labelled ticket may have run on a peer
+
+    def may_run_again(self, exchange: Exchange, peer: str, told: Callable[[bool], None]) -> None:
+        """Its claim says, here or wherever it comes to: it is run once, or answered from the outcome. Without
+        a majority nothing can say it, and it ends in an error.
+        """
+        label, ticket = exchange.label, exchange.ticket
+        left = ticket.arrived + ticket.track.window - self._scheduler.clock.now
+        labelled = ticket.track.nature is Nature.LABELLED
+        if label is None or not labelled or left <= 0 or not self.reachable(label):
+            return told(False)
+        if len(self._doubted) >= DOUBTS_MOST:
+            del self._doubted[next(iter(self._doubted))]
+        self._doubted[exchange.name] = None
+        told(True)
+
+    # -- other collections
+
+    def write(
+        self,
+        collection: str,
+        key: bytes,
+        expect: int,
+        value: bytes,
+        life: float,
+        told: Callable[[Answer], None],
+    ) -> None:
+        """Set a binding or a document where its number is `expect`; `told` hears won, stale, or why not."""
+        self._refs += 1
+        self._others[self._refs] = told
+        self._step(Write(self._refs, collection, key, expect, value, life))
+
+    def read(self, collection: str, key: bytes, told: Callable[[Answer], None]) -> None:
+        """What a majority of the holders has."""
+        self._refs += 1
+        self._others[self._refs] = told
+        self._step(Read(self._refs, collection, key))
+
+    # -- events in, effects out
+
+    def view(self, view: View) -> None:
+        sites = tuple(
+            Site(one.name, one.incarnation, one.zone, _weight(one.said("weight"))) for one in view.members
+        )
+        gone = tuple(
+            (fact.key.removeprefix(GONE), int(fact.value))
+            for fact in view.facts
+            if fact.key.startswith(GONE) and fact.value.isdigit()
+        )
+        self._step(Viewed(view.epoch, sites, gone))
+
+    def _heard(self, sender: str, payload: bytes) -> None:
+        try:
+            message = codec.decode(payload)
+        except codec.BadPacketError as trouble:
+            self._count("replication_bad")
+            log.warning("packet dropped", extra={"pairs": {"from": sender, "reason": trouble}})
+            return
+        self._step(Got(sender, message))
+
+    def _step(self, event: Event) -> None:
+        if not self._open:
+            return
+        for effect in self.replica.step(self._clock(), event):
+            self._carry_out(effect)
+        self._arm()
+
+    def _arm(self) -> None:
+        """One timer at the replica's next wake; one that is set for sooner is left and finds nothing due."""
+        now, wake = self._clock(), self.replica.wake_at
+        if wake == inf or (self._timer is not None and self._timer_at <= wake):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wake
+        self._timer = self._scheduler.after(max(wake - now, 0.001), self._ring)
+
+    def _ring(self) -> None:
+        self._timer = None
+        self._step(Tick())
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send(to, message):
+                self._send(to, message)
+            case Answer():
+                self._answered(effect)
+            case Stored(key):
+                for one in self._unstored.pop(key, ()):
+                    self._witness.completed(one.exchange, one.result, one.caller)
+            case Note(what, fields):
+                if what == UNPLACED:
+                    self._unstored.pop(bytes.fromhex(str(fields["key"])), None)
+                level = logging.ERROR if what == "two outcomes" else logging.INFO
+                log.log(level if what in LOUD else logging.WARNING, what, extra={"pairs": fields})
+
+    def _send(self, to: str, message: Message) -> None:
+        within = PIECE_WITHIN if isinstance(message, Piece) else WITHIN
+        data = codec.encode(message)
+        self._count("replication_bytes_out_k" if len(data) > 1024 else "replication_frames_out")
+        if not self._links.send(to, KIND, data, within):
+            self._count("replication_unsent")
+
+    # -- the end
+
+    def settled(self) -> bool:
+        return not self._unstored and not self._waiting and not self._asked
+
+    def close(self) -> None:
+        """The last instant: answers that wait leave."""
+        for held in self._unstored.values():
+            for one in held:
+                self._witness.completed(one.exchange, one.result, one.caller)
+        self._unstored.clear()
+        self._open = False
+
+    def gauges(self) -> dict[str, object]:
+        told = self.replica.gauges()
+        told["replication_waiting"] = self._waiting
+        told["replication_held"] = sum(len(held) for held in self._unstored.values())
+        return told
+
+
+def _weight(text: str) -> float:
+    """A member says how much of the keys it takes; 1 if it says nothing that can be read."""
+    try:
+        weight = float(text)
+    except ValueError:
+        return 1.0
+    return min(weight, WEIGHT_MOST) if weight >= 0 else 1.0
+
+
+def longest(tracks: dict[bytes, Track], slack: float) -> float:
+    """The longest life of a label here, and what a wake may add."""
+    windows = [one.window for one in tracks.values() if one.nature is Nature.LABELLED]
+    return max(windows, default=1.0) + slack + 1.0
--- a/sablewheel/replication/placement.py
+++ b/sablewheel/replication/placement.py
@@ -13,7 +13,8 @@
 from functools import lru_cache
 from math import log
 
-SLOTS = 1024
+from .plan import SLOTS
+
 WEIGHT_MOST = 100.0
 
 Seat = tuple[str, int]  # a member's name and its incarnation in the view
--- a/sablewheel/replication/plan.py
+++ b/sablewheel/replication/plan.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from .placement import SLOTS
+SLOTS = 1024  # ranges into which groups fall, the same on all members
 
 
 @dataclass(frozen=True)
@@ -12,13 +12,13 @@
     """One member's replica. `longest` is the longest life that any entry may have."""
 
     copies: int = 3
-    slots: int = SLOTS  # the same on all members
+    slots: int = SLOTS
     longest: float = 60.0
     entries_most: int = 200_000  # as holder
     bytes_most: int = 64 << 20
     result_most: int = 64 << 10  # a larger result is not kept for others
     rounds_most: int = 10_000  # changes under way as proposer, and own claims that are open
-    patience: float = 0.5  # a claim that has no majority by then has none
+    patience: float = 0.4  # a claim that has no majority by then has none
     retry: float = 0.08  # a message without an answer is sent again; doubled, to `retry_most`
     retry_most: float = 1.0
     sync_every: float = 0.1  # asks of one that is not caught up
@@ -34,4 +34,4 @@
 
     settings: Settings = field(default_factory=Settings)
     hold_most: float = 0.25  # an answer waits for its outcome to be on a majority, no longer
-    deny_after: float = 0.6  # no majority for so long: tickets of that range are denied at the door
+    deny_after: float = 0.3  # no majority for so long: tickets of that range are denied at the door
--- a/sablewheel/replication/replica.py
+++ b/sablewheel/replication/replica.py
@@ -59,6 +59,7 @@
 EXPIRE_EVERY = 0.5
 PROBE_EVERY = 0.25
 READ_ONLY = ("known", "running", "stale")  # what a round may mean without proposing anything
+UNPLACED = "outcome not on a majority in its life"
 TALK_WITHIN = 0.5  # a peer that is asked for a range and silent for so long is asked anew
 
 
@@ -447,10 +448,10 @@
             if asked is not None:
                 self._answer(asked, "unreachable", one.found)
             elif self.owns.pop(one.key[1], None) is not None:
-                self._note("outcome not on a majority in its life", key=one.key[1].hex())
+                self._note(UNPLACED, key=one.key[1].hex())
             return
-        if self.epoch:
-            for name, ask in one.asks(self.epoch, self._now):
+        if self.epoch or one.entry is not None:  # one that is out says its outcomes to those it knew
+            for name, ask in one.asks(self.ranges.epoch, self._now):
                 self._owes(name, one.tries)
                 self._send(name, ask)
         one.tries += 1
@@ -483,6 +484,8 @@
         self.silent.pop(sender, None)
         if not self.epoch or not self.listens(sender):
             self.counts["outside"] += 1
+            if isinstance(message, Push) and message.slot in self.ranges.mine:
+                self._take(message.slot, message.key, message.entry, message.left)  # of one that left
             return
         match message:
             case Prepare() | Accept() | Push() | Fetch():
@@ -555,10 +558,10 @@
         elif isinstance(ask, Accept):
             ballot = ask.entry.ballot
         if self.foreign(ask.epoch):
+            if isinstance(ask, Push):
+                self._take(ask.slot, ask.key, ask.entry, ask.left)  # a fact, whoever says it; it counts later
             if ask.epoch < epoch:
                 self._send(sender, Refuse(epoch, ask.ref, "epoch", NO_BALLOT, ballot))
-            elif isinstance(ask, Push):
-                self._take(ask.slot, ask.key, ask.entry, ask.left)  # a fact, whoever says it; it counts later
             return
         held = self.store.get(slot, ask.key)
         if isinstance(ask, Push):
--- a/sablewheel/replication/store.py
+++ b/sablewheel/replication/store.py
@@ -119,5 +119,5 @@
         """A range's entries in the order of keys; promises alone are not among them."""
         keys = self._slots.get(slot, {})
         for one in sorted(keys):
-            if one > key and keys[one].entry is not EMPTY:
+            if one > key and keys[one].entry != EMPTY:
                 yield one, keys[one]
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -117,7 +117,7 @@
             if exchange.first is None and self._memory.may_not_run(exchange):
                 return exchange.terminate()
             self._undecided.add(label)
-            self._memory.prepare(ticket)
+            self._memory.prepare(exchange)
             ticket.repeats = exchange.first.ticket if exchange.first is not None else None
         else:
             exchange.label = None
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -141,6 +141,10 @@
         self.witness.gone(self)
         return True
 
+    def detach(self) -> Caller | None:
+        """Its answer is the taker's to give from now on, through the witness; None: nobody waits."""
+        return self._close()
+
     def _close(self) -> Caller | None:
         caller, self.caller = self.caller, None
         return caller
--- a/sablewheel/routing/seam.py
+++ b/sablewheel/routing/seam.py
@@ -34,9 +34,9 @@
         set.
         """
 
-    def prepare(self, ticket: Ticket) -> None:
-        """Note on a labelled ticket what a run of it would wait for beside the cores, and whether there is
-        room.
+    def prepare(self, exchange: Exchange) -> None:
+        """Note on a labelled try's ticket what a run of it would wait for beside the cores, and whether there
+        is room.
         """
 
     def remember(self, exchange: Exchange) -> None:
@@ -67,7 +67,7 @@
     def may_not_run(self, exchange: Exchange) -> bool:
         return False
 
-    def prepare(self, ticket: Ticket) -> None: ...
+    def prepare(self, exchange: Exchange) -> None: ...
     def remember(self, exchange: Exchange) -> None: ...
     def release(self, exchange: Exchange) -> None: ...
     def before_run(self, exchange: Exchange, run: Callable[[Exchange], None]) -> None:
