--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -14,6 +14,7 @@
 TRIALS = {
     "affinity-model": "affinity_model",
     "affinity-size": "affinity_size",
+    "forwarding": "forwarding",
     "ledger": "ledger",
     "ledger-cost": "ledger_cost",
     "ledger-size": "ledger_size",
@@ -22,6 +23,8 @@
     "membership-size": "membership_size",
     "recall": "recall",
     "recall-cost": "recall_cost",
+    "replication": "replication",
+    "replication-model": "replication_model",
 }
 
 
--- a/sablewheel/trials/router.py
+++ b/sablewheel/trials/router.py
@@ -30,6 +30,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
         self.open: dict[int, dict[str, Any]] = {}
+        self.answered: set[int] = set()
         self.tag = 0
         self.leaving = False
 
@@ -81,9 +82,6 @@
 
     async def send(self, now: float) -> None:
         server = str(self.chance.choice(self.told["servers"]))
-        link = await self.link(server)
-        if link is None:
-            return
         tracks = self.told["tracks"]
         track = self.chance.choices(list(tracks), [one["share"] for one in tracks.values()])[0]
         name = b"%016x" % self.chance.getrandbits(64)
@@ -98,6 +96,15 @@
             else:
                 label = b"%032x" % self.chance.getrandbits(128)
                 known.append((label, body, customer, time.monotonic()))
+        await self.try_at(server, track, name, customer, label, body)
+
+    async def try_at(
+        self, server: str, track: str, name: bytes, customer: str, label: bytes, body: bytes
+    ) -> None:
+        """One try on its way, if there is a link to that server."""
+        link = await self.link(server)
+        if link is None:
+            return
         link.tag += 1
         one = {
             "name": name.decode(), "customer": customer, "track": track, "server": server,
@@ -155,9 +162,13 @@
         link.writer.close()
 
     def answered(self, link: Link, words: list[bytes]) -> None:
-        one = link.open.pop(int(words[0]), None)
+        tag = int(words[0])
+        one = link.open.pop(tag, None)
         if one is None:
+            if tag in link.answered:  # what was withdrawn may cross its answer, what was answered may not
+                self.keep({"name": "", "tag": tag}, "second")
             return
+        link.answered.add(tag)
         if words[1] == b"OK":
             one["result"] = words[3].decode()
         fields = words[2].decode() if len(words) > 2 else ""
