Affinity's made fleet tells every view in order; storms on replicas hold

Affinity's made fleet tells every view in order, as membership does; storms on replicas hold.

Need: on replicas a cut minority's return left ranges unready for ever. It was the made fleet's fault: a view that no member installed can be asked of none.

--- a/sablewheel/trials/affinity_fleet.py
+++ b/sablewheel/trials/affinity_fleet.py
@@ -283,6 +283,7 @@
         self.dead: dict[str, int] = {}  # the last self of each that died, as the fleet agrees
         self._lives: Counter[str] = Counter()
         self.view = View(1, tuple(Member(name, f"at-{name}", incarnation=1) for name in sorted(names)))
+        self.views = [self.view]
         for name in names:
             self._lives[name] = 1
             self.warm_since[name] = -inf
@@ -386,6 +387,7 @@
     def _agree(self, members: list[Member]) -> None:
         facts = tuple(Fact(f"gone/{name}", str(life)) for name, life in sorted(self.dead.items()))
         self.view = View(self.view.epoch + 1, tuple(sorted(members)), facts)
+        self.views.append(self.view)
         for name in self._lives:
             mine = self.view.get(name)
             if mine is None or mine.incarnation != self._lives[name] or name not in self.fleet.cores:
@@ -393,13 +395,19 @@
         self._tell_all()
 
     def _tell_all(self) -> None:
-        """Each that is not cut off hears of the view and the policy, each at its own time."""
-        view, policy = self.view, self.policy
+        """Each that is not cut off hears of the views, in order, and the policy, each at its own time."""
         for name in self.alive:
             if self._speaks(name):
-                after = self.chance.uniform(0.005, 0.05)
-                self.fleet.later(after, lambda name=name: self.fleet.tell(name, Viewed(view)))  # type: ignore[misc]
-                self.fleet.later(after, lambda name=name: self.fleet.tell(name, policy))  # type: ignore[misc]
+                self.fleet.later(self.chance.uniform(0.005, 0.05), lambda name=name: self._tell(name))  # type: ignore[misc]
+
+    def _tell(self, name: str) -> None:
+        if name not in self.fleet.cores:
+            return
+        held = self.sessions(name).view
+        for view in self.views:
+            if held is None or view.epoch > held.epoch:
+                self.fleet.tell(name, Viewed(view))
+        self.fleet.tell(name, self.policy)
 
     def _loads(self, again: bool = True) -> None:
         now, loads = self.fleet.now, dict[str, Load]()
@@ -412,8 +420,7 @@
                 self.fleet.tell(name, Loads(loads))
                 held = self.sessions(name).view
                 if again and (held is None or held.epoch < self.view.epoch):  # as membership's sync would
-                    self.fleet.tell(name, Viewed(self.view))
-                    self.fleet.tell(name, self.policy)
+                    self._tell(name)
         if again:
             self.fleet.later(LOADS_EVERY, self._loads)
 
--- a/tests/stories/test_affinity_stories.py
+++ b/tests/stories/test_affinity_stories.py
@@ -380,7 +380,7 @@
     pairs = zip(places, story.kiosks, strict=True)
     tickets = [world.bring(at, kiosk, Nature.LABELLED, "pay") for at, kiosk in pairs]
     world.run(5.0)
-    assert [ticket.outcome for ticket in tickets] == ["completed"] * len(tickets)
+    assert Counter((one.outcome, one.why) for one in tickets) == {("completed", "owner"): len(tickets)}
     for kiosk, ticket in zip(story.kiosks, tickets, strict=True):
         binding = world.register.bindings[kiosk]
         holders = [name for name in world.alive if kiosk in world.sessions(name).owned]
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -258,12 +258,9 @@
     assert storm(seed).wrong == []
 
 
-@pytest.mark.parametrize("seed", range(2))
-def test_on_real_replicas_no_storm_makes_two_owners(seed: int) -> None:
-    """Where holders die faster than they catch up labelled work waits: that is replication's to say."""
-    came = storm(seed, kind=ReplicaWorld)
-    assert (came.world.watch.wrong, came.undecided, came.doubled, came.over) == ([], [], [], [])
-    assert sum(ticket.outcome == "completed" for ticket in came.world.tickets) > 500
+@pytest.mark.parametrize("seed", range(3))
+def test_on_real_replicas_too_all_is_well_after_a_storm(seed: int) -> None:
+    assert storm(seed, kind=ReplicaWorld).wrong == []
 
 
 @pytest.mark.parametrize("broken", ["no-handover", "two-owners"])
