A run that never began frees its label; a fleet founded anew waits out lives

A run that never began frees its label at once; a fleet founded anew waits out the lives it can't know.

After a run was held back and moot, the table of labels kept it until the controller's word, which came when the exchange was off: a repeat joined what never ran and ended in an error.

--- a/sablewheel/replication/catchup.py
+++ b/sablewheel/replication/catchup.py
@@ -153,7 +153,7 @@
         for epoch in range(source, one.start):
             placed = self.views.get(epoch)
             if placed is None:
-                return Standing.WAITING if waits else Standing.CUT
+                return Standing.WAITING if waits else Standing.LOST  # a fleet founded anew has such gaps
             seats = placed.holders(slot)
             needed = majority(len(seats))
             covered = sum(1 for name, number in seats if name in told and told[name][0] <= number)
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -158,6 +158,9 @@
         self._happenings.append(terms.Ended(exchange.ticket, took, outcome))
         exchange.took = took
         self._memory.ended(exchange, outcome, result)
+        if outcome is Outcome.MOOT:
+            # It never began, so no repeat joins it; the controller's word for that comes when it is off.
+            self._labels.release(exchange)
         if outcome is Outcome.WORKED:
             exchange.complete(result)
             if self._labels.holds(exchange):
