--- a/sablewheel/replication/codec.py
+++ b/sablewheel/replication/codec.py
@@ -60,8 +60,10 @@
             told.promise.CopyFrom(pb.Reply(ballot=_ballot(ballot), entry=_entry(entry)))
         case Accepted(_, _, ballot):
             told.accepted.CopyFrom(pb.Reply(ballot=_ballot(ballot)))
-        case Refuse(_, _, why, ballot, asked):
-            told.refuse.CopyFrom(pb.Reply(ballot=_ballot(ballot), why=why, asked=_ballot(asked)))
+        case Refuse(_, _, why, ballot, asked, entry):
+            told.refuse.CopyFrom(
+                pb.Reply(ballot=_ballot(ballot), why=why, asked=_ballot(asked), entry=_entry(entry))
+            )
         case Pushed():
             told.pushed.SetInParent()
         case Fetched(_, _, entry):
@@ -125,7 +127,8 @@
             no = told.refuse
             if no.why not in WHYS:
                 raise BadPacketError(f"why: no such reason: {no.why[:40]!r}")
-            return Refuse(epoch, ref, no.why, _ballot_in(no.ballot), _ballot_in(no.asked))
+            ballots = _ballot_in(no.ballot), _ballot_in(no.asked)
+            return Refuse(epoch, ref, no.why, *ballots, _entry_in(no.entry))
         case "pushed":
             return Pushed(epoch, ref)
         case "fetched":
--- a/sablewheel/replication/keeper.py
+++ b/sablewheel/replication/keeper.py
@@ -82,10 +82,11 @@
 class Waiting:
     """A try, and those that joined it here, that wait for the outcome of another server's run."""
 
-    __slots__ = ("due", "key", "rest", "those")
+    __slots__ = ("free", "key", "rest", "those")
 
-    def __init__(self, key: bytes, due: float, those: list[tuple[Exchange, Caller]]) -> None:
-        self.key, self.due, self.those, self.rest = key, due, those, POLL_FIRST
+    def __init__(self, key: bytes, those: list[tuple[Exchange, Caller]]) -> None:
+        self.key, self.those, self.rest = key, those, POLL_FIRST
+        self.free = 0  # times that nobody was seen to have it
 
 
 class Held:
@@ -275,18 +276,19 @@
             caller = one.detach()
             if caller is not None:
                 those.append((one, caller))
-        waiting = Waiting(label, due, those)
+        waiting = Waiting(label, those)
         self._waiting += len(those)
         self._never_ran(exchange)
         if entry.state is State.DONE:
             return self._tell(waiting, entry)
-        self._scheduler.after(POLL_FIRST, lambda: self._look(waiting))
+        left = max(due - self._scheduler.clock.now, 0.0)
+        self._scheduler.after(left, lambda: self._tell(waiting, None))
+        self._scheduler.after(min(POLL_FIRST, left), lambda: self._look(waiting))
 
     def _look(self, waiting: Waiting) -> None:
-        """Whether there is an outcome by now; past the time there is an error, and no denial."""
-        if self._scheduler.clock.now >= waiting.due or not self._open:
-            self._count("replication_unknown")
-            return self._tell(waiting, None)
+        """Whether there is an outcome by now."""
+        if not waiting.those or not self._open:
+            return
         self._refs += 1
         self._waits[self._refs] = waiting
         self._step(Read(self._refs, LABELS, waiting.key, waiting.key))
@@ -294,15 +296,30 @@
     def _looked(self, waiting: Waiting, answer: Answer) -> None:
         if answer.verdict == "known":
             return self._tell(waiting, answer.entry)
+        if answer.verdict == "read" and answer.entry.state in (State.FREE, State.FREED):
+            waiting.free += 1
+            if waiting.free > 1 or answer.entry.state is State.FREED:
+                return self._tell_free(waiting)
         waiting.rest = min(2 * waiting.rest, POLL_LAST)
-        left = max(waiting.due - self._scheduler.clock.now, 0.0)
-        self._scheduler.after(min(waiting.rest, left), lambda: self._look(waiting))
+        self._scheduler.after(waiting.rest, lambda: self._look(waiting))
+
+    def _tell_free(self, waiting: Waiting) -> None:
+        """Whoever had it let it go unrun: it may come again, and then it runs."""
+        those, waiting.those = waiting.those, []
+        self._waiting -= len(those)
+        for exchange, caller in those:
+            self._count("replication_let_go")
+            exchange.witness.denied(exchange)
+            caller.denied(exchange, POLL_LAST, False)
 
     def _tell(self, waiting: Waiting, entry: Entry | None) -> None:
-        """Their answers: the outcome's very bytes, or an error."""
-        self._waiting -= len(waiting.those)
+        """Their answers: the outcome's very bytes, or, without one when their time is up, an error."""
+        those, waiting.those = waiting.those, []
+        self._waiting -= len(those)
         outcome = entry.outcomes[0] if entry is not None else None
-        for exchange, caller in waiting.those:
+        if outcome is None and those:
+            self._count("replication_unknown")
+        for exchange, caller in those:
             if outcome is not None and outcome.how == "worked":
                 first = self._stand_in(exchange)
                 exchange.place, exchange.first = Place.JOINED, first
--- a/sablewheel/replication/messages.py
+++ b/sablewheel/replication/messages.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from .entries import Ballot, Entry
+from .entries import EMPTY, Ballot, Entry
 from .placement import Sites
 
 Key = tuple[str, bytes]  # collection, key
@@ -56,13 +56,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """`why`: ballot (`ballot` is the promised), unready, full, fenced, epoch (`epoch` is the holder's)."""
+    """`why`: ballot (`ballot` is the promised, `entry` what is held), unready, full, fenced, epoch (`epoch`
+    is the holder's).
+    """
 
     epoch: int
     ref: int
     why: str
     ballot: Ballot
     asked: Ballot  # what was refused
+    entry: Entry = EMPTY
 
 
 @dataclass(frozen=True, slots=True)
--- a/sablewheel/replication/replica.py
+++ b/sablewheel/replication/replica.py
@@ -560,6 +560,11 @@
         if one is None:
             return
         self._round = max(self._round, refuse.ballot[1])
+        if one.change.what == "claim" and refuse.asked == one.ballot and one.proposed is None:
+            state = refuse.entry.state
+            if state is State.DONE or (state is State.CLAIMED and refuse.entry.owner != one.change.owner):
+                one.proposed = refuse.entry  # to answer with: nothing is proposed against it
+                return self._over(one, "known" if state is State.DONE else "running")
         match one.refusal(sender, refuse.why, refuse.asked):
             case "again":
                 # Whoever else is at this key gets a while to end: else two could refuse each other for ever.
@@ -604,7 +609,7 @@
             if binding is not None and binding.entry.number > ask.under:
                 return self._send(sender, Refuse(epoch, ask.ref, "fenced", NO_BALLOT, ballot))
         if held is not None and ballot < held.floor:
-            return self._send(sender, Refuse(epoch, ask.ref, "ballot", held.floor, ballot))
+            return self._send(sender, Refuse(epoch, ask.ref, "ballot", held.floor, ballot, held.entry))
         if ask.left <= 0:
             return
         until = now + min(ask.left, self._set.longest)
