--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -23,6 +23,7 @@
     "recall-cost": "recall_cost",
     "replication": "replication",
     "replication-model": "replication_model",
+    "replication-size": "replication_size",
 }
 
 
--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -387,6 +387,7 @@
     needs = ("membership", "forwarding")
 
     copies: Annotated[int, Field(ge=1, le=9)] = 3
+    ranges: Annotated[int, Field(ge=64, le=65536)] = 1024
     entries_most: Annotated[int, Field(ge=100, le=10_000_000)] = 200_000
     memory_mb: Annotated[int, Field(ge=1, le=65536)] = 64
     result_most_kb: Annotated[int, Field(ge=0, le=512)] = 64
@@ -411,6 +412,7 @@
     def plan(self) -> ReplicationPlan:
         settings = ReplicaSettings(
             copies=self.copies,
+            slots=self.ranges,
             entries_most=self.entries_most,
             bytes_most=self.memory_mb << 20,
             result_most=self.result_most_kb << 10,
--- a/sablewheel/replication/catchup.py
+++ b/sablewheel/replication/catchup.py
@@ -14,7 +14,7 @@
 from enum import Enum
 
 from .messages import Viewed
-from .placement import Placement, Seat, Sites, majority
+from .placement import Placement, Seat, Sites, majority, placement
 
 HISTORY_MOST = 256  # views; a range that was not ready for longer waits for its lives to pass
 
@@ -57,7 +57,7 @@
 
     def view(self, viewed: Viewed) -> None:
         self.gone |= set(viewed.gone)
-        placed = Placement(viewed.sites, self._copies, self._slots)
+        placed = placement(viewed.sites, self._copies, self._slots)
         self.views[viewed.epoch] = placed
         self.epoch, self.names = viewed.epoch, tuple(one.name for one in viewed.sites)
         self.places = frozenset(self.names)
@@ -91,7 +91,7 @@
         """What a member told of views before ours; `more`: it may have others."""
         for epoch, sites in views:
             if 0 < epoch < self.epoch and epoch not in self.views and len(self.views) < HISTORY_MOST:
-                self.views[epoch] = Placement(sites, self._copies, self._slots)
+                self.views[epoch] = placement(sites, self._copies, self._slots)
         if not more:
             self.past_told.add(name)
 
--- a/sablewheel/replication/keeper.py
+++ b/sablewheel/replication/keeper.py
@@ -458,6 +458,9 @@
 
     def gauges(self) -> dict[str, object]:
         told = self.replica.gauges()
+        if self._times:
+            ranked = sorted(self._times)
+            told["replication_claim_ms"] = round(1000 * ranked[len(ranked) // 2], 2)
         told["replication_waiting"] = self._waiting
         told["replication_held"] = sum(len(held) for held in self._unstored.values())
         return told
--- a/sablewheel/replication/placement.py
+++ b/sablewheel/replication/placement.py
@@ -50,37 +50,56 @@
 
     def __init__(self, sites: Sites, copies: int, slots: int = SLOTS) -> None:
         self.sites, self._copies, self._slots = sites, copies, slots
-        self._drawn = [(_draws(one.name, slots), one) for one in sites if one.weight > 0]
+        self._placed = [one for one in sites if one.weight > 0]
+        self._drawn = [_draws(one.name, slots) for one in self._placed]
+        self._weighted = len({one.weight for one in self._placed}) > 1
         self._found: dict[int, tuple[Seat, ...]] = {}
+        self._names: dict[int, tuple[str, ...]] = {}
+        self._of: dict[str, list[int]] = {}
 
     def holders(self, slot: int) -> tuple[Seat, ...]:
         """In order of rank; the first ones of different zones, as far as there are as many."""
         found = self._found.get(slot)
         if found is None:
-            ranked = sorted(
-                ((one.weight / -log((drawn[slot] + 0.5) / 2**64), one) for drawn, one in self._drawn),
-                key=lambda each: (-each[0], each[1].name),
-            )
+            row: list[float] = [drawn[slot] for drawn in self._drawn]
+            if self._weighted:
+                both = zip(self._placed, row, strict=True)
+                row = [one.weight / -log((drawn + 0.5) / 2**64) for one, drawn in both]
             zones: set[str] = set()
             first: list[Site] = []
-            for _, one in ranked:
-                if one.zone not in zones and len(first) < self._copies:
+            rest: list[Site] = []
+            for place in sorted(range(len(row)), key=row.__getitem__, reverse=True):
+                one = self._placed[place]
+                if one.zone not in zones:
                     zones.add(one.zone)
                     first.append(one)
-            for _, one in ranked:
-                if len(first) >= self._copies:
-                    break
-                if one not in first:
-                    first.append(one)
+                    if len(first) == self._copies:
+                        break
+                elif len(rest) < self._copies:
+                    rest.append(one)
+            first += rest[: self._copies - len(first)]
             found = self._found[slot] = tuple((one.name, one.incarnation) for one in first)
         return found
 
     def names(self, slot: int) -> tuple[str, ...]:
-        return tuple(name for name, _ in self.holders(slot))
+        found = self._names.get(slot)
+        if found is None:
+            found = self._names[slot] = tuple(name for name, _ in self.holders(slot))
+        return found
 
     def of(self, name: str) -> list[int]:
         """The ranges that a member holds."""
-        return [slot for slot in range(self._slots) if name in self.names(slot)]
+        if not self._of:
+            for slot in range(self._slots):
+                for one in self.names(slot):
+                    self._of.setdefault(one, []).append(slot)
+        return self._of.get(name, [])
+
+
+@lru_cache(maxsize=64)
+def placement(sites: Sites, copies: int, slots: int) -> Placement:
+    """The same for all who hold this view, in one process: it follows from the view alone."""
+    return Placement(sites, copies, slots)
 
 
 def majority(many: int) -> int:
--- /dev/null
+++ b/sablewheel/trials/replication_size.py
@@ -0,0 +1,111 @@
+"""Replication by size: how even the load is, what a view change moves, what it costs in bytes and time.
+
+Placement alone up to 2,000 members; the whole replicas at 200 on the made network, their messages as packets.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import Counter
+from dataclasses import replace
+from typing import Any, ClassVar
+
+from ..replication import codec
+from ..replication.messages import Send
+from ..replication.placement import Placement, Site
+from ..replication.plan import Settings
+from ..replication.replica import Replica
+from .replication_stage import Stage
+from .verdict import Verdict
+
+COPIES, ZONES = 3, 5
+RANGES = {200: 4096, 2000: 32768}  # about twenty a member for each copy and more
+MEMBERS, LABELS = 200, 2000
+
+
+class Weighed(Replica):
+    """Its packets are counted, in bytes."""
+
+    spent: ClassVar[Counter[str]] = Counter()
+
+    def step(self, now: float, event: Any) -> list[Any]:
+        effects = super().step(now, event)
+        for one in effects:
+            if isinstance(one, Send):
+                Weighed.spent["packets"] += 1
+                Weighed.spent["bytes"] += len(codec.encode(one.message))
+        return effects
+
+
+def sites(many: int) -> tuple[Site, ...]:
+    return tuple(Site(f"m{number:04}", 1, f"z{number % ZONES}") for number in range(many))
+
+
+def run(seed: int, quick: bool) -> Verdict:
+    verdict = Verdict("replication-size")
+    for many, ranges in RANGES.items():
+        _place(verdict, many, ranges)
+    _fleet(verdict, seed, 50 if quick else MEMBERS, LABELS // 4 if quick else LABELS)
+    return verdict
+
+
+def _place(verdict: Verdict, many: int, ranges: int) -> None:
+    begun = time.perf_counter()
+    before = Placement(sites(many), COPIES, ranges)
+    load = Counter(name for slot in range(ranges) for name in before.names(slot))
+    took = time.perf_counter() - begun
+    mean = COPIES * ranges / many
+    most = max(load.values()) / mean
+    gone = Placement(before.sites[1:], COPIES, ranges)
+    come = Placement((*before.sites, Site("new", 1, "z0")), COPIES, ranges)
+    share = ranges * COPIES / many
+    for what, after in (("leaves", gone), ("comes", come)):
+        moved = sum(len(set(after.names(slot)) - set(before.names(slot))) for slot in range(ranges))
+        says = f"{moved} of {COPIES * ranges} copies, R/N is {share:.0f}"
+        promise = f"{many} members, one {what}: no more than 1.5 of R/N is moved"
+        verdict.check(promise, 0 < moved <= 1.5 * share, says)
+    verdict.check(f"{many} members: the fullest holds at most 1.7 of the mean", most <= 1.7, f"{most:.2f}")
+    verdict.figures[f"placing {ranges} ranges on {many}, ms"] = round(1000 * took, 1)
+
+
+def _fleet(verdict: Verdict, seed: int, many: int, labels: int) -> None:
+    names = [one.name for one in sites(many)]
+    settings = Settings(longest=30.0, slots=RANGES[MEMBERS], cold_waits=False, repair_every=5.0)
+    stage = Stage({one.name: one.zone for one in sites(many)}, seed, replace(settings), Weighed)
+    chance = random.Random(seed)
+    Weighed.spent.clear()
+    stage.found(*names, settle=1.0)
+    stage.settle(20.0)
+    before = Counter(Weighed.spent)
+    tries = []
+    for number in range(labels):
+        tries.append(stage.come(chance.choice(names), f"label {number}"))
+        if number % 50 == 49:
+            stage.fleet.run(0.1)
+    stage.fleet.run(1.0)
+    spent = Weighed.spent - before
+    done = sum(one.verdict == "completed" for one in tries)
+    held = [stage.core(name).store.entries for name in names]
+    served = done == labels and not stage.wrong()
+    verdict.check(f"{many} members: all labels are served", served, f"{done} of {labels}")
+    verdict.check("each on three members", sum(held) == COPIES * labels, sum(held))
+    verdict.figures[f"{many} members, packets a label"] = round(spent["packets"] / labels, 1)
+    verdict.figures[f"{many} members, bytes a label"] = round(spent["bytes"] / labels)
+    verdict.figures["entries of the fullest over the mean"] = round(max(held) / (sum(held) / many), 2)
+    before, begun = Counter(Weighed.spent), stage.fleet.now
+    gone = chance.choice(names)
+    moving = sum(len(stage.core(name).ranges.mine) for name in [gone])
+    stage.fleet.crash(gone)
+    stage.view(set(names) - {gone})
+    ready = stage.settle(20.0)
+    spent = Weighed.spent - before
+    verdict.check("one is killed: all are caught up again", ready, f"{stage.fleet.now - begun:.2f} s")
+    again = [stage.come(chance.choice(stage.members), one.label) for one in tries]
+    stage.fleet.run(2.0)
+    same = sum(one.verdict == "completed" and one.result == first.result
+               for one, first in zip(again, tries, strict=True))  # fmt: skip
+    verdict.check("and every label is answered from its outcome", same == labels and not stage.wrong(), same)
+    verdict.figures["ranges of the one killed"] = moving
+    verdict.figures["bytes to catch up after it"] = spent["bytes"]
+    verdict.figures["seconds until all counted, made clock"] = round(stage.fleet.now - begun - 2.0, 3)
