--- a/sablewheel/replication/codec.py
+++ b/sablewheel/replication/codec.py
@@ -45,8 +45,10 @@
     """Not a packet of ours, or one past its bounds; the text says which field."""
 
 
-def encode(message: Message) -> bytes:
-    told = pb.Packet(version=VERSION, epoch=message.epoch, ref=getattr(message, "ref", 0))
+def encode(message: Message, ranges: int = 0, copies: int = 0) -> bytes:
+    """The packet of a sender that divides into so many ranges, of so many copies each."""
+    ref = getattr(message, "ref", 0)
+    told = pb.Packet(version=VERSION, epoch=message.epoch, ref=ref, ranges=ranges, copies=copies)
     match message:
         case Prepare(_, _, key, slot, ballot, left, group, under):
             told.prepare.CopyFrom(_change(key, slot, left, group, under, ballot=_ballot(ballot)))
@@ -60,8 +62,10 @@
             told.promise.CopyFrom(pb.Reply(ballot=_ballot(ballot), entry=_entry(entry)))
         case Accepted(_, _, ballot):
             told.accepted.CopyFrom(pb.Reply(ballot=_ballot(ballot)))
-        case Refuse(_, _, why, ballot, asked):
-            told.refuse.CopyFrom(pb.Reply(ballot=_ballot(ballot), why=why, asked=_ballot(asked)))
+        case Refuse(_, _, why, ballot, asked, entry):
+            told.refuse.CopyFrom(
+                pb.Reply(ballot=_ballot(ballot), why=why, asked=_ballot(asked), entry=_entry(entry))
+            )
         case Pushed():
             told.pushed.SetInParent()
         case Fetched(_, _, entry):
@@ -81,8 +85,8 @@
                 for epoch, sites in views
             ]
             told.past.CopyFrom(pb.Past(birth=birth, before=before, views=some))
-        case Ask(_, ranges):
-            told.ask.CopyFrom(pb.Ranges(ranges=[pb.Range(slot=slot, digest=mark) for slot, mark in ranges]))
+        case Ask(_, asked):
+            told.ask.CopyFrom(pb.Ranges(ranges=[pb.Range(slot=slot, digest=mark) for slot, mark in asked]))
         case Told(_, birth, answers):
             said = [pb.Range(slot=slot, ready=ready, same=same) for slot, ready, same in answers]
             told.told.CopyFrom(pb.Ranges(birth=birth, ranges=said))
@@ -94,14 +98,22 @@
     return told.SerializeToString()
 
 
-def decode(data: bytes) -> Message:
-    """The message of a payload; raises `BadPacketError` and nothing else."""
+def decode(data: bytes, ranges: int = 0, copies: int = 0) -> Message:
+    """The message of a payload; raises `BadPacketError` and nothing else.
+
+    Who divides into other ranges would mean other holders by the same words: guards against servers whose
+    sections differ.
+    """
     try:
         told = pb.Packet.FromString(data)
     except DecodeError:
         raise BadPacketError("not a packet") from None
     if told.version != VERSION:
         raise BadPacketError(f"version {told.version}, {VERSION} is known here")
+    if (told.ranges, told.copies) != (ranges, copies):
+        raise BadPacketError(
+            f"of {told.ranges} ranges and {told.copies} copies, {ranges} and {copies} are set here"
+        )
     epoch, ref = told.epoch, told.ref
     match told.WhichOneof("body"):
         case "prepare":
@@ -125,7 +137,8 @@
             no = told.refuse
             if no.why not in WHYS:
                 raise BadPacketError(f"why: no such reason: {no.why[:40]!r}")
-            return Refuse(epoch, ref, no.why, _ballot_in(no.ballot), _ballot_in(no.asked))
+            ballots = _ballot_in(no.ballot), _ballot_in(no.asked)
+            return Refuse(epoch, ref, no.why, *ballots, _entry_in(no.entry))
         case "pushed":
             return Pushed(epoch, ref)
         case "fetched":
--- a/sablewheel/replication/keeper.py
+++ b/sablewheel/replication/keeper.py
@@ -82,10 +82,11 @@
 class Waiting:
     """A try, and those that joined it here, that wait for the outcome of another server's run."""
 
-    __slots__ = ("due", "key", "rest", "those")
+    __slots__ = ("free", "group", "key", "rest", "those")
 
-    def __init__(self, key: bytes, due: float, those: list[tuple[Exchange, Caller]]) -> None:
-        self.key, self.due, self.those, self.rest = key, due, those, POLL_FIRST
+    def __init__(self, key: bytes, group: bytes, those: list[tuple[Exchange, Caller]]) -> None:
+        self.key, self.group, self.those, self.rest = key, group, those, POLL_FIRST
+        self.free = 0  # times that nobody was seen to have it
 
 
 class Held:
@@ -121,6 +122,8 @@
         self._count, self._slack = count, slack
         chance = random.Random(f"{seed}-{name}-{birth}")
         self.replica = kind(name, birth, plan.settings, chance, clock())
+        self._shape = plan.settings.slots, plan.settings.copies
+        self.group_of: Callable[[Exchange], tuple[bytes, int]] = _by_label  # set by who binds sessions
         self._refs = 0
         self._asked: dict[int, Asked] = {}
         self._claims: dict[bytes, Exchange] = {}  # won here, by label, until their ends
@@ -156,8 +159,9 @@
         label, ticket = exchange.label, exchange.ticket
         if label is None or exchange.first is not None:
             return
-        if not self.reachable(label):
-            if exchange.name not in self._doubted and not self.replica.may_have_run(label, label):
+        group, _ = self.group_of(exchange)
+        if not self.reachable(group):
+            if exchange.name not in self._doubted and not self.replica.may_have_run(label, group):
                 ticket.room_in = max(ticket.room_in, COME_BACK)
                 self._count("replication_denied")
         elif self._times:
@@ -182,7 +186,8 @@
         self._refs += 1
         self._asked[self._refs] = Asked(exchange, run, self._clock())
         same = digest(exchange.track, exchange.body)
-        self._step(Claim(self._refs, label, label, life, same))
+        group, under = self.group_of(exchange)
+        self._step(Claim(self._refs, label, group, life, same, under))
 
     def ended(self, exchange: Exchange, outcome: Outcome, result: bytes) -> None:
         """A run is over, or never began."""
@@ -275,34 +280,50 @@
             caller = one.detach()
             if caller is not None:
                 those.append((one, caller))
-        waiting = Waiting(label, due, those)
+        waiting = Waiting(label, self.group_of(exchange)[0], those)
         self._waiting += len(those)
         self._never_ran(exchange)
         if entry.state is State.DONE:
             return self._tell(waiting, entry)
-        self._scheduler.after(POLL_FIRST, lambda: self._look(waiting))
+        left = max(due - self._scheduler.clock.now, 0.0)
+        self._scheduler.after(left, lambda: self._tell(waiting, None))
+        self._scheduler.after(min(POLL_FIRST, left), lambda: self._look(waiting))
 
     def _look(self, waiting: Waiting) -> None:
-        """Whether there is an outcome by now; past the time there is an error, and no denial."""
-        if self._scheduler.clock.now >= waiting.due or not self._open:
-            self._count("replication_unknown")
-            return self._tell(waiting, None)
+        """Whether there is an outcome by now."""
+        if not waiting.those or not self._open:
+            return
         self._refs += 1
         self._waits[self._refs] = waiting
-        self._step(Read(self._refs, LABELS, waiting.key, waiting.key))
+        self._step(Read(self._refs, LABELS, waiting.key, waiting.group))
 
     def _looked(self, waiting: Waiting, answer: Answer) -> None:
         if answer.verdict == "known":
             return self._tell(waiting, answer.entry)
+        if answer.verdict == "read" and answer.entry.state in (State.FREE, State.FREED):
+            waiting.free += 1
+            if waiting.free > 1 or answer.entry.state is State.FREED:
+                return self._tell_free(waiting)
         waiting.rest = min(2 * waiting.rest, POLL_LAST)
-        left = max(waiting.due - self._scheduler.clock.now, 0.0)
-        self._scheduler.after(min(waiting.rest, left), lambda: self._look(waiting))
+        self._scheduler.after(waiting.rest, lambda: self._look(waiting))
+
+    def _tell_free(self, waiting: Waiting) -> None:
+        """Whoever had it let it go unrun: it may come again, and then it runs."""
+        those, waiting.those = waiting.those, []
+        self._waiting -= len(those)
+        for exchange, caller in those:
+            self._count("replication_let_go")
+            exchange.witness.denied(exchange)
+            caller.denied(exchange, POLL_LAST, False)
 
     def _tell(self, waiting: Waiting, entry: Entry | None) -> None:
-        """Their answers: the outcome's very bytes, or an error."""
-        self._waiting -= len(waiting.those)
+        """Their answers: the outcome's very bytes, or, without one when their time is up, an error."""
+        those, waiting.those = waiting.those, []
+        self._waiting -= len(those)
         outcome = entry.outcomes[0] if entry is not None else None
-        for exchange, caller in waiting.those:
+        if outcome is None and those:
+            self._count("replication_unknown")
+        for exchange, caller in those:
             if outcome is not None and outcome.how == "worked":
                 first = self._stand_in(exchange)
                 exchange.place, exchange.first = Place.JOINED, first
@@ -329,7 +350,7 @@
         label, ticket = exchange.label, exchange.ticket
         left = ticket.arrived + ticket.track.window - self._scheduler.clock.now
         labelled = ticket.track.nature is Nature.LABELLED
-        if label is None or not labelled or left <= 0 or not self.reachable(label):
+        if label is None or not labelled or left <= 0 or not self.reachable(self.group_of(exchange)[0]):
             return told(False)
         if len(self._doubted) >= DOUBTS_MOST:
             del self._doubted[next(iter(self._doubted))]
@@ -373,7 +394,7 @@
 
     def _heard(self, sender: str, payload: bytes) -> None:
         try:
-            message = codec.decode(payload)
+            message = codec.decode(payload, *self._shape)
         except codec.BadPacketError as trouble:
             self._count("replication_bad")
             log.warning("packet dropped", extra={"pairs": {"from": sender, "reason": trouble}})
@@ -420,7 +441,7 @@
 
     def _send(self, to: str, message: Message) -> None:
         within = PIECE_WITHIN if isinstance(message, Piece) else WITHIN
-        data = codec.encode(message)
+        data = codec.encode(message, *self._shape)
         self._count("replication_bytes_out_k" if len(data) > 1024 else "replication_frames_out")
         if not self._links.send(to, KIND, data, within):
             self._count("replication_unsent")
@@ -441,11 +462,19 @@
 
     def gauges(self) -> dict[str, object]:
         told = self.replica.gauges()
+        if self._times:
+            ranked = sorted(self._times)
+            told["replication_claim_ms"] = round(1000 * ranked[len(ranked) // 2], 2)
         told["replication_waiting"] = self._waiting
         told["replication_held"] = sum(len(held) for held in self._unstored.values())
         return told
 
 
+def _by_label(exchange: Exchange) -> tuple[bytes, int]:
+    """A label's group, and the number of its session's binding: without sessions, itself and none."""
+    return exchange.label or b"", 0
+
+
 def _weight(text: str) -> float:
     """A member says how much of the keys it takes; 1 if it says nothing that can be read."""
     try:
