--- a/sablewheel/affinity/events.py
+++ b/sablewheel/affinity/events.py
@@ -90,6 +90,14 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """As `Refused`, where the ticket has been denied already: the next one looks again."""
+
+    key: str
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """The register's answer to a `Write` or `Read`."""
@@ -190,7 +198,8 @@
 
 
 Event: TypeAlias = (
-    Came | Over | Unreached | Returned | Refused | Answered | Viewed | Active | Loads | Drain | Tick | Got
+    Came | Over | Unreached | Returned | Refused | Fenced | Answered | Viewed | Active | Loads | Drain | Tick
+    | Got
 )
 
 
--- /dev/null
+++ b/sablewheel/affinity/placer.py
@@ -0,0 +1,416 @@
+"""Sessions in the server: a desk in front of the forward path, and what the decisions need round them.
+
+Decides nothing. Each ticket with a session is held until its owner is known, mostly at once; then it is
+served here, passed on, or denied. Bindings are read and written through replication, whose claims go by the
+binding's number. Servers speak of sessions in frames of their own over the links, which may lose any.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import Counter
+from collections.abc import Callable
+from math import inf
+
+from ..forwarding.forward import Forward, Guest
+from ..forwarding.links import Links
+from ..membership.shell import Fleet
+from ..membership.view import View
+from ..replication.keeper import Keeper
+from ..replication.messages import Answer
+from ..replication.replica import SESSIONS
+from ..routing.exchange import Caller, Exchange, Witness
+from ..routing.labels import Labels
+from ..routing.seam import Memory
+from ..routing.server import Desk
+from ..terms import Customer, Nature, Outcome, Ticket
+from ..transport.scheduler import Scheduler, Timer
+from . import codec
+from .events import (
+    Active,
+    Answered,
+    Back,
+    Came,
+    Deny,
+    Drain,
+    Effect,
+    Event,
+    Fenced,
+    Got,
+    Here,
+    Loads,
+    Note,
+    Over,
+    Pass,
+    Read,
+    Send,
+    Tick,
+    Told,
+    Unreached,
+    Verdict,
+    Viewed,
+    Write,
+)
+from .keys import Carried, key_of
+from .placing import Load
+from .plan import AffinityPlan
+from .sessions import Sessions
+
+KIND = "session"
+WITHIN = 1.0  # seconds after which a frame is worth nothing: each step of a handover is repeated
+LOADS_EVERY = 0.5
+ACTIVE = "policy/active"  # the fact of the view that names the active version, as VERSION or VERSION:...
+LEAVE_SHARE = 0.9  # of the grace, after which a drain that has not ended stays what it is
+LOUD = ("moved", "passed as claims")
+VERDICTS = {"won": Verdict.WON, "read": Verdict.WON, "stale": Verdict.LOST}
+
+log = logging.getLogger(__name__)
+Run = Callable[[Exchange], None]
+
+
+class Open:
+    """A ticket that only its session's owner may run, told to run here."""
+
+    __slots__ = ("begun", "key", "number", "ref")
+
+    def __init__(self, ref: int, key: str, number: int) -> None:
+        self.ref, self.key, self.number, self.begun = ref, key, number, False
+
+
+class Affinity:
+    """One server's sessions: a desk, and memory and witness in front of those given as `inner`.
+
+    `warmth` tells how warm this server is, from 0 to 1; `capacity` what it can carry, in any one unit.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        plan: AffinityPlan,
+        fleet: Fleet,
+        links: Links,
+        forward: Forward,
+        keeper: Keeper,
+        memory: Memory,
+        witness: Witness,
+        customers: dict[bytes, Customer],
+        warmth: Callable[[], float],
+        capacity: float,
+        grace: float,
+        count: Callable[[str], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._scheduler, self._plan, self._fleet, self._links = scheduler, plan, fleet, links
+        self._forward, self._keeper, self._clock, self._count = forward, keeper, clock, count
+        self._memory, self._witness, self._customers = memory, witness, customers
+        self._customer_names: dict[Customer, str] = {}
+        self._warmth, self._capacity, self._grace = warmth, capacity, grace
+        self.sessions = Sessions(fleet.me, fleet.node.me.incarnation, plan.settings, clock())
+        self.sessions.step(clock(), Active(1))
+        self._inner: Desk | None = None
+        self._refs = 0
+        self._held: dict[int, Exchange] = {}  # tickets that wait for a decision
+        self._open: dict[Exchange, Open] = {}
+        self._loads: dict[str, Load] = {}
+        self._leaving = self._left = False
+        self._timer: Timer | None = None
+        self._timer_at = 0.0
+        self._closed = False
+        self.counts: Counter[str] = Counter()
+        keeper.group_of, keeper.may_begin, keeper.fenced = self._group_of, self._may_begin, self._fenced
+        keeper.replica.binding_life = max(keeper.replica.binding_life, plan.settings.life)
+        forward.guests, forward.home = self, self._home
+        links.on(KIND, self._heard)
+        fleet.on_view(self._viewed)
+        scheduler.after(LOADS_EVERY, self._tell_loads)
+
+    # -- the desk
+
+    def desk(self, inner: Desk) -> Desk:
+        self._inner = inner
+        return self
+
+    def arrived(self, exchange: Exchange) -> None:
+        guest = exchange.caller if isinstance(exchange.caller, Guest) else None
+        if guest is None:
+            exchange.session = self._session(exchange) or ""
+            if not exchange.session:
+                self.counts["without_session"] += 1
+                return self._desk.arrived(exchange)
+            if self._forward.is_away(exchange.name):
+                return exchange.terminate()  # the name of an open ticket: as the dispatch would
+        elif not exchange.session:
+            return self._forward.serve(exchange)
+        self._step(self._came(exchange, guest.sender if guest is not None else ""))
+
+    def gone(self, exchange: Exchange) -> None:
+        """Nobody waits any more; one that is still held is let go of when it is decided on."""
+        if exchange not in self._held.values():
+            self._desk.gone(exchange)
+
+    @property
+    def _desk(self) -> Desk:
+        assert self._inner is not None
+        return self._inner
+
+    def _came(self, exchange: Exchange, sender: str, back: bool = False) -> Came:
+        self._refs += 1
+        self._held[self._refs] = exchange
+        flow = exchange.track.decode("utf-8", "replace")
+        return Came(self._refs, exchange.session, exchange.ticket.track.nature, flow, sender, back)
+
+    def _home(self, exchange: Exchange, to: str, tried: frozenset[str]) -> None:
+        """One of ours is back from `to` and may run again."""
+        self._step(Unreached(self._came(exchange, "", len(tried) > 1), to))
+
+    def _session(self, exchange: Exchange) -> str | None:
+        ticket = exchange.ticket
+        customer = ""
+        if ticket.customer is not None:
+            if ticket.customer not in self._customer_names:  # new settings make new objects
+                names = {one: name.decode("utf-8", "replace") for name, one in self._customers.items()}
+                self._customer_names = names
+            customer = self._customer_names.get(ticket.customer, "")
+        label = exchange.label if ticket.track.nature is Nature.LABELLED else None
+        carried = Carried(
+            customer,
+            ticket.subject or "",
+            ticket.router.name.decode("utf-8", "replace"),
+            (label or b"").decode("utf-8", "replace"),
+        )
+        return key_of(self._plan.fields, carried)
+
+    # -- memory and witness: what is open of a session
+
+    @property
+    def ready(self) -> bool:
+        return self._memory.ready
+
+    def recalled(self, born: float, labels: Labels) -> list[tuple[Ticket, float]]:
+        return self._memory.recalled(born, labels)
+
+    def adopted(self) -> tuple[list[Exchange], int]:
+        return self._memory.adopted()
+
+    def may_not_run(self, exchange: Exchange) -> bool:
+        return self._memory.may_not_run(exchange)
+
+    def prepare(self, exchange: Exchange) -> None:
+        self._memory.prepare(exchange)
+
+    def remember(self, exchange: Exchange) -> None:
+        self._memory.remember(exchange)
+
+    def release(self, exchange: Exchange) -> None:
+        self._memory.release(exchange)
+
+    def before_run(self, exchange: Exchange, run: Run) -> None:
+        if (one := self._open.get(exchange)) is not None:
+            one.begun = True
+        self._memory.before_run(exchange, run)
+
+    def ended(self, exchange: Exchange, outcome: Outcome, result: bytes) -> None:
+        self._memory.ended(exchange, outcome, result)
+        self._over(exchange)
+
+    def completed(self, exchange: Exchange, result: bytes, caller: Caller) -> None:
+        self._answered(exchange)
+        self._witness.completed(exchange, result, caller)
+
+    def denied(self, exchange: Exchange) -> None:
+        self._answered(exchange)
+        self._witness.denied(exchange)
+
+    def terminated(self, exchange: Exchange) -> None:
+        self._answered(exchange)
+        self._witness.terminated(exchange)
+
+    def gone_by(self, exchange: Exchange) -> None:
+        self._answered(exchange)
+        self._witness.gone(exchange)
+
+    def _answered(self, exchange: Exchange) -> None:
+        """Its answer is given; a run of it that has begun counts until it ends."""
+        one = self._open.get(exchange)
+        if one is not None and not one.begun:
+            self._over(exchange)
+
+    def _over(self, exchange: Exchange) -> None:
+        if (one := self._open.pop(exchange, None)) is not None:
+            self._step(Over(one.ref, one.key))
+
+    # -- what replication asks
+
+    def _group_of(self, exchange: Exchange) -> tuple[bytes, int]:
+        """Labels of a session are held together, and claimed under its number."""
+        if not exchange.session:
+            return exchange.label or b"", 0
+        one = self._open.get(exchange)
+        return exchange.session.encode(), one.number if one is not None else 0
+
+    def _may_begin(self, exchange: Exchange, asked: float) -> bool:
+        one = self._open.get(exchange)
+        return one is None or self.sessions.may_begin(self._clock(), one.key, one.number, asked)
+
+    def _fenced(self, exchange: Exchange) -> None:
+        if (one := self._open.get(exchange)) is not None:
+            self._step(Fenced(one.key, one.number))
+
+    # -- what the fleet says
+
+    def activate(self, active: Active) -> None:
+        """A policy version is in force, or what servers can run under it has changed."""
+        self._step(active)
+
+    def _viewed(self, view: View) -> None:
+        self._step(Viewed(view))
+        self._loads = {name: load for name, load in self._loads.items() if name in view}
+        version = view.fact(ACTIVE).partition(":")[0]
+        if version.isdigit() and int(version) > self.sessions.version:
+            self._step(Active(int(version)))
+
+    def _heard(self, sender: str, payload: bytes) -> None:
+        try:
+            message = codec.decode(payload)
+        except codec.BadPacketError as trouble:
+            self.counts["packets_bad"] += 1
+            log.warning("packet dropped", extra={"pairs": {"from": sender, "reason": trouble}})
+            return
+        if isinstance(message, Load):
+            self._loads[sender] = message
+            return
+        self._step(Got(sender, message))
+
+    def _tell_loads(self) -> None:
+        """Each to each; a lost one is made good by the next."""
+        if self._closed:
+            return
+        capacity = 0.0 if self._leaving else self._capacity
+        mine = Load(len(self.sessions.owned), min(max(self._warmth(), 0.01), 1.0), capacity)
+        self._loads[self._fleet.me] = mine
+        data = codec.encode(mine)
+        for name in self._fleet.view.names if self._fleet.view is not None else ():
+            if name != self._fleet.me:
+                self._links.send(name, KIND, data, LOADS_EVERY)
+        self._step(Loads(self._loads))
+        self._scheduler.after(LOADS_EVERY, self._tell_loads)
+
+    # -- events in, effects out
+
+    def _step(self, event: Event) -> None:
+        if self._closed:
+            return
+        for effect in self.sessions.step(self._clock(), event):
+            self._carry_out(effect)
+        self._arm()
+        if self._leaving and not self.sessions.owned:
+            self._leave()
+
+    def _arm(self) -> None:
+        """One timer at the next wake; one that is set for sooner is left and finds nothing due."""
+        now, wake = self._clock(), self.sessions.wake_at
+        if wake == inf or (self._timer is not None and self._timer_at <= wake):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wake
+        self._timer = self._scheduler.after(max(wake - now, 0.001), self._ring)
+
+    def _ring(self) -> None:
+        self._timer = None
+        self._step(Tick())
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Here(ref, number):
+                self._serve(ref, number)
+            case Pass(ref, to):
+                self._pass(ref, to)
+            case Back(ref, sender, binding):
+                exchange = self._held.pop(ref)
+                self._links.send(sender, KIND, codec.encode(Told(binding)), WITHIN)  # comes before the ticket
+                self._forward.decline(exchange)
+            case Deny(ref, come_back, _):
+                exchange = self._held.pop(ref)
+                exchange.deny(come_back, False)
+            case Write(ref, key, expect, value, life):
+                self._keeper.write(
+                    SESSIONS, key.encode(), expect, codec.pack(value), life,
+                    lambda answer: self._register(ref, answer), value.number,
+                )  # fmt: skip
+            case Read(ref, key):
+                self._keeper.read(SESSIONS, key.encode(), lambda answer: self._register(ref, answer))
+            case Send(to, message):
+                if not self._links.send(to, KIND, codec.encode(message), WITHIN):
+                    self.counts["unsent"] += 1
+            case Note(what, fields):
+                log.log(logging.INFO if what in LOUD else logging.WARNING, what, extra={"pairs": fields})
+
+    def _register(self, ref: int, answer: Answer) -> None:
+        entry, stands = answer.entry, None
+        if entry.value:
+            try:
+                stands = codec.unpack(entry.value, entry.number)
+            except codec.BadPacketError as trouble:
+                self.counts["bindings_bad"] += 1
+                log.warning("binding dropped", extra={"pairs": {"reason": trouble}})
+                return self._step(Answered(ref, Verdict.UNREACHABLE))
+        self._step(Answered(ref, VERDICTS.get(answer.verdict, Verdict.UNREACHABLE), stands))
+
+    def _serve(self, ref: int, number: int) -> None:
+        exchange = self._held.pop(ref)
+        if exchange.closed:  # nobody waits any more
+            return self._step(Over(ref, exchange.session))
+        if number and exchange.ticket.track.nature is not Nature.REDOABLE:
+            self._open[exchange] = Open(ref, exchange.session, number)
+        self._forward.serve(exchange)
+
+    def _pass(self, ref: int, to: str) -> None:
+        exchange = self._held.pop(ref)
+        if exchange.closed:
+            return
+        if not self._forward.pass_on(exchange, to):
+            self._home(exchange, to, frozenset((to,)))
+
+    # -- the end
+
+    def leaving(self) -> None:
+        """The notice to leave: sessions are handed over, and then the fleet is told."""
+        self._leaving = True
+        self._tell_loads_once()
+        self._step(Drain(self._grace))
+        self._scheduler.after(self._grace * LEAVE_SHARE, self._leave)
+
+    def _tell_loads_once(self) -> None:
+        data = codec.encode(Load(len(self.sessions.owned), 1.0, 0.0))
+        for name in self._fleet.view.names if self._fleet.view is not None else ():
+            if name != self._fleet.me:
+                self._links.send(name, KIND, data, WITHIN)
+
+    def _leave(self) -> None:
+        if not self._left:
+            self._left = True
+            self._fleet.leave()
+
+    def settled(self) -> bool:
+        return not self._held
+
+    def close(self) -> None:
+        self._leave()
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def gauges(self) -> dict[str, object]:
+        told = self.sessions.gauges()
+        told["affinity_held"] = len(self._held)
+        return told | {f"affinity_{what}": much for what, much in sorted(self.counts.items())}
+
+
+class Watching:
+    """The witness of an `Affinity`, whose desk has a `gone` of its own."""
+
+    def __init__(self, affinity: Affinity) -> None:
+        self.completed, self.denied = affinity.completed, affinity.denied
+        self.terminated, self.gone = affinity.terminated, affinity.gone_by
--- a/sablewheel/affinity/sessions.py
+++ b/sablewheel/affinity/sessions.py
@@ -40,6 +40,7 @@
     Drain,
     Effect,
     Event,
+    Fenced,
     Got,
     Here,
     Loads,
@@ -175,6 +176,10 @@
                 self._returned(now, came, binding)
             case Refused(came, number):
                 self._refused(now, came, number)
+            case Fenced(key, number):
+                held = self.owned.get(key)
+                if held is not None and held.binding.number <= number:
+                    self._let_go(now, held, None)
             case Answered(ref, verdict, entry):
                 self._answered(now, ref, verdict, entry)
             case Got(sender, message):
@@ -325,8 +330,8 @@
     def _unreached(self, now: float, came: Came, to: str) -> None:
         """The owner is in the view as far as is known: nobody may take its session, or its labelled work."""
         route = self.routes.get(came.key)
-        if route is not None and route.owner == to and not self._lives(route):
-            return self._came(now, came)  # it went out of the view meanwhile
+        if route is not None and (route.owner != to or not self._lives(route)):
+            return self._returned(now, came, None)  # its session has gone on meanwhile
         if self.settings.broken == "two-owners" and route is not None:
             held = self.owned[came.key] = Held(route, route.number, now, now)
             return self._serve(now, held, came)
@@ -336,8 +341,6 @@
         """It goes to the owner once more; after that it is decided here, and never goes round."""
         if binding is not None:
             self._told(now, binding)
-        elif (route := self.routes.get(came.key)) is not None:
-            del self.routes[route.key]
         if came.back:
             return self._without(came, Why.STALE)
         return self._came(now, replace(came, back=True))
--- a/sablewheel/forwarding/forward.py
+++ b/sablewheel/forwarding/forward.py
@@ -92,19 +92,24 @@
 class Guest:
     """The caller of a ticket that a peer passed on."""
 
-    __slots__ = ("_forward", "_key")
+    __slots__ = ("_forward", "key")
 
     def __init__(self, forward: Forward, key: Key) -> None:
-        self._forward, self._key = forward, key
+        self._forward, self.key = forward, key
+
+    @property
+    def sender(self) -> str:
+        """The peer that it came from."""
+        return self.key[0]
 
     def completed(self, exchange: Exchange, result: bytes) -> None:
-        self._forward.over(self._key, Answer(self._key[1], Final.COMPLETED, result))
+        self._forward.over(self.key, Answer(self.key[1], Final.COMPLETED, result))
 
     def denied(self, exchange: Exchange, come_back: float, nowhere: bool) -> None:
-        self._forward.over(self._key, Answer(self._key[1], Final.DENIED, b"", max(come_back, 0.0), nowhere))
+        self._forward.over(self.key, Answer(self.key[1], Final.DENIED, b"", max(come_back, 0.0), nowhere))
 
     def terminated(self, exchange: Exchange) -> None:
-        self._forward.over(self._key, Answer(self._key[1], Final.TERMINATED))
+        self._forward.over(self.key, Answer(self.key[1], Final.TERMINATED))
 
 
 class Forward:
@@ -126,6 +131,9 @@
         self._customer_names: dict[Customer, bytes] = {}
         self.placer: Placer = Here()
         self.owner: Owner = Unknown()
+        self.guests: Desk | None = None  # who is told of what peers pass here; None: the inner desk
+        # Who decides on one of ours that is back from a peer and may run again; with those not to be asked.
+        self.home: Callable[[Exchange, str, frozenset[str]], None] | None = None
         self._inner: Desk | None = None
         self._number = incarnation << LIVES
         self._away: dict[int, Away] = {}
@@ -160,6 +168,19 @@
         self._home(number)
         self._step(Gone(number))
 
+    def is_away(self, name: bytes) -> bool:
+        return name in self._names
+
+    def decline(self, exchange: Exchange) -> None:
+        """A guest goes back to the peer that passed it on: it never ran here and never will."""
+        caller = exchange.detach()
+        if isinstance(caller, Guest):
+            self.over(caller.key, None)
+
+    def serve(self, exchange: Exchange) -> None:
+        """Whoever held one back lets it in here."""
+        self._serve_here(exchange)
+
     def pass_on(self, exchange: Exchange, to: str, tried: frozenset[str] = frozenset()) -> bool:
         """Hand a ticket that arrived here, and that nobody decided on yet, to a peer; False: it can't go."""
         ticket = exchange.ticket
@@ -238,8 +259,9 @@
                 self._admit(key, ticket, age)
             case Abandon(key):
                 guest = self._guests.pop(key, None)
-                if guest is not None and guest.abandon() and self._inner is not None:
-                    self._inner.gone(guest)
+                desk = self.guests or self._inner
+                if guest is not None and guest.abandon() and desk is not None:
+                    desk.gone(guest)
             case Answered(number, answer, here):
                 away = self._home(number)
                 if away is not None:
@@ -248,7 +270,10 @@
                 away = self._home(number)
                 if away is not None and not away.exchange.closed:
                     away.exchange.witness = away.witness
-                    self._again(away.exchange, tried)
+                    if self.home is not None:
+                        self.home(away.exchange, away.to, tried)
+                    else:
+                        self._again(away.exchange, tried)
             case Unsure(number):
                 away = self._away.get(number)
                 if away is not None:
@@ -306,8 +331,9 @@
             customer = found
         label = exchange.label if ticket.track.nature is Nature.LABELLED else None
         return Passed(
-            exchange.name, exchange.track, exchange.body, customer, label, ticket.kb, ticket.subject
-        )
+            exchange.name, exchange.track, exchange.body, customer, label, ticket.kb, ticket.subject,
+            exchange.session,
+        )  # fmt: skip
 
     def _admit(self, key: Key, told: Passed, age: float) -> None:
         """A peer's ticket becomes ours; what this server does not know it declines, and it never ran here."""
@@ -322,8 +348,12 @@
         exchange = Exchange(
             told.name, told.track, told.body, 0, told.label, ticket, Guest(self, key), self._witness()
         )
+        exchange.session = told.session
         self._guests[key] = exchange
-        self._serve_here(exchange)
+        if self.guests is not None:
+            self.guests.arrived(exchange)
+        else:
+            self._serve_here(exchange)
 
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
--- a/sablewheel/forwarding/messages.py
+++ b/sablewheel/forwarding/messages.py
@@ -41,6 +41,7 @@
     label: bytes | None
     kb: float
     subject: str | None
+    session: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +95,7 @@
         case Pass(_, one, age, left):
             told = pb.Pass(
                 name=one.name, track=one.track, body=one.body, customer=one.customer, label=one.label or b"",
-                kb=one.kb, subject=one.subject or "", age=age, left=left,
+                kb=one.kb, subject=one.subject or "", session=one.session, age=age, left=left,
             )  # fmt: skip
             return pb.TicketMessage(number=number, passed=told).SerializeToString()
         case Taken():
@@ -137,11 +138,13 @@
     for field in ("name", "track", "customer", "label"):
         if len(getattr(told, field)) > NAME_MOST or (field in ("name", "track") and not getattr(told, field)):
             raise BadMessageError(f"{field}: 1 to {NAME_MOST} bytes are wanted")
+    if len(told.session) > NAME_MOST:
+        raise BadMessageError(f"session: at most {NAME_MOST} characters are wanted")
     if len(told.subject) > NAME_MOST:
         raise BadMessageError(f"subject: at most {NAME_MOST} characters are wanted")
     ticket = Passed(
         told.name, told.track, told.body, told.customer, told.label or None, _span(told.kb, "kb"),
-        told.subject or None,
+        told.subject or None, told.session,
     )  # fmt: skip
     return ticket, _span(told.age, "age"), _span(told.left, "left")
 
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+from ..affinity.plan import AffinityPlan
 from ..forwarding.plan import ForwardingPlan
 from ..ledger.plan import Depth, LedgerPlan
 from ..membership.plan import MembershipPlan
@@ -60,6 +61,7 @@
     links: Links | None = None  # by forwarding
     forward: Forward | None = None  # by forwarding; who places tickets sets its placer
     replication: Keeper | None = None  # by replication; bindings and documents go through it
+    leave: Callable[[], None] | None = None  # by membership; None where another tells the fleet in its time
 
 
 def _no_blocks(plan: Any) -> bool:
@@ -140,7 +142,13 @@
 
     posting = ground.posting
     fleet = ground.fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed, says=ground.says)
-    return Part(leaving=fleet.leave, close=lambda _: fleet.close(), gauges=fleet.gauges)
+    ground.leave = fleet.leave
+
+    def leaving() -> None:
+        if ground.leave is not None:
+            ground.leave()
+
+    return Part(leaving=leaving, close=lambda _: fleet.close(), gauges=fleet.gauges)
 
 
 def _forwarding(ground: Ground, plan: ForwardingPlan) -> Part:
@@ -203,12 +211,54 @@
     )
 
 
+def _affinity(ground: Ground, plan: AffinityPlan) -> Part:
+    from ..affinity.placer import Affinity, Watching
+
+    fleet, links, forward, keeper = ground.fleet, ground.links, ground.forward, ground.replication
+    assert fleet and links and forward and keeper  # the section needs theirs
+    machine, clock = ground.posting.machine, ground.scheduler.clock
+    born = clock.now
+
+    def warmth() -> float:
+        if not machine.fresh_start or machine.warm_up <= 0:
+            return 1.0
+        return machine.cold_from + (1.0 - machine.cold_from) * min((clock.now - born) / machine.warm_up, 1.0)
+
+    grace = min(machine.drain_grace, ground.posting.stop_after)
+    affinity = Affinity(
+        ground.scheduler,
+        plan,
+        fleet,
+        links,
+        forward,
+        keeper,
+        ground.memory,
+        ground.witness,
+        ground.posting.customers,
+        warmth,
+        float(machine.cores),
+        grace,
+        ground.count,
+    )
+    ground.leave = None  # the fleet is told once sessions are handed over
+    return Part(
+        witness=Watching(affinity),
+        memory=affinity,
+        desk=affinity.desk,
+        leaving=affinity.leaving,
+        settled=affinity.settled,
+        close=lambda _: affinity.close(),
+        gauges=affinity.gauges,
+    )
+
+
 DECLARED = (
     Declared("ledger", _ledger, blocks=lambda plan: plan.depth is Depth.DURABLE),
     Declared("recall", _recall, blocks=lambda plan: plan.folder is not None),
     Declared("membership", _membership),
     Declared("forwarding", _forwarding, says=lambda plan: (("link", plan.advertise),)),
     Declared("replication", _replication),
+    Declared("affinity", _affinity),
 )
 
 
--- a/sablewheel/replication/keeper.py
+++ b/sablewheel/replication/keeper.py
@@ -123,7 +123,10 @@
         chance = random.Random(f"{seed}-{name}-{birth}")
         self.replica = kind(name, birth, plan.settings, chance, clock())
         self._shape = plan.settings.slots, plan.settings.copies
-        self.group_of: Callable[[Exchange], tuple[bytes, int]] = _by_label  # set by who binds sessions
+        # Set by who binds sessions. `may_begin`: whether a claim asked for then may, now that it is won.
+        self.group_of: Callable[[Exchange], tuple[bytes, int]] = _by_label
+        self.may_begin: Callable[[Exchange, float], bool] = _any_time
+        self.fenced: Callable[[Exchange], None] = _nobody
         self._refs = 0
         self._asked: dict[int, Asked] = {}
         self._claims: dict[bytes, Exchange] = {}  # won here, by label, until their ends
@@ -250,6 +253,10 @@
             if exchange.place is not Place.RUNNING or (exchange.closed and not exchange.joined):
                 self._step(Free(label))  # nobody waits for it any more
                 return self._never_ran(exchange)
+            if not self.may_begin(exchange, asked.began):
+                self._count("replication_late")
+                self._step(Free(label))
+                return self._end(exchange, lambda one: one.deny(COME_BACK, False))
             self._claims[label] = exchange
             return self._memory.before_run(exchange, asked.run)
         if answer.verdict in ("known", "running"):
@@ -257,6 +264,8 @@
                 self._count("replication_differs")
                 return self._end(exchange, lambda one: one.terminate())
             return self._elsewhere(exchange, label, entry)
+        if answer.verdict == "fenced":
+            self.fenced(exchange)
         if exchange.name in self._doubted:
             return self._end(exchange, lambda one: one.terminate())
         self._count("replication_denied_late")
@@ -367,11 +376,14 @@
         value: bytes,
         life: float,
         told: Callable[[Answer], None],
+        floor: int = 0,
     ) -> None:
-        """Set a binding or a document where its number is `expect`; `told` hears won, stale, or why not."""
+        """Set a binding or a document where its number is `expect`; `told` hears won, stale, or why not. The
+        new number is above that, and `floor` at least.
+        """
         self._refs += 1
         self._others[self._refs] = told
-        self._step(Write(self._refs, collection, key, expect, value, life))
+        self._step(Write(self._refs, collection, key, expect, value, life, floor))
 
     def read(self, collection: str, key: bytes, told: Callable[[Answer], None]) -> None:
         """What a majority of the holders has."""
@@ -475,6 +487,13 @@
     return exchange.label or b"", 0
 
 
+def _any_time(exchange: Exchange, asked: float) -> bool:
+    return True
+
+
+def _nobody(exchange: Exchange) -> None: ...
+
+
 def _weight(text: str) -> float:
     """A member says how much of the keys it takes; 1 if it says nothing that can be read."""
     try:
--- a/sablewheel/replication/replica.py
+++ b/sablewheel/replication/replica.py
@@ -117,6 +117,7 @@
         self.name, self.birth, self._set, self._chance = name, birth, settings, chance
         self.ranges = Ranges(name, birth, settings.copies, settings.slots)
         self.store = self.make_store()
+        self.binding_life = settings.binding_life  # may be raised by who binds sessions
         self.epoch = 0  # of the view that it is in; 0: in none
         self.counts: Counter[str] = Counter()
         self._now = now
@@ -633,7 +634,7 @@
     def _most(self, key: Key) -> float:
         """The longest life of such an entry. Bindings may outlast labels: where one is lost its session
         begins anew above its number, so nobody waits for their lives to pass."""
-        return max(self._set.longest, self._set.binding_life if key[0] == SESSIONS else 0.0)
+        return max(self._set.longest, self.binding_life if key[0] == SESSIONS else 0.0)
 
     def _take(self, slot: int, key: Key, entry: Entry, left: float) -> bool:
         """Merge a copy; whether there was room."""
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -80,7 +80,7 @@
 
     __slots__ = (
         "began", "billed", "body", "caller", "digest", "first", "joined", "label", "name", "notice", "place",
-        "result", "sameness", "tag", "ticket", "took", "track", "witness",
+        "result", "sameness", "session", "tag", "ticket", "took", "track", "witness",
     )  # fmt: skip
 
     def __init__(
@@ -108,6 +108,7 @@
         self.joined: list[Exchange] = []  # repeats that wait for its end
         self.began = 0.0  # when its join was decided
         self.first: Exchange | None = None  # what it repeats
+        self.session = ""  # the key of the session that it belongs to, where sessions are told apart
 
     def asks_same(self, other: Exchange) -> bool:
         """Whether another with this label asks for the same; one remembered over a restart has a digest only.
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -215,7 +215,7 @@
         if not now - AGE_MOST < asked.since < now + AHEAD_MOST:
             raise resp.FaultyError(f"a figure out of range: since={asked.since:.3f}", asked.tag)
         arrived = min(asked.since, now)  # whole milliseconds of another's reading may lie ahead of ours
-        router = self._routers.pop(asked.router, None) or Router()
+        router = self._routers.pop(asked.router, None) or Router(name=asked.router)
         self._routers[asked.router] = router
         if len(self._routers) > ROUTERS_MOST:
             del self._routers[next(iter(self._routers))]
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -96,6 +96,7 @@
 
     out: int = 0
     heard: float = 0.0
+    name: bytes = b""
 
 
 @dataclass(frozen=True, eq=False)
