Trial of affinity on real servers: bumps, death, return, drain, pause past removal

Need: the promises of sessions must be measured at the interpreters, with links and processes that fail.

Change: trial affinity with its client of kiosks and its server whose policy version a file sets.

--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -12,6 +12,7 @@
 from ..trials.verdict import Verdict
 
 TRIALS = {
+    "affinity": "affinity",
     "affinity-model": "affinity_model",
     "affinity-size": "affinity_size",
     "forwarding": "forwarding",
--- /dev/null
+++ b/sablewheel/trials/affinity.py
@@ -0,0 +1,328 @@
+"""Affinity's trial: real servers with an interpreter each, kiosks whose tickets come to any of them, each
+link through the fault relay.
+
+Three policy versions pass; a server is killed and comes back cold; one drains; one is stopped past its
+removal and woken. Where a session's labelled work ran is taken from the interpreters; what servers say of
+moves and their causes, from their logs. Beside it, for the same sessions and the same death, hashing modulo N
+and plain rendezvous hashing without bindings.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+import shlex
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from contextlib import closing
+from dataclasses import dataclass
+from itertools import pairwise
+from pathlib import Path
+
+from .affinity_size import modulo, rendezvous
+from .fleet import LISTEN, Block
+from .forwarding import LINK, LINK_DOOR, Stage
+from .rig import PATIENCE, SETTINGS, Rig, RigError
+from .verdict import Verdict
+
+BROKEN = ("rehash-on-bump", "no-handover", "two-owners", "no-budget")
+SIZE = 5
+KIOSKS = 60
+BUDGET = 4.0  # moves a second
+RATE = 90.0  # tickets a second
+ABANDON, WINDOW = 2.0, 6.0
+GRACE = 4.0
+PAUSE = 6.0
+FACTOR, LEAST = 1.25, 4
+TRACKS = {"lookup": {"share": 0.5}, "record": {"share": 0.5, "labelled": True}}
+WORK = {"lookup": 0.01, "record": 0.25}  # labelled runs last: a second owner would meet one
+CLASSES = [
+    {"name": "lookup", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "safe"},
+    {"name": "record", "on-time-s": 1.0, "deadline-s": ABANDON, "repeat": "keyed", "window-s": WINDOW},
+]
+KEYS: dict[str, object] = {
+    "period-s": 0.25, "probe-timeout-s": 0.1, "found-after-s": 1.0, "join-every-s": 0.3,
+    "vote-timeout-s": 0.5, "sync-every-s": 1.0,
+}  # fmt: skip
+MOVED = re.compile(r"^time=(\S+) level=\S+ from=affinity\.placer event=moved (.*)$")
+
+
+@dataclass(frozen=True)
+class Labelled:
+    """One labelled run, as its interpreter saw it."""
+
+    kiosk: str
+    at: str
+    begun: float
+    ended: float
+
+
+@dataclass(frozen=True)
+class Move:
+    """What a server's log says: that it took a session, and why. `when` is monotonic."""
+
+    when: float
+    cause: str
+    was: str
+
+
+class Sessions(Stage):
+    """The fleet with all that affinity stands on."""
+
+    broken = ""
+
+    @property
+    def version(self) -> Path:
+        return self.rig.folder / "version"
+
+    def features(self, name: str) -> str:
+        place = self.names.index(name)
+        lines = ["forwarding:", f"  listen: {self.host(name)}:{LINK}"]
+        lines += [f"  advertise: {self.relay_host}:{LINK_DOOR + place}", "replication:", "  copies: 3"]
+        lines += ["affinity:", "  idle-s: 600", "  keep-versions: 5", f"  moves-per-s: {BUDGET:g}"]
+        lines += [f"  load-factor: {FACTOR}", f"  bound-least: {LEAST}"]
+        return super(Stage, self).features(name) + "\n".join([*lines, ""])
+
+    def start(self, name: str) -> None:
+        path = self.rig.folder / f"{name}.yaml"
+        path.write_text(self.features(name))
+        safety = {**SETTINGS["safety"], "drain-grace-s": GRACE}
+        told = self.rig.configuration(
+            name, LISTEN, self.vms[name], name=name, listen=f"{self.host(name)}:{LISTEN}",
+            stop_ms=int(1000 * (GRACE + 2.0)),
+            settings={"classes": CLASSES, "servers": self.size, "safety": safety},
+        )  # fmt: skip
+        words = ("sablewheel.trials.affinity_server", str(self.version), self.broken)
+        self.processes[name] = self.rig.start(
+            name, *words, shifted=False, RELAY_CONFIG=str(told), SABLEWHEEL_FEATURES=str(path)
+        )
+
+    def moves(self) -> list[Move]:
+        apart = time.time() - time.monotonic()
+        found = []
+        for name in self.names:
+            path = self.rig.folder / f"{name}.log"
+            for line in path.read_text(errors="replace").splitlines() if path.exists() else ():
+                if seen := MOVED.match(line):
+                    pairs = dict(word.split("=", 1) for word in shlex.split(seen[2]) if "=" in word)
+                    found.append(Move(float(seen[1]) - apart, pairs["cause"], pairs.get("owner", "")))
+        return sorted(found, key=lambda one: one.when)
+
+    def runs(self, labelled: bool = True) -> Iterator[Labelled]:
+        """Labelled runs, or all, by the interpreters' word; one without an end is open to the last."""
+        held = [one for one in self.rig.held("client") if one["name"]]
+        kiosks = {one["name"]: one["kiosk"] for one in held if one["label"] or not labelled}
+        for name in self.names:
+            begun: dict[str, float] = {}
+            for word, ticket, when in self.rig.runs(name):
+                if ticket not in kiosks:
+                    continue
+                if word == "begin":
+                    begun[ticket] = when
+                elif (since := begun.pop(ticket, None)) is not None:
+                    yield Labelled(kiosks[ticket], name, since, when)
+            for ticket, since in begun.items():
+                yield Labelled(kiosks[ticket], name, since, since + WORK["record"])
+
+
+def run(seed: int, quick: bool, broken: str = "") -> Verdict:
+    """The trial; `broken` names a fault put into the servers on purpose."""
+    verdict = Verdict("affinity")
+    marks: dict[str, float] = {}
+    with Rig(seed) as rig, closing(Block()) as block:
+        stage = Sessions(rig, block.second, "ours", 0, SIZE, seed, keys=KEYS, work=WORK)
+        stage.broken = broken
+        for name in stage.names:
+            stage.start(name)
+        for name in stage.names:
+            stage.wait_up(name)
+        if stage.wait_agreed(stage.names, PATIENCE) is None:
+            raise RigError(f"no view: {stage.processes['m0'].tail()}")
+        time.sleep(WINDOW + 3.0)  # nobody can know what an earlier fleet ran: all windows pass first
+        calm = 3.0 if quick else 8.0
+        plot = _plot(calm)
+        seconds = sum(span for span, _ in plot)
+        client = rig.start("client", "sablewheel.trials.affinity_client", _client(stage, seed, seconds),
+                           shifted=False)  # fmt: skip
+        for span, what in plot:
+            marks[what] = time.monotonic()
+            ACTS.get(what, _nothing)(stage)
+            time.sleep(max(marks[what] + span - time.monotonic(), 0.0))
+        marks["end"] = time.monotonic()
+        client.popen.wait(60)
+        for name in stage.names:
+            if stage.processes[name].alive:
+                stage.processes[name].leave()
+        time.sleep(0.1)
+        _judge(stage, verdict, marks)
+        stage.relay.close()
+    return verdict
+
+
+def _plot(calm: float) -> list[tuple[float, str]]:
+    """How long each part lasts, and what it begins with."""
+    turn = 2.0 * KIOSKS / RATE
+    return [
+        (max(2 * turn, 4.0), "begin"), (calm, "bump 2"), (calm, "bump 3"), (calm, "bump 4"),
+        (10.0, "kill"), (6.0, "return"), (GRACE + 2.0, "drain"), (6.0, "back"),
+        (PAUSE + 5.0, "pause"), (5.0, "calm"), (calm + 2.0, "again"),
+    ]  # fmt: skip
+
+
+def _nothing(stage: Sessions) -> None: ...
+
+
+def _bump(version: int) -> Callable[[Sessions], object]:
+    def do(stage: Sessions) -> None:
+        stage.version.write_text(f"{version}\n")
+
+    return do
+
+
+def _pause(stage: Sessions) -> None:
+    stage.stop("m3")
+    time.sleep(PAUSE)
+    stage.go_on("m3")
+
+
+def _back(stage: Sessions) -> None:
+    stage.processes["m1"].popen.wait(10)
+    stage.start("m1")
+
+
+ACTS: dict[str, Callable[[Sessions], object]] = {
+    "bump 2": _bump(2),
+    "bump 3": _bump(3),
+    "bump 4": _bump(4),
+    "kill": lambda stage: stage.processes["m2"].kill(),
+    "return": lambda stage: stage.start("m2"),
+    "drain": lambda stage: stage.processes["m1"].popen.terminate(),
+    "back": _back,
+    "pause": _pause,
+}
+
+
+def _client(stage: Sessions, seed: int, seconds: float) -> str:
+    told = {
+        "servers": [f"{stage.host(name)}:{LISTEN}" for name in stage.names], "seed": seed, "rate": RATE,
+        "seconds": seconds, "customers": {"any": 1.0}, "tracks": TRACKS, "kiosks": KIOSKS,
+        "log": str(stage.rig.folder / "client.held"), "patience_end": ABANDON + 2.0,
+    }  # fmt: skip
+    return json.dumps(told)
+
+
+def _judge(stage: Sessions, verdict: Verdict, marks: dict[str, float]) -> None:
+    runs = sorted(stage.runs(), key=lambda one: one.begun)
+    moves = [one for one in stage.moves() if one.when < marks["end"]]
+    order = [*sorted(marks, key=lambda what: marks[what])]
+    after = dict(pairwise(order))
+
+    def within(what: str) -> tuple[float, float]:
+        return marks[what], marks[after[what]]
+
+    def changes(since: float, until: float) -> list[tuple[str, str, str]]:
+        """Kiosks whose labelled work went to another server, by the interpreters."""
+        last: dict[str, str] = {}
+        found = []
+        for one in runs:
+            if one.begun >= until:
+                break
+            if one.begun >= since and last.get(one.kiosk, one.at) != one.at:
+                found.append((one.kiosk, last[one.kiosk], one.at))
+            last[one.kiosk] = one.at
+        return found
+
+    begun = {one.kiosk: one.at for one in stage.runs(labelled=False) if one.begun < marks["bump 2"]}
+    held = Counter(begun.values())
+    verdict.check("every session has its server", len(begun) == KIOSKS, f"{len(begun)} of {KIOSKS}")
+    bound = max(LEAST, math.ceil(FACTOR * (KIOSKS + 1) / SIZE))
+    verdict.check("no owner is above its bound", bool(held) and max(held.values()) <= bound,
+                  f"{max(held.values(), default=0)} of {bound}")  # fmt: skip
+    bumped = changes(marks["bump 2"], marks["kill"])
+    said = [one for one in moves if marks["bump 2"] <= one.when < marks["kill"]]
+    verdict.check("over three bumps no session moves", not bumped and not said,
+                  f"{len(bumped)} by the runs, {len(said)} by the logs")  # fmt: skip
+    _death(stage, verdict, runs, moves, changes(*within("kill")), within("kill"))
+    back = changes(*within("return"))
+    stray = [one for one in back if one[1] != "m2"]
+    verdict.check("its return moves nothing", not stray, f"{len(stray)}")
+    drained = changes(marks["drain"], marks["pause"])
+    stray = [one for one in drained if one[1] not in ("m1", "m2")]
+    left = [one for one in moves if one.was == "m1" and one.when > marks["back"]]
+    by = Counter(one.cause for one in moves if one.was == "m1" and one.when >= marks["drain"])
+    verdict.check("a drain hands over all within its grace, and no other moves",
+                  by["drain"] > 0 and not left and not stray,
+                  f"{dict(by)}, {len(left)} later, {len(stray)} of others")  # fmt: skip
+    paused = [one for one in changes(marks["pause"], marks["again"]) if one[1] not in ("m1", "m2", "m3")]
+    verdict.check("a pause past removal moves its sessions only", not paused, f"{len(paused)} of others")
+    again = changes(*within("again"))
+    verdict.check("a second run over moves nothing", not again, f"{len(again)}")
+    _overlaps(stage, verdict, runs, marks)
+    tries = [one for one in stage.rig.held("client") if one["how"] != "second"]
+    seconds = sum(one["how"] == "second" for one in stage.rig.held("client"))
+    verdict.check("no ticket has two answers", not seconds, seconds)
+    how = Counter(f"{one['how']} {one['track']}" for one in tries)
+    for name, much in sorted(how.items()):
+        verdict.figures[name] = much
+    quiet = [one for one in tries if one["from"] < marks["kill"] or one["from"] >= marks["again"]]
+    good = sum(one["how"] == "completed" for one in quiet) / max(len(quiet), 1)
+    verdict.check("where nothing fails nearly all are served", good >= 0.99, f"{good:.4f} of {len(quiet)}")
+    for cause, much in sorted(Counter(one.cause for one in moves).items()):
+        verdict.figures[f"moved: {cause}"] = much
+
+
+def _death(
+    stage: Sessions, verdict: Verdict, runs: list[Labelled], moves: list[Move],
+    changed: list[tuple[str, str, str]], span: tuple[float, float],
+) -> None:  # fmt: skip
+    """One of the servers is killed: whose sessions move, how fast, and what others would have moved."""
+    since, until = span
+    owners = {one.kiosk: one.at for one in runs if one.begun < since}
+    mine = {kiosk for kiosk, at in owners.items() if at == "m2"}
+    stray = [one for one in changed if one[1] != "m2"]
+    moved = {kiosk for kiosk, was, _ in changed if was == "m2"}
+    verdict.check("one of the servers is killed: its sessions move, of the others none",
+                  bool(mine) and moved == mine and not stray,
+                  f"{len(moved)} of its {len(mine)}, {len(stray)} of others")  # fmt: skip
+    times = [one.when for one in moves if since <= one.when < until and one.cause == "removed"]
+    burst = max((sum(at <= when < at + 1.0 for when in times) for at in times), default=0)
+    room = BUDGET + 4 * math.sqrt(BUDGET)
+    verdict.check("no faster than the budget, by four deviations of turns by chance", 0 < burst <= room,
+                  f"most in a second {burst} of {room:.0f}")  # fmt: skip
+    keys = [f"kiosk-{number}" for number in range(KIOSKS)]
+    rest = [name for name in stage.names if name != "m2"]
+    verdict.figures["ours: moved by the death"] = len(moved)
+    for label, place in (("modulo N", modulo), ("plain rendezvous", rendezvous)):
+        lost = sum(place(key, stage.names) != place(key, rest) for key in keys)
+        verdict.figures[f"{label}: moved by the death"] = lost
+        verdict.figures[f"{label}: moved back by the return"] = lost
+
+
+def _overlaps(stage: Sessions, verdict: Verdict, runs: list[Labelled], marks: dict[str, float]) -> None:
+    """Two servers at one session's labelled work; what one had begun before it died or stopped goes on as a
+    claim."""
+    gone = {"m2": (marks["kill"], marks["return"]), "m3": (marks["pause"], marks["pause"] + PAUSE + 2.0)}
+    by_kiosk: dict[str, list[Labelled]] = defaultdict(list)
+    for one in runs:
+        by_kiosk[one.kiosk].append(one)
+    found = []
+    for those in by_kiosk.values():
+        for place, one in enumerate(those):
+            for other in those[place + 1 :]:
+                if other.begun >= one.ended or other.at == one.at:
+                    continue
+                since, until = gone.get(one.at, (math.inf, -math.inf))
+                if not (one.begun <= since + 0.1 and one.ended <= until):
+                    found.append((one, other))
+    verdict.check("two servers never run one session's labelled work", not found,
+                  f"{len(found)}" + (f", as {found[0]}" if found else f" of {len(runs)} runs"))  # fmt: skip
+    labels: Counter[str] = Counter()
+    own = {one["name"]: one["label"] for one in stage.rig.held("client") if one.get("label")}
+    for name in stage.names:
+        for word, ticket, _ in stage.rig.runs(name):
+            if word == "begin" and ticket in own:
+                labels[own[ticket]] += 1
+    twice = sum(much > 1 for much in labels.values())
+    verdict.check("no label runs twice", not twice, f"{twice} of {len(labels)}")
--- /dev/null
+++ b/sablewheel/trials/affinity_client.py
@@ -0,0 +1,48 @@
+"""A stand-in for kiosks behind their routers: each has its session, and its tickets come to any server.
+
+    python -m sablewheel.trials.affinity_client '{"servers": [...], "kiosks": 60, ...}'
+
+As `router`; every try is one kiosk's, in turn, and names the kiosk in the log.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+
+from . import wire
+from .rig import CUSTOMERS
+from .router import Routers
+
+
+class Kiosks(Routers):
+    """What `router` sends, with a subject each."""
+
+    turn = 0
+
+    async def try_at(
+        self, server: str, track: str, name: bytes, customer: str, label: bytes, body: bytes
+    ) -> None:
+        link = await self.link(server)
+        if link is None:
+            return
+        link.tag += 1
+        self.turn = (self.turn + 1) % int(self.told["kiosks"])
+        owners = sorted(CUSTOMERS)
+        kiosk, customer = f"kiosk-{self.turn}", owners[self.turn % len(owners)]
+        link.open[link.tag] = {
+            "name": name.decode(), "customer": customer, "track": track, "server": server, "kiosk": kiosk,
+            "label": label.decode(), "sent": time.time(), "from": time.monotonic(),
+        }  # fmt: skip
+        link.writer.write(
+            wire.call(
+                link.tag, name, track.encode(), time.time(), body, customer.encode(), label,
+                subject=kiosk.encode(),
+            )
+        )  # fmt: skip
+
+
+if __name__ == "__main__":
+    asyncio.run(Kiosks(json.loads(sys.argv[1])).run())
--- a/sablewheel/trials/wire.py
+++ b/sablewheel/trials/wire.py
@@ -17,6 +17,7 @@
     label: bytes = b"",
     router: int = 1,
     kb: float = 10.0,
+    subject: bytes = b"",
 ) -> bytes:
     """A try of a ticket; `since` in Unix seconds, `label` of 32 hexadecimal digits or none."""
     fields = b"ref=%b,since=%d,sender=%d,project=%b,room=%.1f,class_rank=0.5" % (
@@ -24,6 +25,8 @@
     )  # fmt: skip
     if label:
         fields += b",replay=%b" % label
+    if subject:
+        fields += b",lookup=%b" % subject
     return frame(b"RPC.CALL", b"%d" % tag, track, fields, body)
 
 
