--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sablewheel.affinity import codec
 from sablewheel.affinity.binding import Binding, Cause, State, newer
 from sablewheel.affinity.budget import DEPTH, Budget
 from sablewheel.affinity.events import (
@@ -42,6 +43,7 @@
 from sablewheel.affinity.plan import Settings
 from sablewheel.affinity.sessions import Phase, Sessions
 from sablewheel.membership.view import Member, View
+from sablewheel.program.features import FaultyFeaturesError, check
 from sablewheel.terms import Nature
 from sablewheel.trials.affinity_model import STARTS, explore
 from sablewheel.trials.affinity_replicas import ReplicaWorld
@@ -279,3 +281,61 @@
     (write,) = [effect for effect in one.step(1.3, Drain(5.0)) if isinstance(effect, Write)]
     assert one.step(1.4, Answered(write.ref, Verdict.WON, write.value)) == []
     assert [type(effect) for effect in one.step(1.5, Over(1, "k"))] == [Send]
+
+
+SAID = [
+    Offer("k", 3, ("pay",), True),
+    Reply("k", 3, False, Binding("k", 5, "a", 1, 2, State.PASSING, "b")),
+    Reply("k", 3, True),
+    Take(Binding("k", 5, "a", 1, 2), Cause.DRAIN, ("pay",)),
+    Told(Binding("k", 5, "a", 1, 2, State.ENDED)),
+    Load(7, 0.5, 4.0),
+]
+
+
+@pytest.mark.parametrize("message", SAID)
+def test_what_servers_say_is_read_as_it_was_said(message: Any) -> None:
+    assert codec.decode(codec.encode(message)) == message
+
+
+@given(st.binary(max_size=60), st.integers(0, 30), st.sampled_from(SAID))
+@settings(derandomize=True, max_examples=200, deadline=None)
+def test_bytes_that_are_no_packet_are_refused_and_break_nothing(noise: bytes, at: int, message: Any) -> None:
+    whole = codec.encode(message)
+    for data in (noise, whole[:at] + noise + whole[at:], whole[:at]):
+        try:
+            codec.decode(data)
+            codec.unpack(data, 1)
+        except codec.BadPacketError:
+            continue
+
+
+NEEDED = """version: 1
+membership: {listen: "127.0.0.1:7700", seeds: ["127.0.0.1:7700"]}
+forwarding: {listen: "127.0.0.1:7702"}
+replication: {copies: 3}
+affinity: """
+
+
+def test_the_section_makes_its_plan() -> None:
+    top = check("f", NEEDED + "{key: [customer, router], idle-s: 60, moves-per-s: 5}")
+    plan = top.sections()["affinity"].plan()
+    assert plan.fields == ("customer", "router")
+    assert (plan.settings.idle, plan.settings.moves_per_s, plan.settings.keep_versions) == (60.0, 5.0, 3)
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("{key: [customer, colour]}", "affinity.key"),
+        ("{key: []}", "one to three different fields"),
+        ("{load-factor: 1}", "greater than 1"),
+        ("{moves-per-second: 5}", "moves-per-s may be meant"),
+        ("{offer-within-s: 5}", "more than bind-within-s"),
+    ],
+)
+def test_faults_of_the_section_are_told_by_key(text: str, says: str) -> None:
+    with pytest.raises(FaultyFeaturesError, match=says):
+        check("f", NEEDED + text)
+    with pytest.raises(FaultyFeaturesError, match="needs the section"):
+        check("f", "version: 1\naffinity: {}\n")
