Affinity's shell tested over the real forward path and replicas

Affinity's shell tested over the real forward path and replicas; a leaver stays in the view while tickets come.

Need: a leaver that had handed over left the view at once, and denied labelled tickets that still came for the rest of its grace.

--- a/sablewheel/affinity/placer.py
+++ b/sablewheel/affinity/placer.py
@@ -61,7 +61,7 @@
 WITHIN = 1.0  # seconds after which a frame is worth nothing: each step of a handover is repeated
 LOADS_EVERY = 0.5
 ACTIVE = "policy/active"  # the fact of the view that names the active version, as VERSION or VERSION:...
-LEAVE_SHARE = 0.9  # of the grace, after which a drain that has not ended stays what it is
+LEAVE_SHARE = 0.9  # of the grace, after which the fleet is told
 LOUD = ("moved", "passed as claims")
 VERDICTS = {"won": Verdict.WON, "read": Verdict.WON, "stale": Verdict.LOST}
 
@@ -304,8 +304,6 @@
         for effect in self.sessions.step(self._clock(), event):
             self._carry_out(effect)
         self._arm()
-        if self._leaving and not self.sessions.owned:
-            self._leave()
 
     def _arm(self) -> None:
         """One timer at the next wake; one that is set for sooner is left and finds nothing due."""
@@ -376,7 +374,9 @@
     # -- the end
 
     def leaving(self) -> None:
-        """The notice to leave: sessions are handed over, and then the fleet is told."""
+        """The notice to leave: sessions are handed over, and the fleet is told late in the grace. Until then
+        this server is in the view, and what still comes here goes on to the new owners.
+        """
         self._leaving = True
         self._tell_loads_once()
         self._step(Drain(self._grace))
--- /dev/null
+++ b/tests/test_affinity_placer.py
@@ -0,0 +1,232 @@
+"""Affinity's shell on the real forward path and replicas, over made links with a made clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+from test_replication_keeper import Time, Told
+
+from sablewheel.affinity.events import Active
+from sablewheel.affinity.placer import KIND, Affinity, Watching
+from sablewheel.affinity.plan import AffinityPlan, Settings
+from sablewheel.forwarding.forward import Forward
+from sablewheel.forwarding.passing import Passing
+from sablewheel.membership.view import Fact, Member, View
+from sablewheel.replication.keeper import Keeper
+from sablewheel.replication.plan import ReplicationPlan
+from sablewheel.replication.plan import Settings as ReplicaSettings
+from sablewheel.routing.exchange import UNWITNESSED, Exchange, Place
+from sablewheel.routing.seam import UNREMEMBERED
+from sablewheel.terms import Customer, Nature, Outcome, Router, Ticket, Track
+
+NAMES = "abc"
+TRACKS = {b"lookup": Track(Nature.REDOABLE, 1.0, 4.0), b"record": Track(Nature.LABELLED, 1.0, 4.0, 6.0)}
+CUSTOMERS = {b"regina": Customer(10.0)}
+
+
+class Wires:
+    """Links that lose nothing but where they are cut."""
+
+    hop = 0.001
+
+    def __init__(self, time: Time, name: str, all_of_them: dict[str, Wires]) -> None:
+        self.time, self.name, self.others, self.cut = time, name, all_of_them, set[str]()
+        self.handlers: dict[str, Callable[[str, bytes], None]] = {}
+        all_of_them[name] = self
+
+    def on(self, kind: str, handler: Callable[[str, bytes], None], parted: bool = False) -> None:
+        self.handlers[kind] = handler
+
+    def on_broken(self, told: Callable[[str], None]) -> None: ...
+
+    def send(
+        self, to: str, kind: str, data: bytes, within: float, unsent: Callable[[], None] | None = None
+    ) -> bool:
+        if to in self.cut:
+            return False
+        self.time.after(0.001, lambda: self.others[to].handlers[kind](self.name, data))
+        return True
+
+
+class Server:
+    """One server: the dispatch is `arrived` here, which runs all at once and ends when told."""
+
+    def __init__(self, time: Time, name: str, wires: dict[str, Wires], view: View, **keys: Any) -> None:
+        self.time, self.name, self.links = time, name, Wires(time, name, wires)
+        self.counts, self.running, self.left = Counter[str](), list[Exchange](), 0
+        scheduler, clock = cast(Any, time), lambda: time.now
+        links = cast(Any, self.links)
+        self.forward = Forward(
+            scheduler, links, Passing(), 1000, TRACKS, CUSTOMERS, lambda: self.witness, clock
+        )
+        settings = ReplicaSettings(longest=9.0, cold_waits=False, slots=8)
+        self.keeper = Keeper(
+            scheduler, links, ReplicationPlan(settings), name, 1, UNREMEMBERED, UNWITNESSED,
+            self.never_begun, self.count, clock=clock,
+        )  # fmt: skip
+        self.fleet = SimpleNamespace(
+            me=name, node=SimpleNamespace(me=SimpleNamespace(incarnation=1)), view=view,
+            on_view=self.on_view, leave=self.leave,
+        )  # fmt: skip
+        self.witness: Any = UNWITNESSED
+        self.affinity = Affinity(
+            scheduler, AffinityPlan(settings=Settings(**keys)), cast(Any, self.fleet), links, self.forward,
+            self.keeper, self.keeper, self.keeper, CUSTOMERS, lambda: 1.0, 4.0, 5.0, self.count, clock,
+        )  # fmt: skip
+        self.witness = Watching(self.affinity)
+        self.desk = self.affinity.desk(self.forward.desk(self))
+        self.keeper.view(view)
+        self.see(view)
+
+    def on_view(self, callback: Callable[[View], None]) -> None:
+        self.see = callback
+
+    def leave(self) -> None:
+        self.left += 1
+
+    def count(self, what: str) -> None:
+        self.counts[what] += 1
+
+    def arrived(self, exchange: Exchange) -> None:
+        exchange.place = Place.RUNNING
+        self.affinity.before_run(exchange, self.running.append)
+
+    def gone(self, exchange: Exchange) -> None: ...
+
+    def never_begun(self, exchange: Exchange) -> None:
+        self.affinity.ended(exchange, Outcome.MOOT, b"")
+
+    def end(self, exchange: Exchange) -> None:
+        self.running.remove(exchange)
+        self.affinity.ended(exchange, Outcome.WORKED, b"done")
+        exchange.place = Place.OVER
+        exchange.complete(b"done")
+
+
+class Three:
+    def __init__(self, **keys: Any) -> None:
+        self.time, wires = Time(), dict[str, Wires]()
+        self.view = View(1, tuple(Member(name, "", f"z{name}", "", 1) for name in NAMES))
+        self.servers = {name: Server(self.time, name, wires, self.view, **keys) for name in NAMES}
+        self.time.run(1.0)
+        self.names = 0
+
+    def bring(self, at: str, track: bytes = b"record", subject: str = "kiosk-1") -> tuple[Exchange, Told]:
+        told, server, self.names = Told(), self.servers[at], self.names + 1
+        label = b"%032x" % self.names if track == b"record" else None
+        ticket = Ticket(
+            TRACKS[track], Router(), CUSTOMERS[b"regina"], self.time.now, 1.0, subject=subject or None
+        )
+        ticket.due = self.time.now + 3.0
+        name = b"%016x" % self.names
+        exchange = Exchange(name, track, b"body", self.names, label, ticket, cast(Any, told), server.witness)
+        server.desk.arrived(exchange)
+        return exchange, told
+
+    def running(self) -> dict[str, int]:
+        return {name: len(one.running) for name, one in self.servers.items() if one.running}
+
+    def end_all(self) -> None:
+        for server in self.servers.values():
+            for exchange in list(server.running):
+                server.end(exchange)
+        self.time.run(0.5)
+
+
+@pytest.mark.parametrize("track", TRACKS)
+def test_a_session_has_one_server_wherever_its_tickets_come(track: bytes) -> None:
+    three = Three()
+    told = []
+    for at in "abcab":
+        told.append(three.bring(at, track)[1])
+        three.time.run(0.5)
+    assert list(three.running().values()) == [5]
+    three.end_all()
+    assert [one.answers for one in told] == [[("completed", b"done", 0.0)]] * 5
+
+
+def test_a_ticket_without_a_session_is_served_where_it_comes() -> None:
+    three = Three()
+    three.bring("b", subject="")
+    three.time.run(0.5)
+    assert three.running() == {"b": 1} and three.servers["b"].affinity.counts["without_session"] == 1
+
+
+def test_a_drain_hands_over_after_the_run_and_tells_the_fleet_then() -> None:
+    three = Three()
+    three.bring("a")
+    three.time.run(0.5)
+    (owner,) = three.running()
+    three.servers[owner].affinity.leaving()
+    three.time.run(1.0)
+    other = next(name for name in NAMES if name != owner)
+    _, waits = three.bring(other)  # it waits for the heir
+    three.time.run(0.3)
+    assert three.running() == {owner: 1} and not three.servers[owner].left
+    three.end_all()
+    three.time.run(1.0)
+    (heir,) = three.running()
+    assert heir != owner and not waits.answers
+    three.bring(owner)  # one that comes late goes on to the heir
+    three.time.run(0.3)
+    assert three.running() == {heir: 2} and not three.servers[owner].left
+    three.end_all()
+    assert waits.answers == [("completed", b"done", 0.0)]
+    three.time.run(5.0)
+    assert three.servers[owner].left == 1
+
+
+def test_an_owner_out_of_reach_is_not_succeeded() -> None:
+    three = Three()
+    three.bring("a")
+    three.time.run(0.5)
+    (owner,) = three.running()
+    other = next(name for name in NAMES if name != owner)
+    three.bring(other, b"lookup")
+    three.time.run(0.3)
+    three.servers[other].links.cut.add(owner)
+    _, denied = three.bring(other)
+    three.bring(other, b"lookup")
+    three.time.run(0.5)
+    assert denied.answers == [("denied", b"", 0.2)]
+    assert three.running() == {owner: 2, other: 1}
+
+
+def test_who_gave_up_while_its_owner_was_looked_for_is_not_run() -> None:
+    three = Three()
+    exchange, told = three.bring("a", b"lookup")
+    assert exchange.abandon()
+    three.servers["a"].desk.gone(exchange)
+    three.time.run(1.0)
+    assert three.running() == {} and told.answers == [] and three.servers["a"].affinity.settled()
+
+
+def test_the_fleets_fact_makes_a_version_active_and_moves_nobody() -> None:
+    three = Three()
+    three.bring("a")
+    three.time.run(0.5)
+    (owner,) = three.running()
+    view = View(2, three.view.members, (Fact("policy/active", "7:abc:"),))
+    for server in three.servers.values():
+        server.keeper.view(view)
+        server.see(view)
+    three.time.run(1.0)
+    three.bring(next(name for name in NAMES if name != owner))
+    three.time.run(0.5)
+    sessions = three.servers[owner].affinity.sessions
+    assert three.running() == {owner: 2} and sessions.version == 7
+    assert next(iter(sessions.owned.values())).binding.version == 1
+    three.servers[owner].affinity.activate(Active(8, mandatory=True))
+    three.time.run(0.5)
+    assert next(iter(sessions.owned.values())).binding.version == 8
+
+
+def test_a_bad_packet_is_counted_and_dropped() -> None:
+    three = Three()
+    for data in (b"", b"\xff" * 9, b"\x08\x09"):
+        three.servers["a"].links.handlers[KIND]("b", data)
+    assert three.servers["a"].affinity.gauges()["affinity_packets_bad"] == 3
