--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from contextlib import closing
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -40,6 +41,7 @@
     Gone,
     Got,
     Judged,
+    Leaving,
     Over,
     Passing,
     Send,
@@ -54,8 +56,11 @@
 from sablewheel.routing.exchange import UNWITNESSED, Exchange
 from sablewheel.terms import Nature, Router, Ticket, Track
 from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.trials.fleet import LISTEN, Block
+from sablewheel.trials.forwarding import KEYS, Stage
+from sablewheel.trials.forwarding import TRACKS as SHARES
 from sablewheel.trials.made_fleet import MadeFleet
-from sablewheel.trials.rig import free_port
+from sablewheel.trials.rig import Rig, free_port
 
 PATIENCE = 5.0
 
@@ -168,6 +173,14 @@
     assert core.step(0.3, Got("c", Cancel(5))) == [Abandon(("c", 5))]
 
 
+def test_a_member_that_leaves_takes_nothing_more_in_and_finishes_what_it_has() -> None:
+    core = Passing()
+    core.step(0.0, Got("a", Pass(1, passed(), 0.0, 1.0)))
+    core.step(0.1, Leaving())
+    assert core.step(0.1, Got("a", Pass(2, passed(), 0.0, 1.0))) == [Send("a", Refused(2), 1.0)]
+    assert core.step(0.2, Over(("a", 1), done(1)))[0].message == done(1)  # type: ignore[union-attr]
+
+
 def test_a_caller_that_leaves_takes_its_ticket_along() -> None:
     core = Passing()
     core.step(0.0, wanted(1))
@@ -676,6 +689,20 @@
     paired(body)
 
 
+def test_what_no_frame_can_carry_is_served_here_and_a_result_too_large_ends_in_an_error() -> None:
+    def body(scheduler: Scheduler, pair: Pair) -> None:
+        pair.ask(b"stamp")
+        pair.guest().complete(b"x" * (2 << 20))
+        wait(scheduler, lambda: pair.router.told)
+        assert pair.router.told == [("terminated",)]
+        ticket = Ticket(TRACKS[b"stamp"], Router(), None, scheduler.clock.now, 10.0)
+        long = Exchange(b"n" * 65, b"stamp", b"body", 1, None, ticket, pair.router)
+        pair.forwards["a"].arrived(long)
+        assert pair.engines["a"].open == [long]
+
+    paired(body)
+
+
 def test_a_lost_link_ends_each_ticket_by_its_nature() -> None:
     def body(scheduler: Scheduler, pair: Pair) -> None:
         asked = {track: pair.ask(track) for track in TRACKS}
@@ -701,11 +728,36 @@
         wait(scheduler, lambda: pair.engines["a"].open == [exchange])
         pair.forwards["a"].placer = To(None)
         pair.ask(b"lookup")
-        assert len(pair.engines["a"].open) == 2
+        pair.forwards["a"].placer = None  # type: ignore[assignment]  # a fault in who places costs no ticket
+        pair.ask(b"lookup")
+        assert len(pair.engines["a"].open) == 3 and pair.forwards["a"].counts["faults"] == 1
 
     paired(body)
 
 
+def test_two_servers_serve_each_other_s_tickets_and_leave_in_order() -> None:
+    with Rig(1) as rig, closing(Block()) as block:
+        stage = Stage(rig, block.second, "spread", 0, 2, 1, keys=KEYS)
+        for name in stage.names:
+            stage.start(name)
+        for name in stage.names:
+            stage.wait_up(name)
+        assert stage.wait_agreed(stage.names, 20.0) is not None, stage.processes["m0"].tail()
+        stage.start("m1")  # a second one finds its doors taken, and says which
+        assert stage.processes["m1"].popen.wait(20.0) == 1
+        assert f"sablewheel: membership.listen: {stage.host('m1')}:" in stage.processes["m1"].tail(50)
+        stage.processes["m1"] = rig.processes[-2]
+        asks = rig.router("r-m0", [f"{stage.host('m0')}:{LISTEN}"], rate=40, seconds=2.0, tracks=SHARES)
+        assert asks.popen.wait(20.0) == 0
+        tries = list(rig.held("r-m0"))
+        assert len(tries) > 40 and {one["how"] for one in tries} <= {"completed", "denied"}
+        guests = (rig.folder / "m1.guests").read_text().splitlines()
+        assert len(guests) > 0.4 * len(tries)
+        assert [stage.processes[name].leave() for name in stage.names] == [0, 0]
+        assert int(rig.counters(stage.processes["m0"])["forward_answer_completed"]) > 0
+        stage.relay.close()
+
+
 @pytest.mark.parametrize(
     ("text", "says"),
     [
