--- a/sablewheel/trials/replication_model.py
+++ b/sablewheel/trials/replication_model.py
@@ -250,6 +250,20 @@
          ("lose",)),
         (("view", "a", "2"), ("view", "b", "2"), ("view", "d", "2"), ("claim", "d")), "d",
     ),
+    "two views in a row, before anybody has caught up": Start(
+        (FIRST, (("a", 1), ("b", 1), ("d", 2)), (("b", 1), ("d", 2), ("e", 3))),
+        (("claim", "a"), ("deliver", "a", "c"), ("deliver", "c", "a"), ("deliver", "a", "c"),
+         ("view", "b", "2"), ("view", "d", "2")),
+        (("view", "a", "2"), ("view", "b", "3"), ("view", "d", "3"), ("view", "e", "3"), ("claim", "e")), "d",
+        (), -2,
+    ),
+    "one hears of no view but the last": Start(
+        (FIRST, (("a", 1), ("b", 1), ("d", 2)), (("b", 1), ("d", 2), ("e", 3))),
+        (("claim", "a"), ("deliver", "a", "c"), ("deliver", "c", "a"), ("deliver", "a", "c"),
+         ("view", "d", "2")),
+        (("view", "a", "2"), ("view", "b", "3"), ("view", "d", "3"), ("view", "e", "3"), ("claim", "e")), "d",
+        (), -2,
+    ),
     "a holder gives way to a new one": Start(
         (FIRST, (("a", 1), ("b", 1), ("d", 2))),
         (("claim", "a"), ("deliver", "a", "c"), ("deliver", "c", "a"), ("deliver", "a", "c"),
@@ -306,12 +320,12 @@
         return {"states": len(came), "settled": settled, "whole": whole, "wrong": wrong, "steps": steps[::-1]}
 
     def last_claim(world: World) -> str:
-        if not world.won:
-            return ""
         views = tuple(one for one in world.left if one[0] == "view")
         rested = space.settle(world._replace(left=views))
         if len(rested.won) > 1:
             return f"won by {' and by '.join(rested.won)}, once all had arrived"
+        if not rested.won:
+            return ""
         rested = rested._replace(left=(("claim", start.asks),))
         rested = space.settle(space.act(rested, ("claim", start.asks)))
         if len(rested.won) > 1:
@@ -333,7 +347,7 @@
                 return found(now, f"won by {' and by '.join(now.won)}")
             if done + 1 < depth:
                 queue.append((now, done + 1))
-            if now.won and settled < leaves and chance.random() < 0.02:
+            if settled < leaves and chance.random() < (0.02 if now.won else 0.002):
                 settled += 1
                 if wrong := last_claim(now):
                     return found(now, wrong)
