--- a/sablewheel/trials/replication_server.py
+++ b/sablewheel/trials/replication_server.py
@@ -1,6 +1,6 @@
 """A server whose replication is broken on purpose.
 
-python -m sablewheel.trials.replication_server one-copy | async-backup | no-fence | clock-wins | early-vote | ...
+python -m sablewheel.trials.replication_server one-copy | async-backup | ... (KINDS of the stage)
 """
 
 from __future__ import annotations
