--- a/sablewheel/replication/catchup.py
+++ b/sablewheel/replication/catchup.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import bisect
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -43,6 +44,7 @@
         self.name, self.birth = name, birth
         self._copies, self._slots = copies, slots
         self.views: dict[int, Placement] = {}
+        self._epochs: list[int] = []  # of the views known, in order
         self.epoch = 0
         self.mine: dict[int, Range] = {}  # held under the present view
         self.kept: dict[int, Range] = {}  # no longer; kept until the new holders have theirs
@@ -77,8 +79,10 @@
                 one.start = start
                 one.ready = self.epoch if one.ready >= start else one.ready
         self.unready = {slot for slot, one in self.mine.items() if one.ready < one.start}
-        for old in sorted(self.views)[:-HISTORY_MOST]:
+        self._epochs = sorted(self.views)
+        for old in self._epochs[:-HISTORY_MOST]:
             del self.views[old]
+        del self._epochs[:-HISTORY_MOST]
 
     def _start(self, slot: int) -> int:
         """The first epoch known of those without a gap whose holders are the present ones."""
@@ -92,13 +96,14 @@
         for epoch, sites in views:
             if 0 < epoch < self.epoch and epoch not in self.views and len(self.views) < HISTORY_MOST:
                 self.views[epoch] = placement(sites, self._copies, self._slots)
+        self._epochs = sorted(self.views)
         if not more:
             self.past_told.add(name)
 
     def older(self, before: int, most: int) -> tuple[tuple[int, Sites], ...]:
         """Of the views known here the latest before that one."""
-        epochs = sorted((epoch for epoch in self.views if epoch < before), reverse=True)[:most]
-        return tuple((epoch, self.views[epoch].sites) for epoch in epochs)
+        epochs = self._epochs[: bisect.bisect_left(self._epochs, before)][-most:]
+        return tuple((epoch, self.views[epoch].sites) for epoch in reversed(epochs))
 
     @property
     def gap(self) -> int:
@@ -132,12 +137,13 @@
 
     def wanted(self, slot: int) -> set[str]:
         """Who in the present view may have something to tell of it, and has not."""
-        one, found = self.mine[slot], set()
+        one = self.mine[slot]
+        found: set[str] = set()
         present = set(self.names)
         source = max([one.ready, *(ready for _, ready in one.told.values())])
-        for epoch, placed in self.views.items():
-            if epoch >= source:
-                found |= set(placed.names(slot)) & present
+        for epoch in self._epochs[bisect.bisect_left(self._epochs, source) :]:
+            found.update(self.views[epoch].names(slot))
+        found &= present
         return found - set(one.told) - {self.name}
 
     def standing(self, slot: int) -> Standing:
--- a/sablewheel/replication/keeper.py
+++ b/sablewheel/replication/keeper.py
@@ -197,7 +197,8 @@
             if outcome is Outcome.MOOT:
                 self._step(Free(label))
             else:
-                self._unstored[label] = []
+                if label in self.replica.owns:  # else its life is over, and nobody else keeps it
+                    self._unstored[label] = []
                 worked = outcome is Outcome.WORKED
                 self._step(Finish(label, "worked" if worked else "failed", result if worked else b""))
         self._memory.ended(exchange, outcome, result)
--- a/sablewheel/replication/replica.py
+++ b/sablewheel/replication/replica.py
@@ -335,8 +335,8 @@
         if one.until <= self._now:
             return self._over(one, "unreachable")
         if not self.epoch:
-            return
-        if one.epoch != self.epoch or (one.tries < 0):
+            return self._arm(one, self._now + self._set.retry_most)
+        if one.epoch != self.epoch or one.tries < 0:
             one.tries = -one.tries
             return self._begin(one)
         one.offered = one.offered or one.proposed is not None
