A leaver takes in its sessions' tickets until they are handed over

A leaver takes in its sessions' tickets until they are handed over; a fault in who decides costs no ticket.

--- a/sablewheel/affinity/placer.py
+++ b/sablewheel/affinity/placer.py
@@ -142,7 +142,18 @@
                 return exchange.terminate()  # the name of an open ticket: as the dispatch would
         elif not exchange.session:
             return self._forward.serve(exchange)
-        self._step(self._came(exchange, guest.sender if guest is not None else ""))
+        came = self._came(exchange, guest.sender if guest is not None else "")
+        try:
+            self._step(came)
+        except Exception:
+            # A fault in who decides must not cost the ticket: what may run twice can be served where it came.
+            self.counts["faults"] += 1
+            log.exception("session not found, for a fault")
+            if self._held.pop(came.ref, None) is not None:
+                if came.strict:
+                    exchange.deny(self._plan.settings.come_back, False)
+                else:
+                    self._forward.serve(exchange)
 
     def gone(self, exchange: Exchange) -> None:
         """Nobody waits any more; one that is still held is let go of when it is decided on."""
@@ -391,6 +402,7 @@
     def _leave(self) -> None:
         if not self._left:
             self._left = True
+            self._forward.leaving()
             self._fleet.leave()
 
     def settled(self) -> bool:
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -187,7 +187,7 @@
     return Part(
         desk=forward.desk,
         sockets=plan.links.links_most,
-        leaving=forward.leaving,
+        leaving=lambda: forward.leaving() if ground.leave is not None else None,
         end_round=links.end_round,
         settled=lambda: forward.settled and links.quiet,
         close=lambda _: links.close(),
@@ -255,7 +255,7 @@
         grace,
         ground.count,
     )
-    ground.leave = None  # the fleet is told once sessions are handed over
+    ground.leave = None  # the fleet is told, and peers' tickets are refused, once sessions are handed over
     return Part(
         witness=Watching(affinity),
         memory=affinity,
--- a/tests/test_affinity_placer.py
+++ b/tests/test_affinity_placer.py
@@ -28,6 +28,11 @@
 CUSTOMERS = {b"regina": Customer(10.0)}
 
 
+class Clock(Time):
+    def read(self) -> float:
+        return self.now
+
+
 class Wires:
     """Links that lose nothing but where they are cut."""
 
@@ -109,7 +114,7 @@
 
 class Three:
     def __init__(self, **keys: Any) -> None:
-        self.time, wires = Time(), dict[str, Wires]()
+        self.time, wires = Clock(), dict[str, Wires]()
         self.view = View(1, tuple(Member(name, "", f"z{name}", "", 1) for name in NAMES))
         self.servers = {name: Server(self.time, name, wires, self.view, **keys) for name in NAMES}
         self.time.run(1.0)
