--- a/sablewheel/capability/shell.py
+++ b/sablewheel/capability/shell.py
@@ -154,7 +154,7 @@
 
     def route(self, exchange: Exchange) -> Route:
         """Where it may be served; of a ticket that a peer passed on, the zone where it came in counts."""
-        zone = self._zone(getattr(exchange.caller, "peer", self._fleet.me))
+        zone = self._zone(getattr(exchange.caller, "sender", self._fleet.me))
         key = (exchange.track, exchange.ticket.customer, zone)
         found = self._routes.get(key)
         if found is None:
--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -12,6 +12,9 @@
 from ..trials.verdict import Verdict
 
 TRIALS = {
+    "affinity": "affinity",
+    "affinity-model": "affinity_model",
+    "affinity-size": "affinity_size",
     "forwarding": "forwarding",
     "ledger": "ledger",
     "ledger-cost": "ledger_cost",
@@ -22,6 +25,9 @@
     "policy": "policy",
     "recall": "recall",
     "recall-cost": "recall_cost",
+    "replication": "replication",
+    "replication-model": "replication_model",
+    "replication-size": "replication_size",
 }
 
 
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -13,14 +13,16 @@
 import os
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+from ..affinity.plan import AffinityPlan
 from ..capability.plan import PolicyPlan
 from ..forwarding.plan import ForwardingPlan
 from ..ledger.plan import Depth, LedgerPlan
 from ..membership.plan import MembershipPlan
 from ..recall.plan import RecallPlan
+from ..replication.plan import ReplicationPlan
 from ..routing.exchange import UNWITNESSED, Exchange, Witness
 from ..routing.seam import UNREMEMBERED, Memory
 from ..routing.server import Desk
@@ -38,6 +40,7 @@
     from ..forwarding.forward import Forward
     from ..forwarding.links import Links
     from ..membership.shell import Fleet
+    from ..replication.keeper import Keeper
 
 
 @dataclass
@@ -65,6 +68,8 @@
     links: Links | None = None  # by forwarding
     forward: Forward | None = None  # by forwarding; who places tickets sets its placer
     policies: Policies | None = None  # by policy: who may serve what, `on_active`, and the placer above
+    replication: Keeper | None = None  # by replication; bindings and documents go through it
+    leave: Callable[[], None] | None = None  # by membership; None where another tells the fleet in its time
 
 
 def _no_blocks(plan: Any) -> bool:
@@ -161,7 +166,13 @@
     with _listening("membership", plan.listen):
         fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed, says=ground.says)
     ground.fleet = fleet
-    return Part(leaving=fleet.leave, close=lambda _: fleet.close(), gauges=fleet.gauges)
+    ground.leave = fleet.leave
+
+    def leaving() -> None:
+        if ground.leave is not None:
+            ground.leave()
+
+    return Part(leaving=leaving, close=lambda _: fleet.close(), gauges=fleet.gauges)
 
 
 def _forwarding(ground: Ground, plan: ForwardingPlan) -> Part:
@@ -188,7 +199,7 @@
     return Part(
         desk=forward.desk,
         sockets=plan.links.links_most,
-        leaving=forward.leaving,
+        leaving=lambda: forward.leaving() if ground.leave is not None else None,
         end_round=links.end_round,
         settled=lambda: forward.settled and links.quiet,
         close=lambda _: links.close(),
@@ -233,6 +244,83 @@
     )
 
 
+def _replication(ground: Ground, plan: ReplicationPlan) -> Part:
+    from ..replication.keeper import Keeper, longest
+
+    fleet, links, posting = ground.fleet, ground.links, ground.posting
+    assert fleet is not None and links is not None and ground.forward is not None  # the section needs them
+    slack = posting.machine.slack
+    settings = replace(plan.settings, longest=longest(posting.tracks, slack))
+    keeper = ground.replication = Keeper(
+        ground.scheduler,
+        links,
+        replace(plan, settings=settings),
+        posting.name,
+        fleet.node.me.incarnation,
+        ground.memory,
+        ground.witness,
+        ground.never_begun,
+        ground.count,
+        posting.seed,
+        slack,
+    )
+    ground.forward.owner = keeper
+    fleet.on_view(keeper.view)
+    return Part(
+        witness=keeper,
+        memory=keeper,
+        settled=keeper.settled,
+        close=lambda _: keeper.close(),
+        gauges=keeper.gauges,
+    )
+
+
+def _affinity(ground: Ground, plan: AffinityPlan) -> Part:
+    from ..affinity.events import Active
+    from ..affinity.placer import Affinity, Watching
+
+    fleet, links, forward, keeper = ground.fleet, ground.links, ground.forward, ground.replication
+    assert fleet and links and forward and keeper  # the section needs theirs
+    machine, clock = ground.posting.machine, ground.scheduler.clock
+    born = clock.now
+
+    def warmth() -> float:
+        if not machine.fresh_start or machine.warm_up <= 0:
+            return 1.0
+        return machine.cold_from + (1.0 - machine.cold_from) * min((clock.now - born) / machine.warm_up, 1.0)
+
+    grace = min(machine.drain_grace, ground.posting.stop_after)
+    affinity = Affinity(
+        ground.scheduler,
+        plan,
+        fleet,
+        links,
+        forward,
+        keeper,
+        ground.memory,
+        ground.witness,
+        ground.posting.customers,
+        warmth,
+        float(machine.cores),
+        grace,
+        ground.count,
+    )
+    ground.leave = None  # the fleet is told, and peers' tickets are refused, once sessions are handed over
+    policies = ground.policies
+    if policies is not None:
+        affinity.flow_of = lambda exchange: policies.route(exchange).flow
+        policies.on_active(lambda number, able: affinity.activate(Active(max(number, 1), able)))
+    return Part(
+        witness=Watching(affinity),
+        memory=affinity,
+        desk=affinity.desk,
+        leaving=affinity.leaving,
+        settled=affinity.settled,
+        close=lambda _: affinity.close(),
+        gauges=affinity.gauges,
+    )
+
+
 DECLARED = (
     Declared("ledger", _ledger, blocks=lambda plan: plan.depth is Depth.DURABLE),
     Declared("recall", _recall, blocks=lambda plan: plan.folder is not None),
@@ -243,6 +331,8 @@
         _policy,
         tells=lambda plan, posting, features: (("class", _ability(plan, posting, features).said),),
     ),
+    Declared("replication", _replication),
+    Declared("affinity", _affinity),
 )
 
 
