--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -13,16 +13,29 @@
 from pathlib import Path
 from typing import Annotated, Any, ClassVar, Literal
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    field_validator,
+    model_validator,
+)
 from ruamel.yaml import YAML
 from ruamel.yaml.comments import CommentedMap, CommentedSeq
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 
+from ..affinity.plan import AffinityPlan
+from ..affinity.plan import Settings as AffinitySettings
+from ..capability.plan import PolicyPlan, Rules
 from ..forwarding.plan import ForwardingPlan, LinkSettings, PassSettings
 from ..ledger.periods import PeriodError, zone_of
 from ..ledger.plan import Answers, Calendar, CollectorPlan, Depth, ExportPlan, LedgerPlan, Length
 from ..membership.plan import MembershipPlan, Settings
 from ..recall.plan import RecallPlan, Start, Unreadable
+from ..replication.plan import ReplicationPlan
+from ..replication.plan import Settings as ReplicaSettings
 
 VERSION = 1
 VARIABLE = "SABLEWHEEL_FEATURES"
@@ -55,6 +68,9 @@
     collector: CollectorPlan | None = None
     membership: MembershipPlan | None = None
     forwarding: ForwardingPlan | None = None
+    policy: PolicyPlan | None = None
+    replication: ReplicationPlan | None = None
+    affinity: AffinityPlan | None = None
 
     @property
     def any(self) -> bool:
@@ -378,6 +394,148 @@
         return ForwardingPlan((host, int(port)), self.advertise or self.listen, links, passing)
 
 
+class PolicySection(Section):
+    """The operators' routing policy, as each hardware class can carry it out."""
+
+    needs = ("membership", "forwarding")
+
+    file: str | None = None
+    speed: Annotated[float, Field(ge=0.01, le=100)] = 1.0
+    dwell_down_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+    dwell_up_s: Annotated[float, Field(ge=0, le=3600)] = 20.0
+    up_margin: Annotated[float, Field(ge=1, le=10)] = 1.25
+    rest_s: Annotated[float, Field(ge=0, le=3600)] = 10.0
+    settle_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+    stagger_s: Annotated[float, Field(ge=0.1, le=600)] = 5.0
+    translate_within_s: Annotated[float, Field(ge=1, le=3600)] = 120.0
+    fetch_within_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
+    offer_every_s: Annotated[float, Field(ge=0.1, le=600)] = 2.0
+    come_back_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+
+    @model_validator(mode="after")
+    def _fits(self) -> PolicySection:
+        self.plan()  # Rules says what does not go together
+        return self
+
+    def plan(self) -> PolicyPlan:
+        rules = Rules(
+            dwell_down=self.dwell_down_s,
+            dwell_up=self.dwell_up_s,
+            up_margin=self.up_margin,
+            rest=self.rest_s,
+            settle=self.settle_s,
+            stagger=self.stagger_s,
+            translate_within=self.translate_within_s,
+            fetch_within=self.fetch_within_s,
+            offer_every=self.offer_every_s,
+            come_back=self.come_back_s,
+        )
+        return PolicyPlan(self.file, self.speed, rules)
+
+
+class ReplicationSection(Section):
+    """Labelled runs, bindings and documents on several members each."""
+
+    needs = ("membership", "forwarding")
+
+    copies: Annotated[int, Field(ge=1, le=9)] = 3
+    ranges: Annotated[int, Field(ge=64, le=65536)] = 1024
+    entries_most: Annotated[int, Field(ge=100, le=10_000_000)] = 200_000
+    memory_mb: Annotated[int, Field(ge=1, le=65536)] = 64
+    result_most_kb: Annotated[int, Field(ge=0, le=512)] = 64
+    claim_within_s: Annotated[float, Field(ge=0.02, le=30)] = 0.4
+    repeat_after_s: Annotated[float, Field(ge=0.005, le=5)] = 0.08
+    hold_most_s: Annotated[float, Field(ge=0, le=10)] = 0.25
+    deny_after_s: Annotated[float, Field(ge=0.05, le=60)] = 0.3
+    repair_every_s: Annotated[float, Field(ge=0.1, le=3600)] = 2.0
+    cold: Literal["wait", "run"] = "wait"
+
+    @model_validator(mode="after")
+    def _fits(self) -> ReplicationSection:
+        if self.copies % 2 == 0:
+            raise ValueError(f"copies {self.copies}: odd is wanted: one more outlives no more losses")
+        if self.claim_within_s < 2 * self.repeat_after_s:
+            raise ValueError(
+                f"claim-within-s {self.claim_within_s:g} must be at least twice repeat-after-s "
+                f"{self.repeat_after_s:g}, or one lost frame denies a ticket"
+            )
+        return self
+
+    def plan(self) -> ReplicationPlan:
+        settings = ReplicaSettings(
+            copies=self.copies,
+            slots=self.ranges,
+            entries_most=self.entries_most,
+            bytes_most=self.memory_mb << 20,
+            result_most=self.result_most_kb << 10,
+            patience=self.claim_within_s,
+            retry=self.repeat_after_s,
+            repair_every=self.repair_every_s,
+            cold_waits=self.cold == "wait",
+        )
+        return ReplicationPlan(settings, self.hold_most_s, self.deny_after_s)
+
+
+class AffinitySection(Section):
+    """Sessions that stay with their server."""
+
+    needs = ("membership", "forwarding", "replication")
+
+    key: tuple[Literal["customer", "subject", "router"], ...] = ("customer", "subject")
+    idle_s: Annotated[float, Field(ge=1, le=86400 * 7)] = 1800.0
+    keep_versions: Annotated[int, Field(ge=1, le=64)] = 3
+    retire_after_s: Annotated[float, Field(ge=1, le=86400 * 31)] = 86400.0
+    moves_per_s: Annotated[float, Field(gt=0, le=100_000)] = 50.0
+    load_factor: Annotated[float, Field(gt=1, le=10)] = 1.25
+    bound_least: Annotated[int, Field(ge=1, le=1_000_000)] = 16
+    sessions_most: Annotated[int, Field(ge=1, le=10_000_000)] = 100_000
+    routes_most: Annotated[int, Field(ge=1, le=10_000_000)] = 200_000
+    seeks_most: Annotated[int, Field(ge=1, le=1_000_000)] = 4096
+    waiting_most: Annotated[int, Field(ge=1, le=10_000)] = 64
+    bind_within_s: Annotated[float, Field(ge=0.1, le=60)] = 2.0
+    offer_within_s: Annotated[float, Field(ge=0.02, le=30)] = 0.5
+    handover_within_s: Annotated[float, Field(ge=0, le=600)] = 3.0
+    repeat_after_s: Annotated[float, Field(ge=0.02, le=30)] = 0.25
+    claim_within_s: Annotated[float, Field(ge=0.02, le=30)] = 0.5
+    come_back_s: Annotated[float, Field(ge=0, le=60)] = 0.2
+
+    @field_validator("key", mode="before")
+    @classmethod
+    def _listed(cls, value: Any) -> Any:
+        return tuple(value) if isinstance(value, list) else value
+
+    @model_validator(mode="after")
+    def _fits(self) -> AffinitySection:
+        if not self.key or len(set(self.key)) != len(self.key):
+            raise ValueError("key: one to three different fields are wanted, as [customer, subject]")
+        if self.offer_within_s > self.bind_within_s:
+            raise ValueError(
+                f"offer-within-s {self.offer_within_s:g} is more than bind-within-s {self.bind_within_s:g}"
+            )
+        return self
+
+    def plan(self) -> AffinityPlan:
+        settings = AffinitySettings(
+            idle=self.idle_s,
+            keep_versions=self.keep_versions,
+            retire_after=self.retire_after_s,
+            moves_per_s=self.moves_per_s,
+            factor=self.load_factor,
+            bound_least=self.bound_least,
+            sessions_most=self.sessions_most,
+            routes_most=self.routes_most,
+            seeks_most=self.seeks_most,
+            waiting_most=self.waiting_most,
+            come_back=self.come_back_s,
+            offer_within=self.offer_within_s,
+            bind_within=self.bind_within_s,
+            handover_within=self.handover_within_s,
+            repeat=self.repeat_after_s,
+            claim_within=self.claim_within_s,
+        )
+        return AffinityPlan(self.key, settings)
+
+
 class CollectorSection(Section):
     """`sablewheel ledger collect`: a program of its own, not a part of the server."""
 
@@ -415,6 +573,9 @@
     collector: CollectorSection | None = None
     membership: MembershipSection | None = None
     forwarding: ForwardingSection | None = None
+    policy: PolicySection | None = None
+    replication: ReplicationSection | None = None
+    affinity: AffinitySection | None = None
 
     def sections(self) -> dict[str, Any]:
         """Those that are there, under the names that `Features` has for their plans."""
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -13,16 +13,20 @@
 import os
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
+from ..affinity.plan import AffinityPlan
+from ..capability.plan import PolicyPlan
 from ..forwarding.plan import ForwardingPlan
 from ..ledger.plan import Depth, LedgerPlan
 from ..membership.plan import MembershipPlan
 from ..recall.plan import RecallPlan
+from ..replication.plan import ReplicationPlan
 from ..routing.exchange import UNWITNESSED, Exchange, Witness
 from ..routing.seam import UNREMEMBERED, Memory
 from ..routing.server import Desk
+from ..terms import Machine
 from ..transport.background import Background
 from ..transport.bridge import Bridge
 from ..transport.scheduler import Scheduler
@@ -31,9 +35,12 @@
 from .features import Features
 
 if TYPE_CHECKING:
+    from ..capability.ability import Ability
+    from ..capability.shell import Policies
     from ..forwarding.forward import Forward
     from ..forwarding.links import Links
     from ..membership.shell import Fleet
+    from ..replication.keeper import Keeper
 
 
 @dataclass
@@ -52,12 +59,17 @@
     remembered: Callable[[], None]
     fail: Callable[[str], None]
     count: Callable[[str], None]
+    features: Features
+    retune: Callable[[], None] = lambda: None  # the settings that a feature would have are others now
     witness: Witness = UNWITNESSED
     memory: Memory = UNREMEMBERED
     says: tuple[tuple[str, str], ...] = ()  # what all features together have this member say of itself
     fleet: Fleet | None = None  # by membership
     links: Links | None = None  # by forwarding
     forward: Forward | None = None  # by forwarding; who places tickets sets its placer
+    policies: Policies | None = None  # by policy: who may serve what, `on_active`, and the placer above
+    replication: Keeper | None = None  # by replication; bindings and documents go through it
+    leave: Callable[[], None] | None = None  # by membership; None where another tells the fleet in its time
 
 
 def _no_blocks(plan: Any) -> bool:
@@ -68,6 +80,10 @@
     return ()
 
 
+def _no_tells(plan: Any, posting: Posting, features: Features) -> tuple[tuple[str, str], ...]:
+    return ()
+
+
 @dataclass(frozen=True)
 class Declared:
     """One feature. `make` gets the ground and the section's plan, and imports the feature's package."""
@@ -76,6 +92,7 @@
     make: Callable[[Ground, Any], Part]
     blocks: Callable[[Any], bool] = _no_blocks  # whether it has work for the worker thread
     says: Callable[[Any], tuple[tuple[str, str], ...]] = _no_says  # in the fleet's view, of this member
+    tells: Callable[[Any, Posting, Features], tuple[tuple[str, str], ...]] = _no_tells  # the same, of more
 
 
 @contextlib.contextmanager
@@ -149,7 +166,13 @@
     with _listening("membership", plan.listen):
         fleet = Fleet(ground.scheduler, plan, posting.name, posting.seed, says=ground.says)
     ground.fleet = fleet
-    return Part(leaving=fleet.leave, close=lambda _: fleet.close(), gauges=fleet.gauges)
+    ground.leave = fleet.leave
+
+    def leaving() -> None:
+        if ground.leave is not None:
+            ground.leave()
+
+    return Part(leaving=leaving, close=lambda _: fleet.close(), gauges=fleet.gauges)
 
 
 def _forwarding(ground: Ground, plan: ForwardingPlan) -> Part:
@@ -176,7 +199,7 @@
     return Part(
         desk=forward.desk,
         sockets=plan.links.links_most,
-        leaving=forward.leaving,
+        leaving=lambda: forward.leaving() if ground.leave is not None else None,
         end_round=links.end_round,
         settled=lambda: forward.settled and links.quiet,
         close=lambda _: links.close(),
@@ -184,11 +207,132 @@
     )
 
 
+def _ability(plan: PolicyPlan, posting: Posting, features: Features) -> Ability:
+    """What this server can do: by its settings, the features that are on beside it, and its disk."""
+    from ..capability import ability
+
+    recall = features.recall
+    folder = recall.folder if recall is not None else None
+    absent = set(ability.UNKNOWN_HERE)
+    absent |= {name for name, section in ability.SECTIONS.items() if getattr(features, section, None) is None}
+    start = ability.StartUp(
+        posting.memory_bytes,
+        posting.connections_most,
+        disk=folder is not None and ability.lasting(folder),
+        links=features.forwarding is not None,
+        speed=plan.speed,
+        without=frozenset(absent),
+    )
+    return ability.of(posting.machine, start)
+
+
+def _policy(ground: Ground, plan: PolicyPlan) -> Part:
+    from ..capability.shell import Policies
+
+    fleet, links, forward = ground.fleet, ground.links, ground.forward
+    assert fleet is not None and links is not None and forward is not None  # the section needs theirs
+    own = _ability(plan, ground.posting, ground.features)
+    made = Policies(ground.scheduler, plan, fleet, links, own, ground.posting.customers, ground.retune)
+    forward.placer = made  # who places by more than this asks `made.place` in turn
+    ground.policies = made
+    return Part(
+        gate=made.gate,
+        machine=made.machine,
+        hangup=made.hangup,
+        close=lambda _: made.close(),
+        gauges=made.gauges,
+    )
+
+
+def _replication(ground: Ground, plan: ReplicationPlan) -> Part:
+    from ..replication.keeper import Keeper, longest
+
+    fleet, links, posting = ground.fleet, ground.links, ground.posting
+    assert fleet is not None and links is not None and ground.forward is not None  # the section needs them
+    slack = posting.machine.slack
+    settings = replace(plan.settings, longest=longest(posting.tracks, slack))
+    keeper = ground.replication = Keeper(
+        ground.scheduler,
+        links,
+        replace(plan, settings=settings),
+        posting.name,
+        fleet.node.me.incarnation,
+        ground.memory,
+        ground.witness,
+        ground.never_begun,
+        ground.count,
+        posting.seed,
+        slack,
+    )
+    ground.forward.owner = keeper
+    fleet.on_view(keeper.view)
+    return Part(
+        witness=keeper,
+        memory=keeper,
+        settled=keeper.settled,
+        close=lambda _: keeper.close(),
+        gauges=keeper.gauges,
+    )
+
+
+def _affinity(ground: Ground, plan: AffinityPlan) -> Part:
+    from ..affinity.events import Active
+    from ..affinity.placer import Affinity, Watching
+
+    fleet, links, forward, keeper = ground.fleet, ground.links, ground.forward, ground.replication
+    assert fleet and links and forward and keeper  # the section needs theirs
+    machine, clock = ground.posting.machine, ground.scheduler.clock
+    born = clock.now
+
+    def warmth() -> float:
+        if not machine.fresh_start or machine.warm_up <= 0:
+            return 1.0
+        return machine.cold_from + (1.0 - machine.cold_from) * min((clock.now - born) / machine.warm_up, 1.0)
+
+    grace = min(machine.drain_grace, ground.posting.stop_after)
+    affinity = Affinity(
+        ground.scheduler,
+        plan,
+        fleet,
+        links,
+        forward,
+        keeper,
+        ground.memory,
+        ground.witness,
+        ground.posting.customers,
+        warmth,
+        float(machine.cores),
+        grace,
+        ground.count,
+    )
+    ground.leave = None  # the fleet is told, and peers' tickets are refused, once sessions are handed over
+    policies = ground.policies
+    if policies is not None:
+        affinity.flow_of = lambda exchange: policies.route(exchange).flow
+        policies.on_active(lambda number, able: affinity.activate(Active(max(number, 1), able)))
+    return Part(
+        witness=Watching(affinity),
+        memory=affinity,
+        desk=affinity.desk,
+        leaving=affinity.leaving,
+        settled=affinity.settled,
+        close=lambda _: affinity.close(),
+        gauges=affinity.gauges,
+    )
+
+
 DECLARED = (
     Declared("ledger", _ledger, blocks=lambda plan: plan.depth is Depth.DURABLE),
     Declared("recall", _recall, blocks=lambda plan: plan.folder is not None),
     Declared("membership", _membership),
     Declared("forwarding", _forwarding, says=lambda plan: (("link", plan.advertise),)),
+    Declared(
+        "policy",
+        _policy,
+        tells=lambda plan, posting, features: (("class", _ability(plan, posting, features).said),),
+    ),
+    Declared("replication", _replication),
+    Declared("affinity", _affinity),
 )
 
 
@@ -205,6 +349,7 @@
         remembered: Callable[[], None],
         fail: Callable[[str], None],
         count: Callable[[str], None],
+        retune: Callable[[], None] = lambda: None,
     ) -> None:
         self._background = Background(scheduler, moved)
         self._on = [(one, plan) for one in DECLARED if (plan := features.plan(one.section)) is not None]
@@ -220,7 +365,13 @@
             remembered,
             fail,
             count,
-            says=tuple(pair for one, plan in self._on for pair in one.says(plan)),
+            features,
+            retune,
+            says=tuple(
+                pair
+                for one, plan in self._on
+                for pair in (*one.says(plan), *one.tells(plan, posting, features))
+            ),
         )
         made: list[Part] = []
         for one, plan in self._on:
@@ -248,11 +399,25 @@
         return max((part.last_notice() for part in self._made if part.last_notice is not None), default=0)
 
     def desk(self, inner: Desk) -> Desk:
+        for part in self._made:
+            if part.gate is not None:
+                inner = part.gate(inner)
         for part in self._made:
             if part.desk is not None:
                 inner = part.desk(inner)
         return inner
 
+    def machine(self, machine: Machine) -> Machine:
+        for part in self._made:
+            if part.machine is not None:
+                machine = part.machine(machine)
+        return machine
+
+    def hangup(self) -> None:
+        for part in self._made:
+            if part.hangup is not None:
+                part.hangup()
+
     def end_round(self) -> None:
         for end_round in self._end_round:
             end_round()
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -80,7 +80,7 @@
 
     __slots__ = (
         "began", "billed", "body", "caller", "digest", "first", "joined", "label", "name", "notice", "place",
-        "result", "sameness", "tag", "ticket", "took", "track", "witness",
+        "result", "sameness", "session", "tag", "ticket", "took", "track", "witness",
     )  # fmt: skip
 
     def __init__(
@@ -108,6 +108,7 @@
         self.joined: list[Exchange] = []  # repeats that wait for its end
         self.began = 0.0  # when its join was decided
         self.first: Exchange | None = None  # what it repeats
+        self.session = ""  # the key of the session that it belongs to, where sessions are told apart
 
     def asks_same(self, other: Exchange) -> bool:
         """Whether another with this label asks for the same; one remembered over a restart has a digest only.
@@ -141,6 +142,10 @@
         self.witness.gone(self)
         return True
 
+    def detach(self) -> Caller | None:
+        """Its answer is the taker's to give from now on, through the witness; None: nobody waits."""
+        return self._close()
+
     def _close(self) -> Caller | None:
         caller, self.caller = self.caller, None
         return caller
