--- a/sablewheel/trials/replication.py
+++ b/sablewheel/trials/replication.py
@@ -42,11 +42,13 @@
     """The fleet with a forward path and replication."""
 
     broken = ""
+    cold = "wait"
 
     def features(self, name: str) -> str:
         place = self.names.index(name)
         lines = ["forwarding:", f"  listen: {self.host(name)}:{LINK}"]
-        lines += [f"  advertise: {self.relay_host}:{LINK_DOOR + place}", "replication:", "  copies: 3"]
+        lines += [f"  advertise: {self.relay_host}:{LINK_DOOR + place}", "replication:"]
+        lines += ["  copies: 3", f"  cold: {self.cold}"]
         return super(Stage, self).features(name) + "\n".join([*lines, ""])
 
     def start(self, name: str) -> None:
--- a/tests/test_replication_keeper.py
+++ b/tests/test_replication_keeper.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import heapq
+import socket
+import time as clock
 from collections import Counter
 from collections.abc import Callable
+from contextlib import closing
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
@@ -13,6 +17,8 @@
 from hypothesis import strategies as st
 
 from sablewheel.membership.view import Fact, Member, View
+from sablewheel.program.features import FaultyFeaturesError, read
+from sablewheel.protocol.resp import Parser
 from sablewheel.replication import codec, messages
 from sablewheel.replication.entries import EMPTY, Entry, Outcome
 from sablewheel.replication.keeper import Keeper
@@ -23,6 +29,11 @@
 from sablewheel.terms import Nature, Router, Ticket, Track
 from sablewheel.terms import Outcome as Ended
 from sablewheel.transport.scheduler import Scheduler
+from sablewheel.trials import wire
+from sablewheel.trials.fleet import LISTEN, Block
+from sablewheel.trials.forwarding import KEYS
+from sablewheel.trials.replication import Replicas
+from sablewheel.trials.rig import Rig
 
 NAMES = "abc"
 RECORD = Track(Nature.LABELLED, 1.0, 2.0, 6.0)
@@ -257,6 +268,60 @@
     assert fleet.keepers["a"].replica.ranges.gone == {("c", 1)}
 
 
+# -- real servers
+
+
+def ask(stage: Replicas, name: str, ticket: bytes, label: bytes) -> list[bytes]:
+    """The words of the answer to one try of a record, at one server."""
+    with socket.create_connection((stage.host(name), LISTEN), 5.0) as peer:
+        peer.settimeout(5.0)
+        peer.sendall(wire.call(7, ticket, b"record", clock.time(), b"body", b"regina", label))
+        parser = Parser()
+        while data := peer.recv(4096):
+            for words in parser.feed(data):
+                if words[0] == b"7":
+                    return list(words)
+    return []
+
+
+def test_three_servers_answer_one_label_alike_also_when_the_first_is_killed() -> None:
+    with Rig(1) as rig, closing(Block()) as block:
+        stage = Replicas(rig, block.second, "ours", 0, 3, 1, zones=3, keys=KEYS)
+        stage.cold = "run"
+        for name in stage.names:
+            stage.start(name)
+        for name in stage.names:
+            stage.wait_up(name)
+        assert stage.wait_agreed(stage.names, 20.0) is not None, stage.processes["m0"].tail()
+        label, until, answers = b"%032x" % 7, clock.monotonic() + 20.0, list[list[bytes]]()
+        while clock.monotonic() < until and [one[1] for one in answers] != [b"OK"]:
+            answers = [ask(stage, "m0", b"%016x" % (clock.monotonic_ns() % (1 << 60)), label)]
+        answers.append(ask(stage, "m1", b"%016x" % 2, label))
+        stage.processes["m0"].kill()
+        answers.append(ask(stage, "m2", b"%016x" % 3, label))
+        assert [one[1] for one in answers] == [b"OK"] * 3 and len({one[3] for one in answers}) == 1, answers
+        begun = sum(word == "begin" for name in stage.names for word, _, _ in rig.runs(name))
+        assert begun == 1
+        assert [stage.processes[name].leave() for name in ("m1", "m2")] == [0, 0]
+        stage.relay.close()
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("copies: 4", "odd is wanted"),
+        ("claim-within-s: 0.1", "at least twice repeat-after-s"),
+        ("copy: 3", "copies may be meant"),
+        ("cold: maybe", "cold"),
+    ],
+)
+def test_faults_of_the_section_are_told_by_key(tmp_path: Path, text: str, says: str) -> None:
+    file = tmp_path / "features.yaml"
+    file.write_text(f"version: 1\n\nreplication:\n  {text}\n")
+    with pytest.raises(FaultyFeaturesError, match=says):
+        read(file)
+
+
 # -- packets
 
 done = Outcome(1, ("a", 1, 1), "worked", b"r")
