Takes back the hand-over of two leaving holders: one let in could stay out

Takes back the hand-over of two leaving holders: a member let in could stay out of its view.

Reverts the hand-over.

--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -269,7 +269,6 @@
     return Part(
         witness=keeper,
         memory=keeper,
-        leaving=keeper.leaving,
         settled=keeper.settled,
         close=lambda _: keeper.close(),
         gauges=keeper.gauges,
--- a/sablewheel/replication/catchup.py
+++ b/sablewheel/replication/catchup.py
@@ -17,15 +17,14 @@
 from .messages import Viewed
 from .placement import Placement, Seat, Sites, majority, placement
 
-PARTED_FOR = 3.0  # seconds: as long as links to one that left the view linger
 HISTORY_MOST = 256  # views; a range that was not ready for longer waits for its lives to pass
 
 
 class Standing(Enum):
     READY = "ready"
     WAITING = "waiting"  # for an answer of someone who may still give it
-    LOST = "lost"  # what may be missing was decided by some that are gone; nobody can add to it
-    CUT = "cut"  # enough to decide are out of the view, and may be alive
+    LOST = "lost"  # nobody who could know is left
+    CUT = "cut"  # those who could know are out of the view, and may be alive
 
 
 @dataclass(slots=True)
@@ -53,18 +52,13 @@
         self.past_told: set[str] = set()
         self.births: dict[str, int] = {name: birth}
         self.gone: set[Seat] = set()
-        self.parted: dict[str, float] = {}  # who left the view lately, and until when it may still tell
         self.names: tuple[str, ...] = ()
         self.places: frozenset[str] = frozenset()
 
     # -- views
 
-    def view(self, viewed: Viewed, now: float) -> None:
+    def view(self, viewed: Viewed) -> None:
         self.gone |= set(viewed.gone)
-        for name in self.places - {one.name for one in viewed.sites}:
-            self.parted[name] = now + PARTED_FOR
-        for name in [name for name, until in self.parted.items() if until <= now]:
-            del self.parted[name]
         placed = placement(viewed.sites, self._copies, self._slots)
         self.views[viewed.epoch] = placed
         self.epoch, self.names = viewed.epoch, tuple(one.name for one in viewed.sites)
@@ -143,18 +137,13 @@
 
     def wanted(self, slot: int) -> set[str]:
         """Who in the present view may have something to tell of it, and has not."""
-        return self._untold(slot) & self.places
-
-    def hoped(self, slot: int, now: float) -> set[str]:
-        """Who left the view lately and may be alive, as one that leaves in order is; not waited for."""
-        return {name for name in self._untold(slot) - self.places if self.parted.get(name, 0.0) > now}
-
-    def _untold(self, slot: int) -> set[str]:
         one = self.mine[slot]
         found: set[str] = set()
+        present = set(self.names)
         source = max([one.ready, *(ready for _, ready in one.told.values())])
         for epoch in self._epochs[bisect.bisect_left(self._epochs, source) :]:
             found.update(self.views[epoch].names(slot))
+        found &= present
         return found - set(one.told) - {self.name}
 
     def standing(self, slot: int) -> Standing:
@@ -173,13 +162,14 @@
                 return Standing.WAITING if waits else Standing.LOST  # a fleet founded anew has such gaps
             seats = placed.holders(slot)
             needed = majority(len(seats))
-            silent = [one for one in seats if one[0] not in told or told[one[0]][0] > one[1]]
-            if len(seats) - len(silent) >= needed:
+            covered = sum(1 for name, number in seats if name in told and told[name][0] <= number)
+            if covered >= needed:
                 continue
             if waits:
                 return Standing.WAITING
-            if sum(not self._dead(one) for one in silent) >= needed:
-                return Standing.CUT  # these may be alive, and decide by themselves
+            dead = sum(1 for seat in seats if self._dead(seat))
+            if len(seats) - dead >= needed:
+                return Standing.CUT
             worst = Standing.LOST
         return worst
 
--- a/sablewheel/replication/keeper.py
+++ b/sablewheel/replication/keeper.py
@@ -55,7 +55,6 @@
 COME_BACK = 0.5  # what a denied ticket is told, where no majority is to be had
 POLL_FIRST, POLL_LAST = 0.02, 0.25  # between looks for another's outcome, doubling
 GONE = "gone/"  # the facts of the view by which the fleet says that a member never comes back
-HAND_OVER = 0.5  # seconds that one which leaves stays, for others to take what it holds
 TIMES_KEPT = 50
 DOUBTS_MOST = 4096  # labelled tickets that may have run on a peer, remembered while they come back
 LOUD = ("view", "caught up", "two outcomes")
@@ -140,7 +139,6 @@
         self._timer: Timer | None = None
         self._timer_at = 0.0
         self._open = True
-        self._left_at = -inf
         links.on(KIND, self._heard, parted=True)  # one that leaves still says what its runs became
 
     # -- what the dispatch asks and tells
@@ -463,13 +461,7 @@
 
     # -- the end
 
-    def leaving(self) -> None:
-        """The fleet is told: those who come after it take what it holds before it ends."""
-        self._left_at = self._clock()
-
     def settled(self) -> bool:
-        if self._clock() < self._left_at + HAND_OVER:
-            return False
         return not self._unstored and not self._waiting and not self._asked
 
     def close(self) -> None:
--- a/sablewheel/replication/replica.py
+++ b/sablewheel/replication/replica.py
@@ -120,7 +120,6 @@
         self.store = self.make_store()
         self.binding_life = settings.binding_life  # may be raised by who binds sessions
         self.epoch = 0  # of the view that it is in; 0: in none
-        self._frozen = 0  # it is out, and told others so: it decides for no view up to that one
         self.counts: Counter[str] = Counter()
         self._now = now
         self._out: list[Effect] = []
@@ -220,15 +219,14 @@
     # -- views
 
     def _viewed(self, viewed: Viewed) -> None:
-        if viewed.epoch <= max(self.ranges.epoch, self._frozen):
+        if viewed.epoch <= self.ranges.epoch:
             return
         me = next((one for one in viewed.sites if one.name == self.name), None)
         if me is None or me.incarnation < self.birth:
             self.epoch = 0  # removed, or not yet in: it decides nothing, and keeps what it has
-            self._frozen = viewed.epoch if me is None else 0
             return
-        self.ranges.view(viewed, self._now)
-        self.epoch, self._frozen = viewed.epoch, 0
+        self.ranges.view(viewed)
+        self.epoch = viewed.epoch
         self._known.clear()
         self._talks.clear()
         self.silent = {name: at for name, at in self.silent.items() if name in self.ranges.names}
@@ -519,14 +517,6 @@
             self.counts["outside"] += 1
             if isinstance(message, Push) and message.slot in self.ranges.mine:
                 self._take(message.slot, message.key, message.entry, message.left)  # of one that left
-            elif isinstance(message, Ask | Pull) and self._frozen:
-                # It left: whoever comes after it takes what it has, and it decides for no view up to theirs.
-                self._frozen = max(self._frozen, message.epoch)
-                self._of_range(sender, message, self._frozen)
-            elif not isinstance(message, Told | Piece) or sender not in self.ranges.parted:
-                return
-            else:
-                self._of_range(sender, message, self.epoch)
             return
         match message:
             case Prepare() | Accept() | Push() | Fetch():
@@ -556,17 +546,12 @@
             case Past(_, birth, _, views):
                 self.ranges.born(sender, birth)
                 self.ranges.past(sender, views, len(views) >= PAST_MOST)
-            case Ask() | Told() | Pull() | Piece():
-                self._of_range(sender, message, self.epoch)
-
-    def _of_range(self, sender: str, message: Ask | Told | Pull | Piece, epoch: int) -> None:
-        match message:
             case Ask():
-                self._told_of(sender, message, epoch)
+                self._told_of(sender, message)
             case Told():
                 self._told(sender, message)
             case Pull():
-                self._pulled(sender, message, epoch)
+                self._pulled(sender, message)
             case Piece():
                 self._piece(sender, message)
 
@@ -704,7 +689,7 @@
         for slot in sorted(self.ranges.unready):
             if self._settle(slot) is Standing.READY:
                 continue
-            for name in self._asked_for(slot):
+            for name in self.ranges.wanted(slot):
                 others.setdefault(name, []).append(slot)
         if not self.ranges.unready:
             return self._caught_up()
@@ -727,17 +712,14 @@
         talk.at, talk.asked, talk.queue = self._now, len(some), []
         self._send(name, Ask(self.epoch, tuple((slot, self.store.digest(slot)) for slot in some)))
 
-    def _asked_for(self, slot: int) -> set[str]:
-        return self.ranges.wanted(slot) | self.ranges.hoped(slot, self._now)
-
-    def _told_of(self, sender: str, ask: Ask, epoch: int) -> None:
-        if ask.epoch > epoch:
+    def _told_of(self, sender: str, ask: Ask) -> None:
+        if ask.epoch > self.epoch:
             return  # it asks again, and then we hold that view
         told = tuple(
             (slot, self.ranges.ready_at(slot), self.store.digest(slot) == digest)
             for slot, digest in ask.ranges[: self._set.batch]
         )
-        self._send(sender, Told(epoch, self.birth, told))
+        self._send(sender, Told(self.epoch, self.birth, told))
 
     def _told(self, sender: str, told: Told) -> None:
         if told.epoch < self.epoch:
@@ -760,14 +742,14 @@
         if talk.queue:
             return self._send(name, Pull(self.epoch, talk.queue[0][0], after))
         if self.ranges.unready:
-            more = [slot for slot in sorted(self.ranges.unready) if name in self._asked_for(slot)]
+            more = [slot for slot in sorted(self.ranges.unready) if name in self.ranges.wanted(slot)]
             if more:
                 return self._ask_ranges(name, more)
         elif self._sync_at < inf:
             self._sync_at = self._now  # all here: it is said there
 
-    def _pulled(self, sender: str, pull: Pull, epoch: int) -> None:
-        if pull.epoch > epoch:
+    def _pulled(self, sender: str, pull: Pull) -> None:
+        if pull.epoch > self.epoch:
             return
         some: list[tuple[Key, Entry, float]] = []
         size, last = 0, True
@@ -781,7 +763,7 @@
             some.append((key, held.entry, left))
             size += held.entry.size
         ready = self.ranges.ready_at(pull.slot)
-        self._send(sender, Piece(epoch, self.birth, pull.slot, ready, tuple(some), last))
+        self._send(sender, Piece(self.epoch, self.birth, pull.slot, ready, tuple(some), last))
 
     def _piece(self, sender: str, piece: Piece) -> None:
         talk = self._talks.get(sender)
--- a/sablewheel/trials/replication_model.py
+++ b/sablewheel/trials/replication_model.py
@@ -75,9 +75,8 @@
     ]
     talks = [(name, one.asked, one.queue) for name, one in sorted(node._talks.items())]
     return repr(
-        (node.name, node.birth, node.epoch, node._frozen, node.ranges.epoch, sorted(node.ranges.views), store,
-         rounds, spreads, ranges, talks, sorted(node._known.items()), sorted(node.ranges.past_told),
-         node._round,
+        (node.name, node.birth, node.epoch, node.ranges.epoch, sorted(node.ranges.views), store, rounds,
+         spreads, ranges, talks, sorted(node._known.items()), sorted(node.ranges.past_told), node._round,
          sorted((key, own.state) for key, own in node.owns.items()), node._sync_at < 1e4,
          len(node._timers))
     )  # fmt: skip
@@ -249,14 +248,14 @@
         (FIRST, (("b", 1), ("c", 1), ("d", 2))),
         (("claim", "a"), ("deliver", "a", "b"), ("deliver", "b", "a"), ("view", "c", "2"),
          ("view", "d", "2")),
-        (("view", "b", "2"), ("claim", "d")), "c", (), -1,
+        (("view", "b", "2"), ("claim", "d")), "c",
     ),
     "two views in a row, before anybody has caught up": Start(
         (FIRST, (("a", 1), ("b", 1), ("d", 2)), (("b", 1), ("d", 2), ("e", 3))),
         (("claim", "a"), ("deliver", "a", "c"), ("deliver", "c", "a"), ("deliver", "a", "c"),
          ("view", "b", "2"), ("view", "d", "2")),
         (("view", "a", "2"), ("view", "b", "3"), ("view", "d", "3"), ("view", "e", "3"), ("claim", "e")), "d",
-        (), -3,
+        (), -2,
     ),
     "one hears of no view but the last": Start(
         (FIRST, (("a", 1), ("b", 1), ("d", 2)), (("b", 1), ("d", 2), ("e", 3))),
@@ -265,12 +264,6 @@
         (("view", "a", "2"), ("view", "b", "3"), ("view", "d", "3"), ("view", "e", "3"), ("claim", "e")), "d",
         (), -2,
     ),
-    "two holders leave in order at one moment": Start(
-        (FIRST, (("c", 1), ("d", 2), ("e", 3))),
-        (("claim", "a"), ("deliver", "a", "b"), ("deliver", "b", "a"), ("deliver", "a", "b"),
-         ("view", "c", "2"), ("view", "d", "2")),
-        (("view", "a", "2"), ("view", "b", "2"), ("view", "e", "2"), ("claim", "d")), "d", (), -2,
-    ),
     "a holder gives way to a new one": Start(
         (FIRST, (("a", 1), ("b", 1), ("d", 2))),
         (("claim", "a"), ("deliver", "a", "c"), ("deliver", "c", "a"), ("deliver", "a", "c"),
--- a/tests/stories/replication.feature
+++ b/tests/stories/replication.feature
@@ -241,24 +241,6 @@
     Then both outcomes are on every holder, and were told with their evidence
     And it comes again, and is not run
 
-  Scenario: Two holders leave in order at one moment
-    When the record comes to a
-    And the first and the second holder leave in order at one moment
-    Then every server counts again for all that it holds
-    When it comes again at another server
-    Then the record ran once, and all who waited got its answer
-
-  Scenario: Two holders are gone at one moment, and one of them is started anew
-    When the record comes to a
-    And the first and the second holder are gone at one moment
-    And it comes again at another server
-    And 12 seconds pass
-    Then the record ran once
-    And who came last was denied, or got the answer
-    When the first one is started under its name again
-    And 9 seconds pass
-    Then every server counts again for all that it holds
-
   # -- bounds
 
   Scenario: The holders are full
--- a/tests/stories/test_replication_stories.py
+++ b/tests/stories/test_replication_stories.py
@@ -155,25 +155,6 @@
     story.back_with_nothing(*story.holders[:2])
 
 
-@when("the first and the second holder leave in order at one moment")
-def _two_leave(story: Story) -> None:
-    story.stage.view(set(NAMES) - set(story.holders[:2]), to=NAMES)
-
-
-@when("the first and the second holder are gone at one moment")
-def _two_gone(story: Story) -> None:
-    for name in story.holders[:2]:
-        story.stage.fleet.crash(name)
-    story.stage.view(set(NAMES) - set(story.holders[:2]))
-    story.stage.fleet.run(0.5)
-
-
-@when("the first one is started under its name again")
-def _one_anew(story: Story) -> None:
-    story.stage.start(story.holders[0])
-    story.stage.view(set(NAMES) - {story.holders[1]})
-
-
 @when("all servers come back with nothing")
 def _all_cold(story: Story) -> None:
     for name in NAMES:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -152,7 +152,7 @@
 def test_faults_drawn_from_a_seed_break_no_promise(seed: int) -> None:
     stage = drawn(seed)
     assert not stage.wrong(), stage.wrong()
-    assert sum(stage.runs.values()) > 1
+    assert sum(stage.runs.values()) > 5
 
 
 @pytest.mark.parametrize("kind", [AsyncBackup, KINDS["one-copy"]])
