--- a/sablewheel/recall/memory.py
+++ b/sablewheel/recall/memory.py
@@ -15,6 +15,7 @@
 from enum import Enum
 
 ENTRY_BYTES = 400  # what an entry without its result is taken to cost in memory
+INSTANT = 0.001  # the least wait that is told, seconds
 
 
 class State(Enum):
@@ -63,7 +64,8 @@
             return 0.0
         # Of what is there: the lapses also hold what was forgotten since, and would promise room too soon.
         soonest = heapq.nsmallest(over, (entry.until for entry in self.entries.values()))
-        return max(soonest[-1] - now, 0.0) if soonest else 0.0
+        # Never 0 while it does not fit: at the very end of a window its label is still there.
+        return max(soonest[-1] - now, INSTANT) if soonest else 0.0
 
     def _fit_most(self) -> int:
         return min(self._entries_most, self._bytes_most // ENTRY_BYTES)
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -138,6 +138,14 @@
 TestMemory.settings = settings(derandomize=True, max_examples=100, stateful_step_count=50, deadline=None)
 
 
+def test_at_the_very_end_of_a_window_there_is_no_room_yet() -> None:
+    """A label that is there till its window's last instant was taken for room, and one too many came in."""
+    memory = Memory(1, 10_000)
+    memory.intend(entry(b"a", 10.0, b"run1"))
+    assert memory.expire(10.0) == [] and memory.room_in(10.0) > 0
+    assert memory.expire(10.001) and memory.room_in(10.001) == 0.0
+
+
 def test_results_go_before_labels_the_oldest_first() -> None:
     memory = Memory(100, 3 * ENTRY_BYTES + 25)
     for number in range(3):
