One let in again at the epoch it answered for is in it; lapsed owners look anew

One that is let in again at the epoch it answered for is in it; owners of lapsed bindings look anew.

A member that was out and answered Ask(E) froze at E and then ignored view E, which lets it in: it stayed out until the next one, and storms and three stories of affinity on real replicas ended with tickets denied in calm.

The rule: who answered for E decides nothing before E; E itself is allowed. A teller covers what was decided before E only if it decides nothing for an older epoch afterwards. It is out, so it decides nothing until it installs a view, and it installs none below E; epochs only rise from there. In E it is as one that comes: its incarnation is another and views are missing, so no range of its is ready at E before it caught up. Views in which its name is an earlier self are never installed, so forgetting the freeze there lets no older one in.

The life now counts from when the write was asked for; past it a labelled ticket looks in the register again. One that finds itself there writes itself in anew, since a read does not tell how much of the life is left. - Two holders killed took number 7 with them; the next owner went on from an older copy, below it. Who takes a session now does so above all numbers of earlier epochs, as one that begins it already did.

--- a/sablewheel/affinity/sessions.py
+++ b/sablewheel/affinity/sessions.py
@@ -68,7 +68,7 @@
 
 FLOWS_MOST = 16  # flows remembered of one session: what its next owner must be able to run
 EVICT_SCAN = 64  # the longest unused sessions that are looked through for one to forget
-EPOCH_SHIFT = 20  # a session's first number is above all of an entry that lapsed in an earlier epoch
+EPOCH_SHIFT = 20  # who takes a session does so above all numbers of earlier epochs, known or lost
 
 
 class Phase(Enum):
@@ -88,7 +88,7 @@
     binding: Binding
     first: int
     used: float
-    written: float
+    written: float  # when that was asked for: its life in the register ends no sooner than one after it
     flows: set[str] = field(default_factory=set)
     open: set[int] = field(default_factory=set)  # labelled and irreversible tickets that run here, or may
     strict: bool = False  # whether it ever brought one
@@ -100,6 +100,7 @@
     at: float = inf
     asked: int = 0
     next: Binding | None = None  # what is being written
+    asked_at: float = 0.0  # since when it is
     tried: set[str] = field(default_factory=set)  # heirs that declined
     due: Cause | None = None  # it is queued for this
 
@@ -128,6 +129,7 @@
     entry: Binding | None = None
     cause: Cause | None = None
     value: Binding | None = None  # what is being written
+    asked_at: float = -inf  # since when it is
     target: str = ""
     tried: set[str] = field(default_factory=set)
     forced: bool = False
@@ -224,6 +226,7 @@
             held is not None
             and held.phase is not Phase.GIVING
             and held.first <= number <= held.binding.number
+            and not self._lapsed(now, held)
             and now - asked < self.settings.claim_within
         )
 
@@ -264,6 +267,9 @@
 
     def _serve(self, now: float, held: Held, came: Came) -> None:
         """A ticket of a session that is this server's."""
+        if came.strict and self._lapsed(now, held):
+            self._let_go(now, held, None)
+            return self._came(now, came)
         held.used = now
         self.owned.move_to_end(came.key)
         if len(held.flows) < FLOWS_MOST:
@@ -283,6 +289,12 @@
             self._change(now, held, held.binding.taken(self.me, self.incarnation, held.binding.version))
         return None
 
+    def _lapsed(self, now: float, held: Held) -> bool:
+        """Whether the register may have forgotten that it is this server's, as with no majority in reach for
+        long: then no number there refuses a claim, and anyone may begin it anew.
+        """
+        return now >= held.written + self.settings.life
+
     def _hold(self, now: float, held: Held, came: Came, why: Why) -> None:
         """It waits for the next owner."""
         if len(held.waiting) >= self.settings.waiting_most:
@@ -393,6 +405,9 @@
         if not self._lives(entry):
             seek.cause = Cause.REMOVED
             return self._place(now, seek)
+        if entry.owner == self.me and entry.state is State.HELD:
+            seek.cause = None
+            return self._write(now, seek)  # how much of its life is left nobody tells: it is renewed first
         if entry.owner == self.me:
             self._drop(seek)
             return self._adopt(now, seek, entry)
@@ -466,11 +481,10 @@
                 self._without(came, Why.HANDOVER)
             return self._arm_seek(seek, rest)
         entry, version = seek.entry, self._next_version(seek)
-        if entry is None:
-            first = (self.view.epoch if self.view else 0) << EPOCH_SHIFT | 1
-            seek.value = Binding(seek.key, first, self.me, self.incarnation, version)
-        else:
-            seek.value = entry.taken(self.me, self.incarnation, version)
+        # Holders that fell together may have taken the last entry with them, and left an older one elsewhere.
+        first = (self.view.epoch if self.view else 0) << EPOCH_SHIFT | 1
+        number = max(first, entry.number + 1 if entry is not None else 0)
+        seek.value, seek.asked_at = Binding(seek.key, number, self.me, self.incarnation, version), now
         self._stage(seek, Stage.WRITING)
         seek.asked = self._ref(seek.key)
         self._arm_seek(seek, seek.until)
@@ -482,7 +496,8 @@
         if seek.value is None:
             return
         if seek.cause is None:
-            self.counts["begun"] += 1
+            begun = seek.entry is None or seek.entry.state is State.ENDED
+            self.counts["begun" if begun else "kept"] += 1
         else:
             self.counts[f"moved_{seek.cause.value}"] += 1
             self._note("moved", key=seek.key, cause=seek.cause.value, number=seek.value.number,
@@ -494,7 +509,9 @@
         if seek.key not in self.owned:
             if not self._make_room():
                 return self._no_room(seek, binding)
-            held = Held(binding, binding.number, now, now, set(seek.flows), self._open.pop(seek.key, set()))
+            written = seek.asked_at if binding is seek.value else now
+            runs = self._open.pop(seek.key, set())
+            held = Held(binding, binding.number, now, written, set(seek.flows), runs)
             self.owned[seek.key] = held
             if binding.state is State.PASSING:
                 held.cause = Cause.DRAIN
@@ -769,6 +786,7 @@
 
     def _write_held(self, now: float, held: Held, value: Binding) -> None:
         held.next, held.asked, held.at = value, self._ref(held.binding.key), inf
+        held.asked_at = now
         self._out.append(Write(held.asked, value.key, held.binding.number, value, self.settings.life))
 
     def _hand_over(self, now: float, held: Held, cause: Cause) -> bool:
@@ -815,7 +833,9 @@
         stands = value if verdict is Verdict.WON else entry
         if stands is None:
             return self._let_go(now, held, None)
-        held.binding, held.written = stands, now
+        held.binding = stands
+        if verdict is Verdict.WON:  # else it is an older write of its own, whose answer was lost
+            held.written = held.asked_at
         if stands.state is State.PASSING:
             return self._passing(now, held)
         if held.phase is Phase.CHANGING and held.cause is not None and stands.version == self.version:
--- a/sablewheel/replication/replica.py
+++ b/sablewheel/replication/replica.py
@@ -120,7 +120,7 @@
         self.store = self.make_store()
         self.binding_life = settings.binding_life  # may be raised by who binds sessions
         self.epoch = 0  # of the view that it is in; 0: in none
-        self._frozen = 0  # it is out, and told others so: it decides for no view up to that one
+        self._frozen = 0  # it is out, and told others so: it decides for no view before that one
         self.counts: Counter[str] = Counter()
         self._now = now
         self._out: list[Effect] = []
@@ -220,8 +220,8 @@
     # -- views
 
     def _viewed(self, viewed: Viewed) -> None:
-        if viewed.epoch <= max(self.ranges.epoch, self._frozen):
-            return
+        if viewed.epoch <= self.ranges.epoch or viewed.epoch < self._frozen:
+            return  # who was answered as one of `_frozen` was told that it decides nothing before that one
         me = next((one for one in viewed.sites if one.name == self.name), None)
         if me is None or me.incarnation < self.birth:
             self.epoch = 0  # removed, or not yet in: it decides nothing, and keeps what it has
@@ -520,7 +520,8 @@
             if isinstance(message, Push) and message.slot in self.ranges.mine:
                 self._take(message.slot, message.key, message.entry, message.left)  # of one that left
             elif isinstance(message, Ask | Pull) and self._frozen:
-                # It left: whoever comes after it takes what it has, and it decides for no view up to theirs.
+                # It left: whoever comes after it takes what it has, and it decides for no view before theirs.
+                # In theirs it may be in again, of which it has not heard yet: as one that is not caught up.
                 self._frozen = max(self._frozen, message.epoch)
                 self._of_range(sender, message, self._frozen)
             elif not isinstance(message, Told | Piece) or sender not in self.ranges.parted:
--- a/sablewheel/trials/replication_model.py
+++ b/sablewheel/trials/replication_model.py
@@ -271,6 +271,12 @@
          ("view", "c", "2"), ("view", "d", "2")),
         (("view", "a", "2"), ("view", "b", "2"), ("view", "e", "2"), ("claim", "d")), "d", (), -2,
     ),
+    "one that was out is asked before it hears that it is in again": Start(
+        (FIRST, (("b", 1), ("c", 1), ("d", 2)), (("a", 3), ("b", 1), ("d", 2))),
+        (("claim", "a"), ("deliver", "a", "c"), ("deliver", "c", "a"), ("deliver", "a", "c"),
+         ("view", "a", "2"), ("view", "b", "2"), ("view", "d", "2")),
+        (("view", "a", "3"), ("view", "b", "3"), ("view", "d", "3"), ("claim", "d")), "b", (), -2,
+    ),
     "a holder gives way to a new one": Start(
         (FIRST, (("a", 1), ("b", 1), ("d", 2))),
         (("claim", "a"), ("deliver", "a", "c"), ("deliver", "c", "a"), ("deliver", "a", "c"),
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -50,6 +50,7 @@
 from sablewheel.trials.affinity_storm import storm
 
 VIEW = View(1, tuple(Member(name, name, incarnation=1) for name in ("a", "b", "c")))
+NUMBER = 1 << 20 | 1  # the first of epoch 1
 RULES = [("customer", "subject"), ("customer", "router"), ("customer", "subject", "router")]
 
 
@@ -61,7 +62,7 @@
 
 
 def owner(key: str = "k", nature: Nature = Nature.REDOABLE, now: float = 0.0, **keys: Any) -> Sessions:
-    """A server that owns `key` at number 5, by what the register holds."""
+    """A server that owns `key` at number NUMBER: the register holds that it does, and it renewed it."""
     one = server(**keys)
     own(one, key, nature, now)
     return one
@@ -69,8 +70,10 @@
 
 def own(one: Sessions, key: str, nature: Nature = Nature.REDOABLE, now: float = 0.0, ref: int = 1) -> None:
     (read,) = [effect for effect in one.step(now, Came(ref, key, nature)) if isinstance(effect, Read)]
-    one.step(now, Answered(read.ref, Verdict.WON, Binding(key, 5, one.me, 1, 1)))
-    assert key in one.owned
+    found = one.step(now, Answered(read.ref, Verdict.WON, Binding(key, 5, one.me, 1, 1)))
+    (write,) = [effect for effect in found if isinstance(effect, Write)]
+    one.step(now, Answered(write.ref, Verdict.WON, write.value))
+    assert one.owned[key].binding == Binding(key, NUMBER, one.me, 1, 1)
 
 
 @pytest.mark.parametrize("rule", RULES)
@@ -177,7 +180,7 @@
         one = owner(retire_after=50.0)
         one.step(1.0, Active(2))
         (write,) = one.step(60.0, event)
-        assert isinstance(write, Write) and (write.expect, write.value.owner) == (5, "a")
+        assert isinstance(write, Write) and (write.expect, write.value.owner) == (NUMBER, "a")
         one.step(60.1, Answered(write.ref, Verdict.WON, write.value))
         assert one.counts[f"brought_{cause.value}"] == 1 and one.owned["k"].phase is Phase.SERVING
 
@@ -191,22 +194,45 @@
     assert one.step(1.1, Came(2, "k", Nature.LABELLED)) == []  # it waits for the heir
     (take,) = one.step(1.2, Over(1, "k"))
     assert isinstance(take, Send) and isinstance(take.message, Take) and take.to == "b"
-    assert not one.may_begin(1.2, "k", 5, 1.2)
-    done = Binding("k", 7, "b", 1, 1)
+    assert not one.may_begin(1.2, "k", NUMBER, 1.2)
+    done = Binding("k", NUMBER + 2, "b", 1, 1)
     assert one.step(1.3, Got("b", Told(done))) == [Pass(2, "b")] and "k" not in one.owned
 
 
 def test_a_claim_that_was_won_before_a_pause_does_not_begin_after_it() -> None:
     one = owner(nature=Nature.LABELLED, claim_within=0.5)
-    assert one.may_begin(0.4, "k", 5, 0.0) and not one.may_begin(0.5, "k", 5, 0.0)
-    assert not one.may_begin(0.4, "k", 4, 0.0) and not one.may_begin(0.4, "other", 5, 0.0)
+    assert one.may_begin(0.4, "k", NUMBER, 0.0) and not one.may_begin(0.5, "k", NUMBER, 0.0)
+    assert not one.may_begin(0.4, "k", NUMBER - 1, 0.0) and not one.may_begin(0.4, "other", NUMBER, 0.0)
+
+
+def test_what_the_register_may_have_forgotten_is_looked_for_anew_before_a_label_runs() -> None:
+    """An owner without a majority in reach can't renew: past the binding's life another may have begun anew,
+    and a claim here would meet no number that refuses it."""
+    one = owner(nature=Nature.LABELLED, idle=3.0)
+    assert [type(effect) for effect in one.step(5.9, Came(2, "k", Nature.LABELLED))] == [Here, Write]
+    assert one.may_begin(5.9, "k", NUMBER, 5.9) and not one.may_begin(6.0, "k", NUMBER, 5.9)
+    assert [type(effect) for effect in one.step(6.1, Came(3, "k", Nature.LABELLED))] == [Read]
+    assert "k" not in one.owned
+
+
+def test_who_takes_a_session_does_so_above_all_numbers_of_earlier_epochs() -> None:
+    """Two holders fell with number 7 and left an older copy: its next owner must not come below 7."""
+    one = server("b")
+    gone = View(9, tuple(one for one in VIEW.members if one.name != "a"))
+    one.step(0.0, Viewed(gone))
+    (read,) = one.step(0.0, Came(1, "k", Nature.LABELLED, sender="c"))
+    assert isinstance(read, Read)
+    one.step(0.1, Answered(read.ref, Verdict.WON, Binding("k", 5, "a", 1, 1)))
+    (write,) = [effect for at in (0.1, 1.0) for effect in one.step(at, Tick()) if isinstance(effect, Write)]
+    assert (write.expect, write.value.number, write.value.owner) == (5, 9 << 20 | 1, "b")
 
 
 def test_a_refused_claim_makes_its_server_look_again() -> None:
     one = owner(nature=Nature.LABELLED)
-    (read,) = one.step(1.0, Refused(Came(1, "k", Nature.LABELLED), 6))
+    (read,) = one.step(1.0, Refused(Came(1, "k", Nature.LABELLED), NUMBER + 1))
     assert isinstance(read, Read) and "k" not in one.owned
-    assert one.step(1.1, Answered(read.ref, Verdict.WON, Binding("k", 6, "b", 1, 1))) == [Pass(1, "b")]
+    there = Binding("k", NUMBER + 1, "b", 1, 1)
+    assert one.step(1.1, Answered(read.ref, Verdict.WON, there)) == [Pass(1, "b")]
 
 
 def test_room_is_made_by_idle_redoable_sessions_never_by_one_with_open_labels() -> None:
@@ -273,9 +299,11 @@
 def test_work_that_is_open_outlives_what_its_server_knows_of_the_session() -> None:
     """A renewal overtook a claim: the owner looked again, forgot what was open, and did not wait for it."""
     one = owner(nature=Nature.LABELLED)
-    (read,) = one.step(1.0, Refused(Came(9, "k", Nature.LABELLED), 6))
+    (read,) = one.step(1.0, Refused(Came(9, "k", Nature.LABELLED), NUMBER + 1))
     assert isinstance(read, Read)
-    one.step(1.1, Answered(read.ref, Verdict.WON, Binding("k", 6, "a", 1, 1)))
+    (write,) = one.step(1.1, Answered(read.ref, Verdict.WON, Binding("k", NUMBER + 1, "a", 1, 1)))
+    assert isinstance(write, Write) and write.value.number == NUMBER + 2
+    one.step(1.1, Answered(write.ref, Verdict.WON, write.value))
     assert one.owned["k"].open == {1, 9}
     one.step(1.2, Over(9, "k"))
     (write,) = [effect for effect in one.step(1.3, Drain(5.0)) if isinstance(effect, Write)]
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -7,11 +7,11 @@
 from itertools import product
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from sablewheel.replication.entries import EMPTY, Change, Entry, Outcome, State, changed, merge
-from sablewheel.replication.messages import Accept, Claim, Got, Refuse, Send, Viewed
+from sablewheel.replication.messages import Accept, Ask, Claim, Got, Refuse, Send, Told, Viewed
 from sablewheel.replication.placement import Placement, Site, slot_of
 from sablewheel.replication.plan import Settings
 from sablewheel.replication.replica import Replica
@@ -147,12 +147,31 @@
     assert not verdict.holds and traces
 
 
-@settings(max_examples=25, deadline=None)
-@given(st.integers(0, 10_000))
+@pytest.mark.parametrize("seed", [*range(24), 1706])  # 1706: links so slow that nearly all is denied
 def test_faults_drawn_from_a_seed_break_no_promise(seed: int) -> None:
     stage = drawn(seed)
     assert not stage.wrong(), stage.wrong()
     assert sum(stage.runs.values()) > 1
+    for link in stage.fleet.links.values():
+        link.drop, link.double, link.most = 0.0, 0.0, 0.003
+    stage.fleet.run(stage.settings.longest + 1.0)  # ranges of which two fell at once wait their lives out
+    after = [stage.come(name, f"after {name}") for name in stage.members if name in stage.fleet.cores]
+    stage.fleet.run(1.0)
+    assert {one.verdict for one in after} == {"completed"} and not stage.wrong()
+
+
+def test_one_that_answered_for_a_view_before_it_heard_of_it_is_in_it() -> None:
+    """It was out, and is let in again at 3; a member that knows that asks it for ranges first."""
+    one = Replica("a", 1, Settings(slots=8, cold_waits=False), random.Random(1), 0.0)
+    first = tuple(Site(name, 1) for name in "abc")
+    one.step(0.0, Viewed(1, first))
+    one.step(0.1, Viewed(2, first[1:]))
+    told = [effect.message for effect in one.step(0.2, Got("b", Ask(4, ()))) if isinstance(effect, Send)]
+    assert told == [Told(4, 1, ())] and one.epoch == 0
+    one.step(0.3, Viewed(3, (Site("a", 2), *first[1:])))
+    assert one.epoch == 0, "it said that it decides for no view before 4"
+    one.step(0.3, Viewed(4, (Site("a", 2), *first[1:])))
+    assert one.epoch == 4 and one.ranges.unready == set(range(8))
 
 
 @pytest.mark.parametrize("kind", [AsyncBackup, KINDS["one-copy"]])
