A view that nobody was in is not waited for; lapsed sessions are found anew

A view that nobody was in is not waited for; a session that lapsed is found where it began anew.

Of a view that had no members (or between an old fleet and one founded anew) nobody can tell; who asked for views before the gap got the same eight each time, never an answer that said `no more`, and waited. Each member is now asked for those before what it told last, and an answer that is not to the present question counts for no `no more`.

A session that lapsed and began anew in the same epoch has a lower number than servers may remember of it: they passed its labelled tickets to the old owner, and denied them as stale. A route that its owner contradicts is forgotten, and the register tells; who begins a session goes above a route that it still knows.

--- a/sablewheel/affinity/sessions.py
+++ b/sablewheel/affinity/sessions.py
@@ -28,7 +28,7 @@
 from math import inf
 
 from ..membership.view import View
-from .binding import Binding, Cause, State
+from .binding import Binding, Cause, State, newer
 from .budget import Budget
 from .events import (
     Active,
@@ -353,6 +353,9 @@
         """It goes to the owner once more; after that it is decided here, and never goes round."""
         if binding is not None:
             self._told(now, binding)
+            route = self.routes.get(came.key)
+            if route is not None and route.number > binding.number:
+                del self.routes[came.key]  # it lapsed, and began anew below: the register tells
         if came.back:
             return self._without(came, Why.STALE)
         return self._came(now, replace(came, back=True))
@@ -482,8 +485,10 @@
             return self._arm_seek(seek, rest)
         entry, version = seek.entry, self._next_version(seek)
         # Holders that fell together may have taken the last entry with them, and left an older one elsewhere.
+        # One that lapsed in this epoch may have been higher too, by a route that is still known here.
         first = (self.view.epoch if self.view else 0) << EPOCH_SHIFT | 1
-        number = max(first, entry.number + 1 if entry is not None else 0)
+        before = newer(entry, self.routes.get(seek.key))
+        number = max(first, before.number + 1 if before is not None else 0)
         seek.value, seek.asked_at = Binding(seek.key, number, self.me, self.incarnation, version), now
         self._stage(seek, Stage.WRITING)
         seek.asked = self._ref(seek.key)
--- a/sablewheel/replication/catchup.py
+++ b/sablewheel/replication/catchup.py
@@ -51,6 +51,7 @@
         self.kept: dict[int, Range] = {}  # no longer; kept until the new holders have theirs
         self.unready: set[int] = set()
         self.past_told: set[str] = set()
+        self.past_from: dict[str, int] = {}  # the oldest view that each has told of
         self.births: dict[str, int] = {name: birth}
         self.gone: set[Seat] = set()
         self.parted: dict[str, float] = {}  # who left the view lately, and until when it may still tell
@@ -70,6 +71,7 @@
         self.epoch, self.names = viewed.epoch, tuple(one.name for one in viewed.sites)
         self.places = frozenset(self.names)
         self.past_told.clear()
+        self.past_from.clear()
         mine = set(placed.of(self.name))
         for slot in [one for one in self.mine if one not in mine]:
             self.kept[slot] = self.mine.pop(slot)
@@ -97,15 +99,24 @@
             epoch -= 1
         return epoch
 
-    def past(self, name: str, views: tuple[tuple[int, Sites], ...], more: bool) -> None:
-        """What a member told of views before ours; `more`: it may have others."""
+    def past(self, name: str, before: int, views: tuple[tuple[int, Sites], ...], more: bool) -> None:
+        """What a member told of views before that one; `more`: it may have others."""
+        asked = before == self.past_before(name)  # else it is late, and what has come up since is not in it
         for epoch, sites in views:
             if 0 < epoch < self.epoch and epoch not in self.views and len(self.views) < HISTORY_MOST:
                 self.views[epoch] = placement(sites, self._copies, self._slots)
         self._epochs = sorted(self.views)
-        if not more:
+        if views and asked:
+            self.past_from[name] = min(self.past_from.get(name, self.epoch), *(epoch for epoch, _ in views))
+        if asked and not more:
             self.past_told.add(name)
 
+    def past_before(self, name: str) -> int:
+        """Before which view to ask that member for more. Not before the gap only: of a view that nobody was
+        in, or of a fleet founded anew, nobody can tell, and the same ones would be told for ever.
+        """
+        return min(self.gap, self.past_from.get(name, self.gap))
+
     def older(self, before: int, most: int) -> tuple[tuple[int, Sites], ...]:
         """Of the views known here the latest before that one."""
         epochs = self._epochs[: bisect.bisect_left(self._epochs, before)][-most:]
--- a/sablewheel/replication/replica.py
+++ b/sablewheel/replication/replica.py
@@ -554,9 +554,9 @@
                 if epoch <= self.epoch:
                     views = self.ranges.older(before, PAST_MOST)
                     self._send(sender, Past(self.epoch, self.birth, before, views))
-            case Past(_, birth, _, views):
+            case Past(_, birth, before, views):
                 self.ranges.born(sender, birth)
-                self.ranges.past(sender, views, len(views) >= PAST_MOST)
+                self.ranges.past(sender, before, views, len(views) >= PAST_MOST)
             case Ask() | Told() | Pull() | Piece():
                 self._of_range(sender, message, self.epoch)
 
@@ -713,7 +713,7 @@
         self._syncs += 1
         for name in self.ranges.names if self._syncs > 1 else ():  # most need the last view only
             if name != self.name and name not in self.ranges.past_told:
-                self._send(name, AskPast(self.epoch, self.ranges.gap))
+                self._send(name, AskPast(self.epoch, self.ranges.past_before(name)))
         for name, slots in sorted(others.items()):
             self._ask_ranges(name, slots)
 
--- a/sablewheel/trials/replication_model.py
+++ b/sablewheel/trials/replication_model.py
@@ -77,7 +77,7 @@
     return repr(
         (node.name, node.birth, node.epoch, node._frozen, node.ranges.epoch, sorted(node.ranges.views), store,
          rounds, spreads, ranges, talks, sorted(node._known.items()), sorted(node.ranges.past_told),
-         node._round,
+         sorted(node.ranges.past_from.items()), node._round,
          sorted((key, own.state) for key, own in node.owns.items()), node._sync_at < 1e4,
          len(node._timers))
     )  # fmt: skip
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -10,11 +10,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sablewheel.replication.catchup import Ranges
 from sablewheel.replication.entries import EMPTY, Change, Entry, Outcome, State, changed, merge
 from sablewheel.replication.messages import Accept, Ask, Claim, Got, Refuse, Send, Told, Viewed
 from sablewheel.replication.placement import Placement, Site, slot_of
 from sablewheel.replication.plan import Settings
-from sablewheel.replication.replica import Replica
+from sablewheel.replication.replica import PAST_MOST, Replica
 from sablewheel.trials import replication_model
 from sablewheel.trials.replication_stage import KINDS, AsyncBackup, Stage, drawn
 
@@ -179,6 +180,20 @@
     assert any(drawn(seed, kind).wrong() for seed in range(20))
 
 
+def test_a_view_that_nobody_was_in_is_not_waited_for() -> None:
+    """Of view 10 nobody can tell, and before it there are more views than one answer holds."""
+    some = Ranges("a", 1, 3, 1), Ranges("b", 1, 3, 1)
+    for epoch in [*range(1, 10), 11]:
+        for one in some:
+            one.view(Viewed(epoch, (Site("a", 1), Site("b", 1))), 0.0)
+    asks, tells = some
+    for _ in range(3):
+        before = asks.past_before("b")
+        told = tells.older(before, PAST_MOST)
+        asks.past("b", before, told, len(told) >= PAST_MOST)
+    assert asks.past_told == {"b"}
+
+
 # -- bounds, and what comes from elsewhere
 
 
