In the made fleet of sessions no view follows without a majority of the one before

Membership agrees to no such view. The made fleet now waits until someone awake speaks with a majority; who woke meanwhile is not taken out.

Numbers within one epoch are not kept over a lapse: known wrong.

--- a/sablewheel/trials/affinity_fleet.py
+++ b/sablewheel/trials/affinity_fleet.py
@@ -245,6 +245,7 @@
 REMOVED_AFTER = 3.0  # seconds without a sign after which the others agree that a member is gone
 ANSWER_WITHIN = 0.3  # a question to the register without an answer is given up then
 LOADS_EVERY = 0.2
+AGREE_EVERY = 0.5  # how often members try to agree, without a majority that could
 
 
 @dataclass
@@ -317,8 +318,23 @@
         self._lives[name] += 1
         self.warm_since[name] = self.fleet.now
         self._start(name)
-        self._agree([one for one in self.view.members if one.name != name]
-                    + [Member(name, f"at-{name}", incarnation=self._lives[name])])  # fmt: skip
+        self._let_in(name, self._lives[name])
+
+    def _let_in(self, name: str, life: int) -> None:
+        """Once a majority of the view is there to agree; that life of it, if it lasts until then."""
+        if name not in self.fleet.cores or self._lives[name] != life:
+            return
+        if not self._can_agree():
+            return self.fleet.later(AGREE_EVERY, lambda: self._let_in(name, life))
+        others = [one for one in self.view.members if one.name != name]
+        self._agree([*others, Member(name, f"at-{name}", incarnation=life)])
+        return None
+
+    def _can_agree(self) -> bool:
+        """Whether someone in the view is awake and speaks with a majority of it: else no view follows."""
+        now, paused = self.fleet.now, self.fleet.paused
+        awake = [one for one in self.view.names if one in self.fleet.cores and paused.get(one, 0.0) <= now]
+        return any(self._speaks(one) for one in awake)
 
     def kill(self, name: str) -> None:
         """SIGKILL. The others agree that it is gone a little later."""
@@ -335,13 +351,14 @@
         """SIGSTOP for so long. Past the suspicion the others take it out; when it wakes it asks in again."""
         self.fleet.pause(name, span)
         if span > REMOVED_AFTER:
-            self.fleet.later(REMOVED_AFTER, lambda: self._remove_if(lambda _: True, name))
+            self.fleet.later(REMOVED_AFTER, lambda: self._remove_if(
+                lambda one: self.fleet.paused.get(one, 0.0) > self.fleet.now, name))  # fmt: skip
             self.fleet.later(span + 1.0, lambda: self._again(name))
 
     def _again(self, name: str) -> None:
         if name in self.fleet.cores and name not in self.view:
             self._lives[name] += 1
-            self._agree([*self.view.members, Member(name, f"at-{name}", incarnation=self._lives[name])])
+            self._let_in(name, self._lives[name])
 
     def leave(self, name: str, grace: float) -> None:
         """SIGTERM: it drains for its grace, says that it leaves, and is gone."""
@@ -358,7 +375,7 @@
                 self.watch.pass_on(name)
                 self.down.add(name)
                 self.dead[name] = self._lives[name]
-                self._remove_if(lambda _: True, name)
+                self._remove_if(lambda one: one in self.down, name)
 
         self.fleet.later(grace, gone)
 
@@ -381,8 +398,12 @@
                 self.fleet.later(0.5, lambda name=name: self._again(name))  # type: ignore[misc]
 
     def _remove_if(self, gone: Callable[[str], bool], name: str) -> None:
-        if name in self.view and gone(name):
-            self._agree([one for one in self.view.members if one.name != name])
+        if name not in self.view or not gone(name):
+            return
+        if not self._can_agree():
+            return self.fleet.later(AGREE_EVERY, lambda: self._remove_if(gone, name))
+        self._agree([one for one in self.view.members if one.name != name])
+        return None
 
     def _agree(self, members: list[Member]) -> None:
         facts = tuple(Fact(f"gone/{name}", str(life)) for name, life in sorted(self.dead.items()))
