One wake for all cores' shells in place of five copies of the same timer

Membership, forwarding, replication, policy and sessions each armed one timer at their core's next wake by the same lines; transport/wake.py holds them now.

--- a/sablewheel/affinity/placer.py
+++ b/sablewheel/affinity/placer.py
@@ -11,7 +11,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from math import inf
 
 from ..forwarding.forward import Forward, Guest
 from ..forwarding.links import Links
@@ -25,7 +24,8 @@
 from ..routing.seam import Memory
 from ..routing.server import Desk
 from ..terms import Customer, Nature, Outcome, Ticket
-from ..transport.scheduler import Scheduler, Timer
+from ..transport.scheduler import Scheduler
+from ..transport.wake import Wake
 from . import codec
 from .events import (
     Active,
@@ -115,8 +115,7 @@
         self._open: dict[Exchange, Open] = {}
         self._loads: dict[str, Load] = {}
         self._leaving = self._left = False
-        self._timer: Timer | None = None
-        self._timer_at = 0.0
+        self._wake = Wake(scheduler, clock, self._ring)
         self._closed = False
         self.counts: Counter[str] = Counter()
         keeper.group_of, keeper.may_begin, keeper.fenced = self._group_of, self._may_begin, self._fenced
@@ -315,20 +314,10 @@
             return
         for effect in self.sessions.step(self._clock(), event):
             self._carry_out(effect)
-        self._arm()
+        self._wake.set(self.sessions.wake_at)
 
-    def _arm(self) -> None:
-        """One timer at the next wake; one that is set for sooner is left and finds nothing due."""
-        now, wake = self._clock(), self.sessions.wake_at
-        if wake == inf or (self._timer is not None and self._timer_at <= wake):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = wake
-        self._timer = self._scheduler.after(max(wake - now, 0.001), self._ring)
 
     def _ring(self) -> None:
-        self._timer = None
         self._step(Tick())
 
     def _carry_out(self, effect: Effect) -> None:
@@ -412,8 +401,7 @@
     def close(self) -> None:
         self._leave()
         self._closed = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self._wake.cancel()
 
     def gauges(self) -> dict[str, object]:
         told = self.sessions.gauges()
--- a/sablewheel/capability/shell.py
+++ b/sablewheel/capability/shell.py
@@ -21,7 +21,8 @@
 from ..routing.exchange import Exchange
 from ..routing.server import Desk
 from ..terms import Customer, Machine
-from ..transport.scheduler import Scheduler, Timer
+from ..transport.scheduler import Scheduler
+from ..transport.wake import Wake
 from . import bundle, codec
 from .ability import Ability
 from .applying import settings
@@ -98,8 +99,7 @@
         self._told: tuple[int, dict[str, frozenset[str]]] = (0, {})
         self._broken: dict[str, float] = {}  # when the last link to each broke
         self._turn = 0
-        self._timer: Timer | None = None
-        self._timer_at = 0.0
+        self._wake = Wake(scheduler, clock, self._ring, 0.005)
         self._job: subprocess.Popen[bytes] | None = None
         self._job_out: IO[bytes] | None = None
         self._job_until = 0.0
@@ -127,8 +127,7 @@
 
     def close(self) -> None:
         self._open = False
-        if self._timer is not None:
-            self._timer.cancel()
+        self._wake.cancel()
         self._end_job()
 
     def gauges(self) -> dict[str, object]:
@@ -245,7 +244,7 @@
         self._routes.clear()
         for effect in effects:
             self._carry_out(effect)
-        self._arm()
+        self._wake.set(self.rollout.wake_at)
         held = self.rollout.active
         told = (held.policy.number if held is not None else 0, self.rollout.able())
         if told != self._told:
@@ -253,18 +252,8 @@
             for callback in self._listeners:
                 callback(*told)
 
-    def _arm(self) -> None:
-        """One timer at the next wake; one that is set for sooner is left and finds nothing due."""
-        now, wake = self._clock(), self.rollout.wake_at
-        if wake == inf or (self._timer is not None and self._timer_at <= wake):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = wake
-        self._timer = self._scheduler.after(max(wake - now, 0.005), self._ring)
 
     def _ring(self) -> None:
-        self._timer = None
         self._step(Tick())
 
     # -- effects out
--- a/sablewheel/forwarding/forward.py
+++ b/sablewheel/forwarding/forward.py
@@ -14,14 +14,14 @@
 import logging
 import time
 from collections.abc import Callable
-from math import inf
 from typing import Protocol
 
 from ..membership.view import View
 from ..routing.exchange import UNWITNESSED, Exchange, Witness
 from ..routing.server import Desk
 from ..terms import Customer, Nature, Router, Ticket, Track
-from ..transport.scheduler import Scheduler, Timer
+from ..transport.scheduler import Scheduler
+from ..transport.wake import Wake
 from .links import Links
 from .messages import (
     NAME_MOST,
@@ -154,8 +154,7 @@
         self._names: set[bytes] = set()  # of those that are away
         self._guests: dict[Key, Exchange] = {}
         self._routers: dict[str, Router] = {}  # a peer is one, to the controller
-        self._timer: Timer | None = None
-        self._timer_at = 0.0
+        self._wake = Wake(scheduler, clock, self._ring)
         self.counts: dict[str, int] = {}
         links.on(KIND, self._heard, parted=True)
         links.on_broken(lambda peer: self._step(Broken(peer)))
@@ -261,20 +260,10 @@
     def _step(self, event: Event) -> None:
         for effect in self._passing.step(self._clock(), event):
             self._carry_out(effect)
-        self._arm()
+        self._wake.set(self._passing.wake_at)
 
-    def _arm(self) -> None:
-        """One timer at the next wake; one that is set for sooner is left and finds nothing due."""
-        now, wake = self._clock(), self._passing.wake_at
-        if wake == inf or (self._timer is not None and self._timer_at <= wake):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = wake
-        self._timer = self._scheduler.after(max(wake - now, 0.001), self._ring)
 
     def _ring(self) -> None:
-        self._timer = None
         self._step(Tick())
 
     def _carry_out(self, effect: Effect) -> None:
--- a/sablewheel/membership/shell.py
+++ b/sablewheel/membership/shell.py
@@ -14,8 +14,9 @@
 from dataclasses import replace
 
 from ..transport.datagram import Mailbox
-from ..transport.scheduler import Scheduler, Timer
+from ..transport.scheduler import Scheduler
 from ..transport.stream import Listener, Stream, connect
+from ..transport.wake import Wake
 from . import codec
 from .events import Event, Got, Judge, Note, Part, Send, Tick, Viewed
 from .messages import Ask, Envelope, Message, Sync
@@ -53,8 +54,7 @@
         chance = random.Random(f"{seed}-{name}-{incarnation}")
         # The node's clock is the machine's steady one: a clock that is set moves no timeout.
         self.node = Node(me, plan.seeds, plan.settings, chance, clock())
-        self._timer: Timer | None = None
-        self._timer_at = 0.0
+        self._wake = Wake(scheduler, clock, self._ring)
         self._frames_out = self._frames_in = 0
         self._open = True
         self._listeners: list[Callable[[View], None]] = []
@@ -109,8 +109,7 @@
 
     def close(self) -> None:
         self._open = False
-        if self._timer is not None:
-            self._timer.cancel()
+        self._wake.cancel()
         self._mail.close()
         self._listener.close()
 
@@ -145,7 +144,7 @@
             # A fault of ours in here must not take the server's tickets along.
             self._count("faults")
             log.exception("membership step ended by a fault")
-        self._arm()
+        self._wake.set(self.node.wake_at)
         self._tell_views()
 
     def _tell_views(self) -> None:
@@ -167,18 +166,8 @@
             self._count("faults")
             log.exception("callback of a view ended by a fault", extra={"pairs": {"epoch": view.epoch}})
 
-    def _arm(self) -> None:
-        """One timer at the node's next wake; one that is set for sooner is left and finds nothing due."""
-        now, wake = self._clock(), self.node.wake_at
-        if wake == float("inf") or (self._timer is not None and self._timer_at <= wake):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = wake
-        self._timer = self._scheduler.after(max(wake - now, 0.001), self._ring)
 
     def _ring(self) -> None:
-        self._timer = None
         self._step(Tick())
 
     def _datagram(self, data: bytes, source: tuple[str, int]) -> None:
--- a/sablewheel/replication/keeper.py
+++ b/sablewheel/replication/keeper.py
@@ -24,7 +24,8 @@
 from ..routing.labels import Labels
 from ..routing.seam import Memory
 from ..terms import Nature, Outcome, Router, Ticket, Track
-from ..transport.scheduler import Scheduler, Timer
+from ..transport.scheduler import Scheduler
+from ..transport.wake import Wake
 from . import codec
 from .entries import Entry, State
 from .messages import (
@@ -137,8 +138,7 @@
         self._others: dict[int, Callable[[Answer], None]] = {}  # who asked for a read or a write
         self._doubted: dict[bytes, None] = {}
         self._times: deque[float] = deque(maxlen=TIMES_KEPT)
-        self._timer: Timer | None = None
-        self._timer_at = 0.0
+        self._wake = Wake(scheduler, clock, self._ring)
         self._open = True
         self._left_at = -inf
         links.on(KIND, self._heard, parted=True)  # one that leaves still says what its runs became
@@ -421,20 +421,10 @@
             return
         for effect in self.replica.step(self._clock(), event):
             self._carry_out(effect)
-        self._arm()
+        self._wake.set(self.replica.wake_at)
 
-    def _arm(self) -> None:
-        """One timer at the replica's next wake; one that is set for sooner is left and finds nothing due."""
-        now, wake = self._clock(), self.replica.wake_at
-        if wake == inf or (self._timer is not None and self._timer_at <= wake):
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer_at = wake
-        self._timer = self._scheduler.after(max(wake - now, 0.001), self._ring)
 
     def _ring(self) -> None:
-        self._timer = None
         self._step(Tick())
 
     def _carry_out(self, effect: Effect) -> None:
