The module keeps 100 samples of each measure again: 50 was a slip

Found at the rereading: Samples.raw had maxlen SAMPLES // 2 since the commit of the waits by hints, from a replacement meant for another line. With a test that fails with 50.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -34,7 +34,7 @@
     """The last few raw samples of one measure."""
 
     def __init__(self) -> None:
-        self.raw: deque[float] = deque(maxlen=SAMPLES // 2)
+        self.raw: deque[float] = deque(maxlen=SAMPLES)
         self.ranked: list[float] | None = None
 
     def add(self, value: float) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 from world import CALLING, HELD, JOINED, OVER, RUNNING, STANDING, Fact, World
 
 from sablewheel import terms
-from sablewheel.choice import Controller
+from sablewheel.choice import Controller, Samples
 from sablewheel.terms import (
     Customer,
     Halting,
@@ -329,6 +329,14 @@
     assert (new.place, old.place) == (HELD, OVER)
 
 
+def test_a_measure_keeps_enough_samples_for_a_99th_percentile() -> None:
+    """Half of them were kept by a slip, which no figure showed."""
+    samples = Samples()
+    for value in range(200):
+        samples.add(float(value))
+    assert (samples.at(0.0), samples.at(0.99)) == (100.0, 199.0)
+
+
 def test_a_bad_spell_in_the_samples_leaves_room_in_the_hold() -> None:
     """After a flood the p99 of a few slow runs denied all that had to wait, beside idle cores."""
     world = World(replace(PLAIN, tracks=(Track(Nature.REDOABLE, 1.0, 4.0), *PLAIN.tracks[1:])))
