--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -53,8 +53,12 @@
 
     @property
     def idle(self) -> bool:
-        """Whether nothing is open on it and all answers are on their way."""
-        return not self.open and self.stream.all_sent
+        """Whether nothing is open on it and all answers are on their way.
+
+        An answer of this round is queued until its end: a run that ended in the round in which the sweep rings
+        left nothing open and nothing unsent, and the close took its answer along.
+        """
+        return not self.open and not self._answers and self.stream.all_sent
 
     # -- what comes
 
@@ -71,7 +75,7 @@
                     self.due = inf
                 elif frames or self.due == inf:
                     self.due = now + WHOLE_MOST
-            if self.stream.open and (self.open or not self.stream.all_sent):
+            if self.stream.open and not self.idle:
                 self._server.count("connections_half_closed")
                 self.leaving = self.finished = True
                 return
