A connection ends by half a close, once all that came whole on it has its answer

Now the stream is shut, what still comes is read and discarded, neither run nor answered, and the close follows when the router closes, after 0.5 s, or after 64 KiB. The sender sees an end without a reset within the protocol's 50 ms for a crossing and asks again. - Half a frame overdue closed a connection over open requests (_sweep), so did bad bytes, and whole frames before bad bytes in one read were never looked at (Parser.feed raised with them in hand). Now nothing more is taken, what came whole is answered, then the end comes. Of two requests under one tag the first is withdrawn as before: no answer could tell which is meant. - The rest of an overdue frame may have come and lie unread in that very round. - The table of the least limit (4 connections) was never made room in: 4 // 8 is 0. Health checks and requests stood outside for good. - A peer that never reads kept its place for good, since unsent answers kept it from being idle: closed once it took nothing for as long as the longest abandon time and a second. - One reset between accept and its first option counted as a full table, and others were closed for it (Listener._take). - A fault of ours in one request closed its connection; it costs that request now (counted as faults). One in a flush cost the answers of all connections of that round. - The clock of a round stands while it reads: a request 1.1 s younger than the round was 'from another time'. Ruled out: nothing is run or answered twice, since a finished connection's bytes reach no parser. Left: a router that writes in the last 30 ms before the stop despite the farewell.

--- a/sablewheel/protocol/resp.py
+++ b/sablewheel/protocol/resp.py
@@ -25,7 +25,14 @@
 
 
 class GarbledError(ValueError):
-    """The bytes are not frames of this protocol: nothing after them can be read."""
+    """The bytes are not frames of this protocol: nothing after them can be read.
+
+    `frames` are those that came whole before them in the same read; they are owed their answers.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.frames: list[list[bytes]] = []
 
 
 class FaultyError(ValueError):
@@ -87,23 +94,31 @@
         self._bytes += data
         self._at = 0
         found: list[list[bytes]] = []
+        try:
+            self._take_whole(found)
+        except GarbledError as trouble:
+            trouble.frames = found
+            raise
+        del self._bytes[: self._at]
+        return found
+
+    def _take_whole(self, found: list[list[bytes]]) -> None:
+        """Take all frames that are whole, one by one."""
         while True:
             if not self._left:
                 count = self._length(b"*", WORDS_MOST)
                 if count is None:
-                    break
+                    return
                 if not count:
                     raise GarbledError("an empty array")
                 self._words, self._left = [], count
             word = self._word()
             if word is None:
-                break
+                return
             self._words.append(word)
             self._left -= 1
             if not self._left:
                 found.append(self._words)
-        del self._bytes[: self._at]
-        return found
 
     def _length(self, mark: bytes, most: int) -> int | None:
         """The number of a header line, or None while its end is missing."""
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -23,6 +23,8 @@
 ROOM_LEAST = 0.1  # once there is no room: what is unused for so long is closed at once, some at a time
 ROOM_PARTS = 8
 PARTING = 1.0  # how long a router has to close a connection after a farewell, with nothing open on it
+LINGER = 0.5  # how long it has to close one that we shut; past ROOM_LEAST it goes sooner for want of room
+DISCARD_MOST = 1 << 16  # bytes read past a connection's end, so that no reset takes answers away
 AGE_MOST, AHEAD_MOST = 60.0, 1.0  # of a ticket on arrival: no wait and no two readings of one clock differ so
 ROUTERS_MOST = 512  # remembered by number; the one heard longest ago goes first
 
@@ -46,7 +48,10 @@
         self.due = self.used + FIRST_MOST  # when what is awaited must be whole
         self.heard = False  # whether a whole frame came
         self.leaving = False  # a farewell was said, or nothing more will come
-        self.finished = False  # nothing more will come; answers may be owed
+        self.finished = False  # nothing more is taken from it; answers may be owed
+        self.shut_at: float | None = None  # since when nothing is written any more
+        self._discarded = 0  # bytes read since it is finished
+        self._reading = True  # whether somebody reads on: the peer's end of the stream will be seen
         self._server = server
         self._parser = resp.Parser()
         self._answers: list[Callable[[float | None], bytes]] = []
@@ -55,8 +60,8 @@
     def idle(self) -> bool:
         """Whether nothing is open on it and all answers are on their way.
 
-        An answer of this round is queued until its end: a run that ended in the round in which the sweep rings
-        left nothing open and nothing unsent, and the close took its answer along.
+        An answer of this round is queued until its end: a run that ended in the round in which the sweep
+        rings left nothing open and nothing unsent, and the close took its answer along.
         """
         return not self.open and not self._answers and self.stream.all_sent
 
@@ -66,26 +71,75 @@
         """Read until the end. Half a close may leave answers owed, so only a broken stream means gone."""
         try:
             while data := self.stream.read():
-                self.used = now = self._server.scheduler.clock.now
-                frames = self._parser.feed(data)
-                for words in frames:
-                    self._take(words)
-                self.heard = self.heard or bool(frames)
-                if not self._parser.partial:
-                    self.due = inf
-                elif frames or self.due == inf:
-                    self.due = now + WHOLE_MOST
-            if self.stream.open and not self.idle:
-                self._server.count("connections_half_closed")
-                self.leaving = self.finished = True
-                return
-        except resp.GarbledError as trouble:
-            self._server.count("frames_garbled")
-            log.warning("connection closed for what it sent", extra={"pairs": {"reason": trouble}})
+                if not self.finished:
+                    self._read(data)
+                elif self._discard(len(data)):
+                    break
         except Exception:
             # A fault of ours: what is still to be read here would be lost unread on an open connection.
             log.exception("connection closed by a fault")
-        self.close()
+            self._server.count("faults")
+            return self.close()
+        self._reading, self.due = False, inf
+        if not self.stream.open or self.idle:
+            return self.close()
+        if not self.finished:
+            self._server.count("connections_half_closed")
+        self.leaving = self.finished = True
+
+    def _read(self, data: bytes) -> None:
+        self.used = now = self._server.scheduler.clock.now
+        garbled: resp.GarbledError | None = None
+        try:
+            frames = self._parser.feed(data)
+        except resp.GarbledError as trouble:
+            frames, garbled = trouble.frames, trouble
+        try:
+            for words in frames:
+                self._take(words)
+        except resp.GarbledError as trouble:
+            garbled = trouble
+        if garbled is not None:
+            self._server.count("frames_garbled")
+            log.warning("connection ended for what it sent", extra={"pairs": {"reason": garbled}})
+            return self.finish()
+        self.heard = self.heard or bool(frames)
+        if not self._parser.partial:
+            self.due = inf
+        elif frames or self.due == inf:
+            self.due = now + WHOLE_MOST
+
+    def _discard(self, size: int) -> bool:
+        """What comes once it is finished is neither run nor answered; whether that is enough of it."""
+        if self.shut_at is not None and not self._discarded:
+            self._server.count("connections_crossed")
+        self._discarded += size
+        return self._discarded > DISCARD_MOST
+
+    def finish(self) -> None:
+        """Take nothing more from it; once all that was taken has its answer, it ends.
+
+        Guards the requests that came whole before bad bytes or half a frame: those are owed their answers.
+        """
+        self.leaving = self.finished = True
+        self.due = inf
+        if self.idle:
+            self.end()
+
+    def end(self) -> None:
+        """Nothing is open on it: shut it, and read on until the router closes its side or its time is up.
+
+        What crosses the shutdown is discarded: whoever sent it sees the end of the stream, no answer and no
+        reset that would take along what it has not read yet, and asks again elsewhere.
+        """
+        if not self._reading:
+            return self.close()
+        if self.shut_at is None:
+            self.leaving = self.finished = True
+            self.shut_at = self._server.scheduler.clock.now
+            self.stream.shut()
+            if not self.stream.open:
+                self.close()
 
     def close(self) -> None:
         """Nothing comes or goes any more: who still waited on it is gone."""
@@ -111,6 +165,8 @@
             self._server.count("frames_faulty")
             log.warning("faulty frame", extra={"pairs": {"tag": trouble.tag, "reason": trouble}})
             if not trouble.tag or trouble.tag in self.open:  # no answer could tell which of two is meant
+                if trouble.tag:
+                    self._withdraw(self.open[trouble.tag])
                 raise resp.GarbledError(str(trouble)) from None
             tag = trouble.tag
             self._queue(lambda said: resp.terminated(tag, said))
@@ -127,7 +183,13 @@
             asked.name, asked.track, asked.body, tag, asked.label, ticket, self, server.witness
         )
         self.open[tag] = exchange
-        server.desk.arrived(exchange)
+        try:
+            server.desk.arrived(exchange)
+        except Exception:
+            # A fault of ours costs the one request that met it, loudly; the others here go on.
+            log.exception("request failed by a fault", extra={"pairs": {"tag": tag}})
+            server.count("faults")
+            exchange.terminate()
 
     def _withdraw(self, exchange: Exchange) -> None:
         self.open.pop(exchange.tag, None)
@@ -164,6 +226,8 @@
         self.stream.flush()
         if not self.stream.open:
             self.close()
+        elif self.finished and self.idle:
+            self.end()
 
     def _final(self, exchange: Exchange, kind: str, answer: Callable[[float | None], bytes]) -> None:
         self.open.pop(exchange.tag, None)
@@ -216,6 +280,8 @@
         if track.nature is Nature.LABELLED and not asked.label:
             raise resp.FaultyError("no label on a track that needs one", asked.tag)
         now = self.scheduler.clock.now
+        if asked.since > now:  # the round's clock stands while it reads, and a round may be long
+            now = self.scheduler.clock.read()
         if not now - AGE_MOST < asked.since < now + AHEAD_MOST:
             raise resp.FaultyError(f"a figure out of range: since={asked.since:.3f}", asked.tag)
         arrived = min(asked.since, now)  # whole milliseconds of another's reading may lie ahead of ours
@@ -230,7 +296,13 @@
         while self.dirty:
             dirty, self.dirty = self.dirty, {}
             for connection in dirty:
-                connection.flush()
+                try:
+                    connection.flush()
+                except Exception:
+                    # Its own answers may be lost by a fault of ours; those of all others go out.
+                    log.exception("connection closed by a fault")
+                    self.count("faults")
+                    connection.close()
 
     def close_unused(self, after: float) -> None:
         """Say farewell on connections that carry nothing for so long."""
@@ -244,16 +316,28 @@
 
         No farewell first: a router in need would wait until those are gone that do not listen to it. Guards
         against crowds that connect and say nothing or ask once and stay, and against any leak of connections
-        on the other side; a router whose next ticket crosses the close has to send it again.
+        on the other side; a router whose next ticket crosses the end has to send it again. Those that are
+        about to go count as room that is made, so that no more go than are in the way.
         """
         before = self.scheduler.clock.now - ROOM_LEAST
-        idle = [one for one in self.connections if one.idle and one.used <= before]
+        most = max(self._connections_most // ROOM_PARTS, 1)
+        for connection in list(self.connections):
+            if connection.shut_at is not None:
+                most -= 1
+                if connection.shut_at <= before:
+                    connection.close()
+        idle = [
+            one for one in self.connections if one.idle and one.used <= before and one.shut_at is None
+        ]
         idle.sort(key=lambda one: (one.heard, one.used))
         # Only those to go are looked into for unread bytes: a peek is a system call, and the table is full.
         going = (one for one in idle if not one.stream.unread)
-        for connection in islice(going, self._connections_most // ROOM_PARTS):
+        for connection in islice(going, max(most, 0)):
             self.count("connections_crowded_out")
-            connection.close()
+            if connection.heard:
+                connection.end()
+            else:
+                connection.close()  # nothing was ever answered that a reset could take along
 
     def _thin(self) -> None:
         """Ask connections to go that are unused, the longest first, until they are no crowd any more."""
@@ -271,17 +355,29 @@
             connection.farewell()
 
     def _sweep(self) -> None:
+        self.scheduler.after(SWEEP, self._sweep)
         now = self.scheduler.clock.now
+        longest = max((track.abandon for track in self._tracks.values()), default=0.0)
         for connection in list(self.connections):
-            if now > connection.due and connection.stream.all_sent:
-                self.count("connections_unfinished" if connection.heard else "connections_silent")
+            stream, stuck = connection.stream, connection.stream.stuck_since
+            if connection.shut_at is not None:
+                if now > connection.shut_at + LINGER:
+                    connection.close()
+            elif stuck is not None and now > stuck + longest + PARTING:
+                # Whatever it was owed is past its time; it would keep its place in the table for good.
+                self.count("connections_stuck")
                 connection.close()
+            elif now > connection.due and stream.all_sent:
+                if not stream.unread:  # else the rest has just come
+                    self.count("connections_unfinished" if connection.heard else "connections_silent")
+                    connection.finish()
             elif not connection.idle:
                 continue
+            elif connection.finished:
+                connection.end()
             elif connection.leaving:
-                if (connection.finished or now > connection.used + PARTING) and not connection.stream.unread:
-                    connection.close()
+                if now > connection.used + PARTING and not stream.unread:
+                    connection.end()
             elif self._unused_most is not None and now > connection.used + self._unused_most:
                 connection.farewell()
         self._thin()
-        self.scheduler.after(SWEEP, self._sweep)
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -34,6 +34,7 @@
         self._paused: greenlet | None = None  # the reader, while too much is unsent
         self._sending = False
         self.open = True
+        self.stuck_since: float | None = None  # since when the peer has taken nothing of what is unsent
 
     def read(self) -> bytes:
         """What has come, waiting for it; empty at the end of the stream, however it ended.
@@ -71,6 +72,7 @@
             self._send()
             if self._unsent:
                 self._sending = True
+                self.stuck_since = self._scheduler.clock.now
                 self._scheduler.spawn(self._send_rest)
 
     @property
@@ -91,6 +93,18 @@
         except OSError:  # nothing yet (BlockingIOError) or the stream is broken: nothing to lose
             return False
 
+    def shut(self) -> None:
+        """Write nothing more, and let the peer see it, while what it still sends is read.
+
+        Guards against a close over bytes that come in its very moment: it would reset the connection, and
+        what the peer has not taken yet would go with it. Only once all is sent.
+        """
+        if self.open:
+            try:
+                self._socket.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.close()  # broken already
+
     def close(self) -> None:
         if self.open:
             self.open = False
@@ -112,10 +126,14 @@
     def _send_rest(self) -> None:
         while self.open and self._unsent:
             self._scheduler.wait(self._socket.fileno(), WRITABLE)
+            before = len(self._unsent)
             self._send()
+            if len(self._unsent) < before:
+                self.stuck_since = self._scheduler.clock.now
             if len(self._unsent) <= self._unsent_most:
                 self._go_on_reading()
         self._sending = False
+        self.stuck_since = None
 
     def _go_on_reading(self) -> None:
         if self._paused is not None:
@@ -188,12 +206,16 @@
         while self._room():
             try:
                 sock, _ = self._socket.accept()
-                stream = Stream(self._scheduler, sock, HIGH_WATER, FAIR_CHUNK)
             except BlockingIOError:
                 return True
             except ConnectionAbortedError:
                 continue  # this one was gone before it was taken
             except OSError:
                 return False  # no descriptor or no memory for it now
+            try:
+                stream = Stream(self._scheduler, sock, HIGH_WATER, FAIR_CHUNK)
+            except OSError:
+                sock.close()  # reset since: no sign of a full table, for which others would have to go
+                continue
             self._accepted(stream)
         return False
--- a/tests/world.py
+++ b/tests/world.py
@@ -338,8 +338,10 @@
     def __init__(self, scheduler: MadeScheduler) -> None:
         self.made, self.open = scheduler, True
         self._unsent = bytearray()
+        self.stuck_since = None
         self.fed: deque[bytes] = deque()
         self.written = bytearray()
+        self.closes_when_shut = True  # as a router does that sees the end of the stream
         self.reader: greenlet | None = None
 
     def read(self) -> bytes:
@@ -359,6 +361,10 @@
     def unread(self) -> bool:
         return self.open and bool(self.fed)
 
+    def shut(self) -> None:
+        if self.open and self.closes_when_shut:
+            self.feed(b"")
+
     def close(self) -> None:
         self.open = False
         self.wake()
