A fault in a timer or at the end of a round no longer ends the process

Seen by reading: `Scheduler.run` called timers' actions and `after_round` bare. One exception there, in a decision or an answer of one ticket, left the loop, and the process ended with every connection and run open. Only greenlets were guarded.

Checked with tests that hold the moment (tests/test_crossing_scheduler.py): a faulty timer beside one due in the same round, a fault at the end of every round with a signal sent meanwhile, a core behind `Wake` that faults before it told its next wake. Ruled out: that a lasting fault spins (fewer than 10 rounds in 50 ms, the log is bounded per logger as before) or keeps signals out (they are taken by a greenlet, before timers and ends of rounds).

BaseException still ends the run. `every` calls an action again and again and sets the next turn first, so that a fault costs one turn and not all to come. `Wake` rings again 0.25 s after a ring that faulted, or when the core had asked for it.

--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -65,6 +65,7 @@
         self._ready: deque[tuple[greenlet, int]] = deque()
         self._hub = getcurrent()
         self._stopped = False
+        self.on_fault: Callable[[], None] = lambda: None  # told of each fault of ours that was survived
         self._on_signal: dict[int, Callable[[], None]] = {}
         self._wake_up: tuple[int, int] | None = None
 
@@ -78,7 +79,7 @@
                 function(*values)
             except Exception:
                 # A fault in one greenlet must not take the others along; who must go on catches its own.
-                log.exception("greenlet ended by a fault")
+                self._survived("greenlet ended by a fault")
 
         self._ready.append((greenlet(body, parent=self._hub), 0))
 
@@ -120,9 +121,25 @@
     def after(self, span: float, action: Callable[[], None]) -> Timer:
         """Call `action` in the first round at or after `span` seconds from the clock's last reading."""
         timer = Timer(action)
+        self._set(span, timer)
+        return timer
+
+    def every(self, span: float, action: Callable[[], None]) -> Timer:
+        """Call `action` again and again, `span` seconds after its last turn; `cancel` ends that.
+
+        The next turn is set before the action: guards against a fault that would cost all turns to come.
+        """
+
+        def turn() -> None:
+            self._set(span, timer)
+            action()
+
+        timer = self.after(span, turn)
+        return timer
+
+    def _set(self, span: float, timer: Timer) -> None:
         self._order += 1
         heapq.heappush(self._timers, (self.clock.now + span, self._order, timer))
-        return timer
 
     def on_signal(self, number: int, action: Callable[[], None]) -> None:
         """Call `action` in the loop, never in the middle of anything, after the signal came."""
@@ -145,7 +162,10 @@
     # -- the loop
 
     def run(self) -> None:
-        """Rounds until `stop`; the round in which it is called is the last."""
+        """Rounds until `stop`; the round in which it is called is the last.
+
+        A fault of ours in an action costs that action: it must not end the process with everything open.
+        """
         while not self._stopped:
             events = self._poll.poll(self._timeout())
             self.clock.read()
@@ -156,14 +176,25 @@
             while self._timers and self._timers[0][0] <= now:
                 action = heapq.heappop(self._timers)[2].action
                 if action is not None:
-                    action()
+                    try:
+                        action()
+                    except Exception:
+                        self._survived("timer's action ended by a fault")
             self._run_ready()
             for action in self.after_round:
-                action()
+                try:
+                    action()
+                except Exception:
+                    self._survived("end of a round cut short by a fault")
 
     def stop(self) -> None:
         self._stopped = True
 
+    def _survived(self, what: str) -> None:
+        """Within `except`: loudly, and counted."""
+        log.exception(what)
+        self.on_fault()
+
     def _run_ready(self) -> None:
         while self._ready:
             waiter, happened = self._ready.popleft()
--- a/sablewheel/transport/wake.py
+++ b/sablewheel/transport/wake.py
@@ -7,6 +7,8 @@
 
 from .scheduler import Scheduler, Timer
 
+FAULT_REST = 0.25  # until the next ring after one that faulted, or sooner as it set
+
 
 class Wake:
     """Rings `ring` at the moment set last, or sooner; times are those of `clock`, seconds.
@@ -37,4 +39,9 @@
 
     def _rung(self) -> None:
         self._timer = None
-        self._ring()
+        try:
+            self._ring()
+        except Exception:
+            # Nobody else would ring a core that heard nothing; sooner, a lasting fault would be the load.
+            self.set(self._clock() + FAULT_REST)
+            raise
