A signal that finds the wake-up pipe full is taken all the same

Seen by reading: the pipe's bytes told which signals came, and a byte that finds the pipe full is dropped by the interpreter of Python. Also checked, and clear: signals sent from a greenlet, a timer and the end of a round are each taken at once and never in the middle of anything; the same one twice in a round is taken, and the next one after it too.

Now the handler notes the number and the pipe only wakes; it is read empty at once. The handler runs before the step behind the read of its byte, as Python marks the signal before it writes the byte. The same signal twice before it is taken counts once, as a second notice to leave changes nothing. A wake with nothing to read (none was seen) would have ended the watch; it is suppressed.

--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import logging
 import os
@@ -67,6 +68,7 @@
         self._stopped = False
         self.on_fault: Callable[[], None] = lambda: None  # told of each fault of ours that was survived
         self._on_signal: dict[int, Callable[[], None]] = {}
+        self._came: deque[int] = deque()  # signals not taken yet
         self._wake_up: tuple[int, int] | None = None
 
     # -- greenlets
@@ -150,14 +152,21 @@
             signal.set_wakeup_fd(self._wake_up[1], warn_on_full_buffer=False)
             self.spawn(self._watch_signals, self._wake_up[0])
         self._on_signal[number] = action
-        signal.signal(number, lambda *_: None)
+        signal.signal(number, self._note_signal)
+
+    def _note_signal(self, number: int, _: object) -> None:
+        """Between any two steps of anything; the pipe's byte has made the poll return, or will."""
+        if number not in self._came:
+            self._came.append(number)
 
     def _watch_signals(self, descriptor: int) -> None:
+        """The pipe only wakes: a byte that finds it full is lost, and its signal must not be."""
         while True:
             self.wait(descriptor, READABLE)
-            for number in os.read(descriptor, 64):
-                if number in self._on_signal:
-                    self.spawn(self._on_signal[number])  # a fault there must not end the watch
+            with contextlib.suppress(BlockingIOError):
+                os.read(descriptor, 65536)
+            while self._came:
+                self.spawn(self._on_signal[self._came.popleft()])  # a fault there must not end the watch
 
     # -- the loop
 
--- a/tests/test_crossing_scheduler.py
+++ b/tests/test_crossing_scheduler.py
@@ -145,6 +145,21 @@
 # -- signals
 
 
+def test_a_signal_that_finds_the_pipe_full_is_not_lost(scheduler: Scheduler, signals: int) -> None:
+    scheduler.on_signal(signals, scheduler.stop)
+    assert scheduler._wake_up is not None
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(scheduler._wake_up[1], b"\0" * 65536)
+    os.kill(os.getpid(), signals)
+    scheduler.after(0.5, lambda: pytest.fail("the signal was lost"))
+    scheduler.on_fault = scheduler.stop
+    heard: list[bool] = []
+    scheduler.after_round.append(lambda: heard.append(scheduler._stopped))
+    play(scheduler, most=0.3)
+    assert len(heard) < 5 and heard[-1]  # long before the time was over
+
+
 def test_signals_between_any_two_steps_of_a_round_are_taken_in_the_loop(
     scheduler: Scheduler, signals: int
 ) -> None:
