A wait on a closed socket leaves no trace in the scheduler

Seen by reading: `Scheduler.wait` noted the waiter and the mask before it registered the descriptor. For a closed socket (-1) the registering raises; a second wait on -1 found the mask set, registered nothing and stood still for ever.

Checked with a test: of two waits on -1 the first raised and the second never came back. Registered first, noted after; both raise now and nothing is kept.

--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -87,12 +87,12 @@
 
     def wait(self, descriptor: int, event: int, most: float = inf) -> bool:
         """Wait until the descriptor is readable or writable (or broken), `most` seconds; whether it is."""
-        waiting = self._waiting.setdefault(descriptor, {})
-        me = waiting[event] = getcurrent()
         mask = self._masks.get(descriptor, 0)
         if not mask & event:
+            self._poll.register(descriptor, mask | event)  # first: what is no descriptor leaves no trace
             self._masks[descriptor] = mask | event
-            self._poll.register(descriptor, mask | event)
+        me = getcurrent()
+        self._waiting.setdefault(descriptor, {})[event] = me
         timer = self.after(most, lambda: self._time_out(descriptor, event, me)) if most < inf else None
         happened = bool(self._hub.switch())
         if timer is not None:
--- a/tests/test_crossing_scheduler.py
+++ b/tests/test_crossing_scheduler.py
@@ -12,6 +12,7 @@
 from itertools import pairwise
 
 import pytest
+from greenlet import getcurrent
 
 from sablewheel.transport.scheduler import READABLE, Clock, Scheduler
 from sablewheel.transport.wake import Wake
@@ -265,3 +266,17 @@
     assert sorted(told) == ["closed", "nothing came"]
     for end in [*made, *(end for pair in pairs for end in pair)]:
         end.close()
+
+
+def test_a_number_that_is_no_descriptor_faults_each_time_and_leaves_no_trace(scheduler: Scheduler) -> None:
+    """A socket that is closed has -1: a second wait on it stood still for ever."""
+    seen: list[str] = []
+
+    def waits() -> None:
+        with pytest.raises(ValueError, match="negative"):
+            scheduler.wait(-1, READABLE)
+        seen.append(f"{getcurrent() is not None}")
+
+    scheduler.after(0.02, scheduler.stop)
+    play(scheduler, waits, waits)
+    assert seen == ["True", "True"] and not scheduler._masks and not scheduler._waiting.get(-1)
