A run rejected as it is sent again counts as one that may have run

Seen by reading: `Client._rejected` took ERROR for any APPLY as proof that the run never began. Behind a broken link runs are applied again; the first APPLY may have been carried out by the old link, and the second rejected.

Checked with a test that rejects the second one of a labelled run which goes on: the label was set free, a repeat was run, "one label ran twice". Ruled out: an ERROR lost with its link (the run is then in doubt, is sent again and rejected again), and one that belongs to an earlier ticket of the name (answers come in the order of the commands, and the name is taken until the run is over).

Now such a run ends as an error: its ticket is terminated, its label stays taken, its late end counts under `ends_unknown`. A run that was sent once and rejected leaves no trace, as before.

The new file also guards what was found clear: a stop lost with its link is asked for again, though a question behind it was answered; a notice cut in two, doubled, or crossing a stop and a break counts once; an older move takes nothing from a newer one; an old link that breaks in the hand-over leaves no run in doubt; a stop and a notice to leave in a hand-over are kept; a new address that ends its links is tried until it greets; an interpreter that was never up is waited for on one link; on loopback, a move that crosses a reset in the middle of a notice loses and doubles nothing; the parser takes any cut.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -38,12 +38,13 @@
 class Run:
     """A run without an end so far: under which fence its command was written, if it was."""
 
-    __slots__ = ("exchange", "fence", "halted")
+    __slots__ = ("again", "exchange", "fence", "halted")
 
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
         self.fence = 0  # 0: not written; else the question behind it, whose answer proves that it was read
         self.halted = False
+        self.again = False  # its command was written a second time: the first may have been carried out
 
 
 class Client:
@@ -215,6 +216,7 @@
         for run in self._runs.values():
             if run.fence > proven or not run.fence:
                 if run.fence:
+                    run.again = True
                     self._count("runs_sent_again")
                 self._apply(run)
             if run.halted:
@@ -243,14 +245,17 @@
             self._count("ends_unknown")
 
     def _rejected(self, command: interpreter.Command, name: bytes) -> None:
-        """The command was not carried out: so its run never started."""
+        """The command was not carried out: so its run never started, unless one before it was.
+
+        Guards against a label set free for a run that goes on: a repeat would run it a second time.
+        """
         self._count("commands_rejected")
         if command is interpreter.Command.GAUGES:
             return
         pairs = {"command": command.name.lower(), "name": name.decode("ascii", "replace")}
         log.warning("interpreter rejected a command", extra={"pairs": pairs})
         if command is interpreter.Command.START and name in self._runs:
-            self._end(name, Outcome.MOOT, 0.0, b"")
+            self._end(name, Outcome.ERROR if self._runs[name].again else Outcome.MOOT, 0.0, b"")
 
     def _end(self, name: bytes, outcome: Outcome, took: float, result: bytes) -> None:
         exchange = self._runs.pop(name).exchange
--- /dev/null
+++ b/tests/test_crossing_link.py
@@ -0,0 +1,324 @@
+"""What crosses on the link to the interpreter: breaks, moves, silences, and commands and notices between.
+
+On a made clock each test holds the moment itself; where the socket matters, it is one on loopback.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+
+import pytest
+from test_routing import MACHINE
+from world import Interpreter, MadeStream, Town
+
+from sablewheel.protocol import interpreter
+from sablewheel.routing.client import Client
+from sablewheel.routing.exchange import Exchange
+from sablewheel.terms import Nature, Outcome, Router, Ticket, Track
+from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.transport.stream import Listener, Stream, connect
+
+Obey = Callable[[list[bytes], bytes], bytes]
+
+
+def obeying(town: Town, other: Callable[[Obey, list[bytes], bytes], bytes]) -> None:
+    """From now on the interpreter does `other` with each command; `del town.interpreter._obey` ends that."""
+    obey = town.interpreter._obey
+    town.interpreter._obey = lambda words, body: other(obey, words, body)  # type: ignore[method-assign]
+
+
+def answers_questions_only(obey: Obey, words: list[bytes], body: bytes) -> bytes:
+    """Runs and stops are lost, as those of the last 50 ms before a break may be."""
+    return b"" if words[0] in (b"APPLY", b"BREAK") else obey(words, body)
+
+
+def recover(town: Town) -> None:
+    del town.interpreter._obey
+
+
+def broken(town: Town, lost: bool) -> None:
+    """The link breaks, and the next has the time to stand."""
+    town.cut(lost)
+    town.settle()
+    town.wait(0.1)
+
+
+# -- commands from the last 50 ms before a break
+
+
+def test_a_run_long_known_to_be_read_is_not_sent_again() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"record", b"a")
+    town.settle()
+    town.wait(0.5)
+    broken(town, lost=False)
+    assert town.counts.count("links") == 2 and not town.counts.count("runs_sent_again")
+    assert one.name in town.interpreter.running
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_a_stop_lost_with_a_break_is_asked_for_again(answered: bool) -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+    town.cancel(one)
+    obeying(town, answers_questions_only)
+    town.settle(deliver=answered)
+    recover(town)
+    broken(town, lost=True)
+    assert not town.interpreter.running and town.dispatch.open_count == 0
+
+
+def test_a_run_rejected_as_it_is_sent_again_may_have_run() -> None:
+    """It ran on the old link; taken for never begun, its label was free and a repeat ran a second time."""
+    town = Town(MACHINE)
+    one = town.call(b"record", b"a")
+    town.settle(deliver=False)
+    town.cut(lost=False)
+    obeying(
+        town,
+        lambda obey, words, body: (
+            b"ERROR APPLY %b\r\n" % words[1] if words[0] == b"APPLY" else obey(words, body)
+        ),
+    )
+    town.wait(0.1)
+    recover(town)
+    repeat = town.call(b"record", b"a")
+    town.settle()
+    assert len(town.interpreter.applied) == 1
+    assert one.answers[0][1] == repeat.answers[0][1] == b"FAILED"
+    town.end(one.name)
+    town.settle()
+    assert town.counts.count("ends_unknown") == 1 and town.dispatch.open_count == 0
+
+
+# -- notices over a change of link
+
+
+@pytest.mark.parametrize("size", [1, 7, 40, -1])
+def test_a_notice_cut_in_two_by_a_break_counts_once_whole(size: int) -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+    assert town.link is not None
+    notice = town.interpreter.end(one.name)
+    town.link.feed(notice[:size])
+    town.settle()
+    assert not one.answers
+    broken(town, lost=False)
+    assert one.answers[0][3] == b"made of " + one.body
+    town.link.feed(notice)  # and twice under one number, behind the break
+    town.settle()
+    assert len(one.answers) == 1 and not town.counts.count("ends_unknown")
+
+
+def test_an_answer_that_comes_as_its_stop_goes_out_and_the_link_breaks_is_the_end() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+    town.cancel(one)
+    town.settle(deliver=False)  # the stop is under way
+    town.interpreter.end(one.name)  # and the end as well
+    broken(town, lost=True)
+    assert town.dispatch.open_count == 0 and not town.counts.count("ends_unknown")
+
+
+# -- moves
+
+
+def test_an_older_move_takes_nothing_from_a_newer_one() -> None:
+    """The newer one's link stands while the older still waits, for the hand-over or for its connection."""
+    town = Town(MACHINE)
+    made: list[MadeStream] = []
+
+    def slow() -> Stream:
+        town.scheduler.sleep(0.05)
+        made.append(MadeStream(town.scheduler))
+        return made[-1]
+
+    town.client.move(slow)
+    town.scheduler.run_ready()
+    town.client.move(town._connect)
+    town.scheduler.run_ready()
+    town.client.move(town._connect)
+    town.wait(0.5)
+    one = town.call(b"lookup")
+    town.settle()
+    assert one.name in town.interpreter.running
+    assert len(made) == 1 and not made[0].open and not made[0].written
+    assert sum(link.open for link in town.links) == 1
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_an_old_link_that_breaks_in_the_hand_over_leaves_no_run_in_doubt(lost: bool) -> None:
+    town = Town(MACHINE)
+    before = town.call(b"record", b"a")
+    town.settle(deliver=False)
+    town.client.move(town._connect)
+    town.scheduler.run_ready()
+    held = town.call(b"record", b"b")
+    town.settle(deliver=False)
+    broken(town, lost)
+    assert set(town.interpreter.running) == {before.name, held.name}
+    town.end(before.name)
+    town.settle()
+    assert before.answers[0][1] == b"OK"
+
+
+def test_a_stop_and_a_notice_to_leave_in_a_hand_over_are_kept() -> None:
+    town = Town(MACHINE)
+    stopped, staying = town.call(b"lookup"), town.call(b"lookup")
+    town.settle()
+    town.client.move(town._connect)
+    town.scheduler.run_ready()
+    town.cancel(stopped)
+    town.drain(1.0)
+    town.settle(deliver=False)
+    town.wait(0.2)
+    assert set(town.interpreter.running) == {staying.name}
+    town.end(staying.name)
+    town.settle()
+    assert staying.answers[0][1] == b"OK" and town.dispatch.open_count == 0
+
+
+def test_a_new_address_that_takes_links_and_ends_them_is_tried_until_it_greets() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"record", b"a")
+    town.settle()
+    tried: list[MadeStream] = []
+
+    def ending() -> Stream | None:
+        if len(tried) == 3:
+            return town._connect()
+        tried.append(MadeStream(town.scheduler))
+        tried[-1].feed(b"")
+        return tried[-1]
+
+    town.client.move(ending)
+    town.wait(0.5)
+    assert len(tried) == 3 and one.name in town.interpreter.running
+    town.end(one.name)
+    town.settle()
+    assert one.answers[0][1] == b"OK"
+
+
+# -- silences
+
+
+def test_an_interpreter_that_has_not_come_up_yet_is_waited_for_on_one_link() -> None:
+    town = Town(MACHINE)
+    counts: list[str] = []
+    first = Client(town.scheduler, lambda: MadeStream(town.scheduler), town.dispatch, counts.append)
+    town.wait(20.0)
+    assert counts == ["links"] and first.gauges() == ()
+
+
+# -- on loopback
+
+
+class Desk:
+    def __init__(self) -> None:
+        self.ends: list[tuple[bytes, Outcome, bytes]] = []
+        self.greetings = 0
+
+    def greeted(self, cold: bool, age: float) -> None:
+        self.greetings += 1
+
+    def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
+        self.ends.append((exchange.name, outcome, result))
+
+
+class Engine:
+    """The interpreter at one address; all addresses share one core."""
+
+    def __init__(self, scheduler: Scheduler, core: Interpreter) -> None:
+        self.core, self.links = core, list[Stream]()
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        self.listener = Listener(scheduler, self.address, lambda: True, self._accepted, lambda: None)
+        self.scheduler = scheduler
+
+    def _accepted(self, stream: Stream) -> None:
+        self.links.append(stream)
+        self.scheduler.spawn(self._serve, stream)
+
+    def _serve(self, stream: Stream) -> None:
+        self.core.bytes = b""
+        while data := stream.read():
+            stream.write(self.core.feed(data))
+            stream.flush()
+
+    def reset(self) -> None:
+        """Break the link at once: what it has not taken is lost, and a reset goes out."""
+        sock = self.links[-1]._socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.links[-1].close()
+
+
+def exchange(name: bytes) -> Exchange:
+    ticket = Ticket(Track(Nature.LABELLED, 1.0, 4.0), Router(), None, 0.0, 1.0)
+    return Exchange(name, b"record", b"body of " + name, 1, name, ticket, None)
+
+
+def test_a_move_that_crosses_a_break_in_the_middle_of_a_notice_loses_and_doubles_nothing() -> None:
+    """The old address resets its link within a notice, over a command unread, as the new one is taken."""
+    scheduler, core, desk = Scheduler(Clock()), Interpreter(), Desk()
+    counts: list[str] = []
+    old, new = Engine(scheduler, core), Engine(scheduler, core)
+    client = Client(scheduler, lambda: connect(scheduler, old.address, 1.0), desk, counts.append)
+    scheduler.after_round.append(client.flush)
+    names = [b"%016x" % which for which in range(4)]
+
+    def until(true: Callable[[], object]) -> None:
+        while not true():
+            scheduler.sleep(0.002)
+
+    def play() -> None:
+        until(lambda: client.gauges())
+        for name in names[:3]:
+            client.run(exchange(name))
+        until(lambda: len(core.running) == 3)
+        half = core.end(names[0])
+        core.end(names[1])  # told to nobody: the link is gone by then
+        old.links[-1].write(half[: len(half) // 2])
+        old.links[-1].flush()
+        old.listener.close()
+        client.move(lambda: connect(scheduler, new.address, 1.0))
+        client.run(exchange(names[3]))
+        scheduler.sleep(0.0)
+        old.reset()
+        until(lambda: desk.greetings == 2 and set(core.running) == set(names[2:]))
+        for name in names[2:]:
+            new.links[-1].write(core.end(name) + core.notices[-1])
+        new.links[-1].flush()
+        until(lambda: len(desk.ends) == 4)
+        scheduler.sleep(0.05)  # for an end too many
+        scheduler.stop()
+
+    scheduler.spawn(play)
+    scheduler.after(3.0, scheduler.stop)
+    scheduler.run()
+    for end in [*old.links, *new.links]:
+        end.close()
+    new.listener.close()
+    assert [name for name, *_ in core.applied] == names
+    assert desk.ends == [(name, Outcome.WORKED, b"made of body of " + name) for name in names]
+    assert desk.greetings == 2 and not counts.count("runs_error")
+
+
+# -- the parser over a change of link
+
+
+def test_a_parser_takes_any_cut_and_starts_clean_on_the_next_link() -> None:
+    stream = (
+        b"BANNER steady 7\r\nTRACE 4 a remark\r\nVALUE 5 aa success 250 6\r\n\r\nVALU\r\n"
+        b"VALUE 5 aa success 250 6\r\n\r\nVALU\r\nTOPS 9 0.5 -\r\nERROR APPLY bb\r\n"
+    )
+    whole = interpreter.Parser().feed(stream)
+    assert len(whole) == 6
+    for cut in range(len(stream)):
+        parser = interpreter.Parser()
+        assert parser.feed(stream[:cut]) + parser.feed(stream[cut:]) == whole
+        assert interpreter.Parser().feed(stream) == whole
