A move that crosses a hand-over no longer leaves the server without a link

Seen by reading: `Client._keep_linked` has its new connection, waits in `_leave_old` until the old link has read all, closes that one, and serves the new one only if no further move came meanwhile. If one did, the new connection was closed as well, and there was no link until the second address could be had.

Checked with a test: a second move, to an address that can't be had, between the connection and the end of the hand-over; a labelled run that came then was never sent. Ruled out: that the older greenlet takes the link from the newer one (test of the same file; the newer finds the link not ready, gives it up and serves in one step).

Now the connection that stands serves if nothing else does; the next move hands it over as any other.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -128,9 +128,10 @@
                 continue
             if move == self._moves:
                 self._leave_old()
-            if move == self._moves:
-                self._serve(stream)
-                self._scheduler.sleep(FIRST_REST)
+                # Even if it moved again meanwhile: this link serves until the next stands, if none does yet.
+                if self._stream is None:
+                    self._serve(stream)
+                    self._scheduler.sleep(FIRST_REST)
             stream.close()
             rest = FIRST_REST
 
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -128,6 +128,25 @@
 # -- moves
 
 
+def test_a_move_that_crosses_a_hand_over_leaves_the_newest_link_there_is() -> None:
+    """The second address can't be had for long; the first link stood already, and was thrown away."""
+    town = Town(MACHINE)
+    reachable = False
+    town.client.move(town._connect)
+    town.scheduler.run_ready()  # connected; waits until the old link has read all
+    town.client.move(lambda: town._connect() if reachable else None)
+    town.wait(0.5)
+    one = town.call(b"record", b"a")
+    town.settle()
+    assert one.name in town.interpreter.running and sum(link.open for link in town.links) == 1
+    reachable = True
+    town.wait(1.0)
+    assert town.counts.count("links") == 3 and sum(link.open for link in town.links) == 1
+    two = town.call(b"lookup")
+    town.settle()
+    assert two.name in town.interpreter.running
+
+
 def test_an_older_move_takes_nothing_from_a_newer_one() -> None:
     """The newer one's link stands while the older still waits, for the hand-over or for its connection."""
     town = Town(MACHINE)
