A link that never greets is made anew, and a pause of the machine is no silence

Seen by reading: `_ask_gauges` looked for silence only on a link behind its fence. One that was accepted and not greeted, or died between its greeting and the first answer, stayed for good: no run went out any more. And it went by the clock: after a pause of more than 3 s of the whole machine the first turn closed a link on which nothing could have come.

Checked with three tests, all failing before: not greeted (2 links for ever), no first answer (the same), three pauses of 10 s (3 links where 1 serves). Ruled out: an interpreter that is not up yet; until it has greeted once, its one link is waited on (20 s, one link).

Now the questions, or waits for a greeting, since the last word are counted: beyond 15, 3 s at five a second, the link is made anew, from the first greeting on in any state of it. A pause is one turn. Commands under way are sent again as after any break.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -20,7 +20,7 @@
 
 FIRST_REST, LAST_REST = 0.02, 0.5  # between tries, doubling
 GAUGES_EVERY, GAUGES_HOLD = 0.2, 0.5
-SILENT_MOST = 3.0  # without a word, while asked five times a second: longer than a machine that only stalls
+SILENT_MOST = 15  # times asked without a word: 3 s, however long the whole machine stood still between two
 HAND_OVER_MOST = 0.3  # for the fence on a link that is about to be left; past it, it counts as broken
 HAND_OVER_LOOK = 0.005
 ADOPTED = -1  # the fence of a run that was sent before this process began
@@ -68,7 +68,9 @@
         self._proven = 0  # the last that was answered: all commands before it were read
         self._commands = bytearray()
         self._gauges: tuple[float | None, ...] = ()
-        self._told = self._heard = 0.0
+        self._told = 0.0
+        self._greeted = False  # on any link so far
+        self._unheard = 0  # times asked, or waited for a greeting, since the last word on this link
         self._moves = 0
         self.move(connect)
         scheduler.after(GAUGES_EVERY, self._ask_gauges)
@@ -177,14 +179,15 @@
         parser = interpreter.Parser()
         proven = self._proven  # by the links before this one
         opening = 0  # the fence of this link: not before the greeting, as no command is carried out till then
-        self._stream = stream
+        self._stream, self._unheard = stream, 0
         stream.write(interpreter.connect(self._last))
         stream.flush()
         while data := stream.read():
-            self._heard = self._scheduler.clock.now
+            self._unheard = 0
             for notice in parser.feed(data):
                 match notice:
                     case interpreter.Greeting(cold, age):
+                        self._greeted = True
                         self._desk.greeted(cold, age)
                         opening, self._asking = self._fence + 1, True
                     case interpreter.RunOver():
@@ -229,11 +232,17 @@
         self._commands += interpreter.apply(exchange.name, exchange.track, exchange.body)
 
     def _ask_gauges(self) -> None:
-        """Also finds a link that is open but dead: it is made anew, which harms nothing if it only stalls."""
+        """Also finds a link that is open but dead: it is made anew, which harms nothing if it only stalls.
+
+        So is one on which no greeting or no first answer comes, once the interpreter has greeted at all;
+        before, it may just not be up. Times are counted and not seconds: a pause of the machine is one time.
+        """
         self._asking = self._asking or self._ready
-        if self._ready and self._stream is not None and self._scheduler.clock.now > self._heard + SILENT_MOST:
-            self._count("links_silent")
-            self._stream.close()
+        if self._greeted and self._stream is not None:
+            self._unheard += 1
+            if self._unheard > SILENT_MOST:
+                self._count("links_silent")
+                self._stream.close()
         self._scheduler.after(GAUGES_EVERY, self._ask_gauges)
 
     # -- what it tells
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -226,6 +226,44 @@
 # -- silences
 
 
+def test_a_pause_of_the_whole_machine_is_no_silence_of_the_link() -> None:
+    town = Town(MACHINE)
+    for _ in range(3):
+        town.scheduler.clock.now += 10.0  # nothing came, as nobody could send
+        town.wait(0.0)
+    town.wait(1.0)
+    assert town.counts.count("links") == 1 and not town.counts.count("links_silent")
+
+
+def test_a_new_link_that_is_taken_but_never_greeted_is_made_anew() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"record", b"a")
+    town.settle()
+    town.interpreter.up = False  # takes links, says nothing
+    town.cut(lost=False)
+    town.wait(2.5)
+    assert town.counts.count("links") == 2
+    town.interpreter.up = True
+    town.wait(1.0)
+    assert town.counts.count("links") == 3 and town.counts.count("links_silent") == 1
+    two = town.call(b"lookup")
+    town.settle()
+    assert set(town.interpreter.running) == {one.name, two.name}
+
+
+def test_a_link_that_dies_between_the_greeting_and_the_first_answer_is_made_anew() -> None:
+    town = Town(MACHINE)
+    obeying(town, lambda obey, words, body: b"" if words[0] == b"TOP" else obey(words, body))
+    town.cut(lost=False)
+    town.wait(2.5)
+    assert town.counts.count("links") == 2
+    recover(town)
+    town.wait(1.0)
+    one = town.call(b"lookup")
+    town.settle()
+    assert town.counts.count("links") == 3 and one.name in town.interpreter.running
+
+
 def test_an_interpreter_that_has_not_come_up_yet_is_waited_for_on_one_link() -> None:
     town = Town(MACHINE)
     counts: list[str] = []
