A fault in making a link, or in one turn of the gauges, ends neither for good

Seen by reading: an exception from `connect` (it asks features whether the server may be up) ended the greenlet of `_keep_linked`, and nobody would have linked again; one in `_ask_gauges` came before its next turn was set. Checked with a test whose `connect` faults twice: the fault went through, no link was made.

Now it is logged, counted under `faults` as the faults on a link are, and tried again as when nobody is there. The questions for gauges recur by `Scheduler.every`, which sets the next turn first.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -73,7 +73,7 @@
         self._unheard = 0  # times asked, or waited for a greeting, since the last word on this link
         self._moves = 0
         self.move(connect)
-        scheduler.after(GAUGES_EVERY, self._ask_gauges)
+        scheduler.every(GAUGES_EVERY, self._ask_gauges)
 
     def move(self, connect: Callable[[], Stream | None]) -> None:
         """From now on links are made by `connect`; the one there is serves until the new one stands."""
@@ -123,7 +123,12 @@
         """Links to one address, until the interpreter moves; whatever this waits for then delays nobody."""
         rest = FIRST_REST
         while move == self._moves:
-            stream = connect()
+            try:
+                stream = connect()
+            except Exception:  # nor must one here: nobody would try again
+                self._count("faults")
+                log.exception("no link for a fault")
+                stream = None
             if stream is None:
                 self._scheduler.sleep(rest)
                 rest = min(2 * rest, LAST_REST)
@@ -159,6 +164,7 @@
             self._count("notices_garbled")
             reason = trouble
         except Exception as trouble:  # a fault of ours must not leave the server without its interpreter
+            self._count("faults")
             log.exception("link broken by a fault")
             reason = trouble
         if self._stream is stream:
@@ -243,7 +249,6 @@
             if self._unheard > SILENT_MOST:
                 self._count("links_silent")
                 self._stream.close()
-        self._scheduler.after(GAUGES_EVERY, self._ask_gauges)
 
     # -- what it tells
 
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -223,6 +223,23 @@
     assert one.answers[0][1] == b"OK"
 
 
+def test_a_fault_in_making_a_link_is_survived() -> None:
+    town = Town(MACHINE)
+    faults = [RuntimeError("a fault of ours")] * 2
+
+    def faulty() -> Stream | None:
+        if faults:
+            raise faults.pop()
+        return town._connect()
+
+    town.client.move(faulty)
+    town.wait(0.5)
+    one = town.call(b"lookup")
+    town.settle()
+    assert one.name in town.interpreter.running and town.counts.count("links") == 2
+    assert town.counts.count("faults") == 2
+
+
 # -- silences
 
 
