Runs of the last 50 ms before a break are sent again whatever was answered

The protocol says that commands from the last 50 ms before a break may be lost along with it. `_catch_up` sent again only runs whose question had no answer: an answer proved that all before it was read. Read strictly, what was read may be lost all the same; such a run had no end, its ticket failed at its due time, and its core was taken for good.

Checked with an interpreter that answers each question and loses the runs and stops before it, then breaks: the run was never sent again. Stops were safe: they are always asked for again. Not known: whether any interpreter really loses what it has answered behind.

An answered question is now safe only when another one is answered that was written 50 ms after that answer was read: the link was whole until then. Going by the times of writing alone would be wrong in a stall, in which both are read at once (test). A link left behind its fence did not break and stays proven; one left before it greeted proves nothing of the one before it (test). What is sent again goes on as it was: APPLY of a run that goes on does nothing.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
 from ..protocol import interpreter
@@ -21,6 +23,7 @@
 FIRST_REST, LAST_REST = 0.02, 0.5  # between tries, doubling
 GAUGES_EVERY, GAUGES_HOLD = 0.2, 0.5
 SILENT_MOST = 15  # times asked without a word: 3 s, however long the whole machine stood still between two
+LOST_MOST = 0.05  # commands that came so shortly before a break may be lost, whatever was answered since
 HAND_OVER_MOST = 0.3  # for the fence on a link that is about to be left; past it, it counts as broken
 HAND_OVER_LOOK = 0.005
 ADOPTED = -1  # the fence of a run that was sent before this process began
@@ -66,6 +69,9 @@
         self._fence = 0  # the last question for gauges that went out
         self._asking = False  # one goes out at the end of this round
         self._proven = 0  # the last that was answered: all commands before it were read
+        self._safe = 0  # the last whose commands no break can take back
+        self._asked: deque[tuple[int, float]] = deque()  # on this link: those without an answer, when written
+        self._answered: deque[tuple[int, float]] = deque()  # with one, not safe yet: when it was read
         self._commands = bytearray()
         self._gauges: tuple[float | None, ...] = ()
         self._told = 0.0
@@ -112,6 +118,7 @@
         """At the end of a round: commands go out, a fence behind them."""
         if self._stream is not None and (self._commands or self._asking):
             self._fence += 1
+            self._asked.append((self._fence, self._scheduler.clock.now))
             self._stream.write(bytes(self._commands) + interpreter.ask_gauges(b"%d" % self._fence))
             self._stream.flush()
         self._asking = False
@@ -152,6 +159,8 @@
             fence, until = self._fence + 1, self._scheduler.clock.now + HAND_OVER_MOST
             while self._stream is old and self._proven < fence and self._scheduler.clock.now < until:
                 self._scheduler.sleep(HAND_OVER_LOOK)
+            if self._stream is old and self._proven >= fence:
+                self._safe = fence  # it is left, and did not break
         if self._stream is old:
             self._lose(old, "the interpreter moved")
 
@@ -175,6 +184,8 @@
         log.warning("link to the interpreter lost", extra={"pairs": {"reason": reason}})
         self._stream, self._ready = None, False
         self._commands.clear()
+        self._asked.clear()
+        self._answered.clear()
         for run in self._runs.values():
             if run.fence > self._fence:
                 run.fence = 0
@@ -183,7 +194,7 @@
     def _follow(self, stream: Stream) -> None:
         """One link from its first message to its end."""
         parser = interpreter.Parser()
-        proven = self._proven  # by the links before this one
+        safe = self._safe  # by the links before this one
         opening = 0  # the fence of this link: not before the greeting, as no command is carried out till then
         self._stream, self._unheard = stream, 0
         stream.write(interpreter.connect(self._last))
@@ -205,17 +216,29 @@
                     case interpreter.Rejected(command, name):
                         self._rejected(command, name)
                         if command is interpreter.Command.GAUGES:  # none here, but a fence all the same
-                            self._pass_fence(name, opening, proven)
+                            self._pass_fence(name, opening, safe)
                     case interpreter.Gauges(tag, values):
                         self._gauges, self._told = values, self._scheduler.clock.now
-                        self._pass_fence(tag, opening, proven)
+                        self._pass_fence(tag, opening, safe)
 
-    def _pass_fence(self, tag: bytes, opening: int, proven: int) -> None:
-        self._proven = int(tag) if tag.isdigit() else self._proven
-        if not self._ready and self._proven == opening:
-            self._catch_up(proven)
-
-    def _catch_up(self, proven: int) -> None:
+    def _pass_fence(self, tag: bytes, opening: int, safe: int) -> None:
+        """An answer proves that what was written before its question was read, but a break may still take the
+        last of that back: until a question is answered that was written LOST_MOST later: the link was whole
+        till then. From the reading of one to the writing of the other, since that holds in any stall.
+        """
+        fence = int(tag) if tag.isdigit() else 0
+        written = -inf
+        while self._asked and self._asked[0][0] <= fence:
+            written = self._asked.popleft()[1]
+        while self._answered and self._answered[0][1] + LOST_MOST <= written:
+            self._safe = self._answered.popleft()[0]
+        if written > -inf:
+            self._proven = fence
+            self._answered.append((fence, self._scheduler.clock.now))
+            if not self._ready and fence == opening:
+                self._catch_up(safe)
+
+    def _catch_up(self, safe: int) -> None:
         """All that was missed is in: what has no end yet and may not have been read is applied (again).
 
         That is safe for any track: a run that still runs goes on as it was, and one that ended just now is
@@ -224,7 +247,7 @@
         """
         self._ready = True
         for run in self._runs.values():
-            if run.fence > proven or not run.fence:
+            if run.fence > safe or not run.fence:
                 if run.fence:
                     run.again = True
                     self._count("runs_sent_again")
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from random import Random
 
 import pytest
 from test_routing import MACHINE
@@ -48,6 +49,44 @@
 # -- commands from the last 50 ms before a break
 
 
+def test_a_run_lost_just_before_a_break_is_sent_again_though_a_question_behind_it_was_answered() -> None:
+    town = Town(MACHINE)
+    obeying(town, answers_questions_only)
+    one = town.call(b"record", b"a")
+    town.settle()
+    recover(town)
+    broken(town, lost=False)
+    assert one.name in town.interpreter.running
+
+
+def test_a_question_that_was_written_long_before_its_answer_proves_no_earlier_run() -> None:
+    """The interpreter read a run and two questions at once, as after a stall, and broke the link then."""
+    town = Town(MACHINE)
+    links, town.links = town.links, []
+    one = town.call(b"record", b"a")
+    town.wait(0.5)
+    obeying(town, answers_questions_only)
+    town.links = links
+    town.settle()
+    recover(town)
+    broken(town, lost=False)
+    assert one.name in town.interpreter.running
+
+
+def test_a_link_left_before_it_greeted_proves_nothing_of_the_one_that_broke_before_it() -> None:
+    town = Town(MACHINE)
+    obeying(town, answers_questions_only)
+    one = town.call(b"record", b"a")
+    town.settle()
+    recover(town)
+    town.interpreter.up = False
+    broken(town, lost=False)
+    town.client.move(town._connect)
+    town.interpreter.up = True
+    town.wait(0.1)
+    assert town.counts.count("links") == 3 and one.name in town.interpreter.running
+
+
 def test_a_run_long_known_to_be_read_is_not_sent_again() -> None:
     town = Town(MACHINE)
     one = town.call(b"record", b"a")
@@ -58,6 +97,17 @@
     assert one.name in town.interpreter.running
 
 
+def test_a_run_sent_again_and_lost_again_is_sent_a_third_time() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"record", b"a")
+    town.settle(deliver=False)
+    obeying(town, answers_questions_only)
+    broken(town, lost=True)
+    recover(town)
+    broken(town, lost=False)
+    assert one.name in town.interpreter.running and town.counts.count("runs_sent_again") == 2
+
+
 @pytest.mark.parametrize("answered", [False, True])
 def test_a_stop_lost_with_a_break_is_asked_for_again(answered: bool) -> None:
     town = Town(MACHINE)
@@ -289,6 +339,82 @@
     assert counts == ["links"] and first.gauges() == ()
 
 
+# -- all of it, in any order
+
+
+class Link(MadeStream):
+    greeted = False
+
+    def feed(self, data: bytes) -> None:
+        self.greeted = self.greeted or data.startswith(b"BANNER")
+        super().feed(data)
+
+
+class Orderly(Town):
+    """Its interpreter tells no end on a link on which it has not greeted: the greeting brings it then."""
+
+    def _connect(self) -> Stream | None:
+        if not self.linked:
+            return None
+        self.links = [one for one in self.links if one.open] + [Link(self.scheduler)]
+        return self.links[-1]
+
+    def end(self, name: bytes, how: bytes = b"success") -> None:
+        if isinstance(self.link, Link) and self.link.greeted:
+            return super().end(name, how)
+        self.interpreter.end(name, how)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_run_is_left_without_its_end_whatever_crosses(seed: int) -> None:
+    """Breaks that take back what was answered, moves within moves, links not greeted; the town checks
+    the rules after each step, and in the end every run must be over here as it is there.
+    """
+    random, town = Random(seed), Orderly(MACHINE)
+    for _ in range(60):
+        running = list(town.interpreter.running)
+        match random.choice(
+            ["read", "write", "end", "end", "stop", "break", "take", "move", "gap", "mute", "wait"]
+        ):
+            case "read":
+                town.call(b"lookup")
+            case "write":
+                town.call(b"record", b"label%d" % random.randrange(6))
+            case "end" if running:
+                town.end(random.choice(running), random.choice([b"success", b"failure"]))
+            case "stop" if town.tries:
+                town.cancel(random.choice(town.tries))
+            case "break":
+                town.cut(lost=random.random() < 0.5)
+            case "take":  # back what was answered just now
+                obeying(town, answers_questions_only)
+                town.call(b"record", b"label%d" % random.randrange(6))
+                town.settle()
+                recover(town)
+                town.cut(lost=False)
+            case "move":
+                town.client.move(town._connect)
+                town.scheduler.run_ready()
+            case "gap":
+                town.linked = not town.linked
+                town.cut(lost=False)
+            case "mute":
+                town.interpreter.up = not town.interpreter.up
+                town.cut(lost=False)
+            case _:
+                town.wait(random.choice([0.003, 0.03, 0.3]))
+        if random.random() < 0.7:
+            town.settle(deliver=random.random() < 0.7)
+    town.linked = town.interpreter.up = True
+    town.wait(5.0)
+    while town.interpreter.running:
+        town.end(next(iter(town.interpreter.running)))
+        town.wait(0.5)
+    town.wait(1.0)
+    assert not town.client._runs and town.dispatch.open_count == 0
+    assert sum(link.open for link in town.links) == 1
+
+
 # -- on loopback
 
 
