--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import logging
 import os
@@ -65,7 +66,9 @@
         self._ready: deque[tuple[greenlet, int]] = deque()
         self._hub = getcurrent()
         self._stopped = False
+        self.on_fault: Callable[[], None] = lambda: None  # told of each fault of ours that was survived
         self._on_signal: dict[int, Callable[[], None]] = {}
+        self._came: deque[int] = deque()  # signals not taken yet
         self._wake_up: tuple[int, int] | None = None
 
     # -- greenlets
@@ -78,18 +81,18 @@
                 function(*values)
             except Exception:
                 # A fault in one greenlet must not take the others along; who must go on catches its own.
-                log.exception("greenlet ended by a fault")
+                self._survived("greenlet ended by a fault")
 
         self._ready.append((greenlet(body, parent=self._hub), 0))
 
     def wait(self, descriptor: int, event: int, most: float = inf) -> bool:
         """Wait until the descriptor is readable or writable (or broken), `most` seconds; whether it is."""
-        waiting = self._waiting.setdefault(descriptor, {})
-        me = waiting[event] = getcurrent()
         mask = self._masks.get(descriptor, 0)
         if not mask & event:
+            self._poll.register(descriptor, mask | event)  # first: what is no descriptor leaves no trace
             self._masks[descriptor] = mask | event
-            self._poll.register(descriptor, mask | event)
+        me = getcurrent()
+        self._waiting.setdefault(descriptor, {})[event] = me
         timer = self.after(most, lambda: self._time_out(descriptor, event, me)) if most < inf else None
         happened = bool(self._hub.switch())
         if timer is not None:
@@ -120,9 +123,25 @@
     def after(self, span: float, action: Callable[[], None]) -> Timer:
         """Call `action` in the first round at or after `span` seconds from the clock's last reading."""
         timer = Timer(action)
+        self._set(span, timer)
+        return timer
+
+    def every(self, span: float, action: Callable[[], None]) -> Timer:
+        """Call `action` again and again, `span` seconds after its last turn; `cancel` ends that.
+
+        The next turn is set before the action: guards against a fault that would cost all turns to come.
+        """
+
+        def turn() -> None:
+            self._set(span, timer)
+            action()
+
+        timer = self.after(span, turn)
+        return timer
+
+    def _set(self, span: float, timer: Timer) -> None:
         self._order += 1
         heapq.heappush(self._timers, (self.clock.now + span, self._order, timer))
-        return timer
 
     def on_signal(self, number: int, action: Callable[[], None]) -> None:
         """Call `action` in the loop, never in the middle of anything, after the signal came."""
@@ -133,19 +152,29 @@
             signal.set_wakeup_fd(self._wake_up[1], warn_on_full_buffer=False)
             self.spawn(self._watch_signals, self._wake_up[0])
         self._on_signal[number] = action
-        signal.signal(number, lambda *_: None)
+        signal.signal(number, self._note_signal)
+
+    def _note_signal(self, number: int, _: object) -> None:
+        """Between any two steps of anything; the pipe's byte has made the poll return, or will."""
+        if number not in self._came:
+            self._came.append(number)
 
     def _watch_signals(self, descriptor: int) -> None:
+        """The pipe only wakes: a byte that finds it full is lost, and its signal must not be."""
         while True:
             self.wait(descriptor, READABLE)
-            for number in os.read(descriptor, 64):
-                if number in self._on_signal:
-                    self.spawn(self._on_signal[number])  # a fault there must not end the watch
+            with contextlib.suppress(BlockingIOError):
+                os.read(descriptor, 65536)
+            while self._came:
+                self.spawn(self._on_signal[self._came.popleft()])  # a fault there must not end the watch
 
     # -- the loop
 
     def run(self) -> None:
-        """Rounds until `stop`; the round in which it is called is the last."""
+        """Rounds until `stop`; the round in which it is called is the last.
+
+        A fault of ours in an action costs that action: it must not end the process with everything open.
+        """
         while not self._stopped:
             events = self._poll.poll(self._timeout())
             self.clock.read()
@@ -156,14 +185,25 @@
             while self._timers and self._timers[0][0] <= now:
                 action = heapq.heappop(self._timers)[2].action
                 if action is not None:
-                    action()
+                    try:
+                        action()
+                    except Exception:
+                        self._survived("timer's action ended by a fault")
             self._run_ready()
             for action in self.after_round:
-                action()
+                try:
+                    action()
+                except Exception:
+                    self._survived("end of a round cut short by a fault")
 
     def stop(self) -> None:
         self._stopped = True
 
+    def _survived(self, what: str) -> None:
+        """Within `except`: loudly, and counted."""
+        log.exception(what)
+        self.on_fault()
+
     def _run_ready(self) -> None:
         while self._ready:
             waiter, happened = self._ready.popleft()
