Two tries read after their window has passed no longer run both

Seen: two tries of one label, written at one moment to a server that reads them 0.5 s later, with a window of 0.3 s: both ran. Also in two rounds of reading, and with no window in the settings at all. At fault: `_take` in choice.py remembered a labelled ticket only while `ticket.arrived + track.window > now`. What was read past its own window was not put into the table, so its twin, read as late, found nothing to repeat. The rule counts the window from `since` of the one that ran and asks when the other was written, not when it is read. The same for two tries that a server without an interpreter held back until the greeting, 1 s later: they come through the same place. Ruled out: the look-up itself, which goes by `arrived`, not by when it is read. Now every labelled ticket is remembered, for the rest of its window, one tick at least; the table keeps an entry for the longest wait past its life, so the twin is found whenever it is read.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -228,8 +228,8 @@
             return self._deny(ticket, Denial.NO_ROOM)
         if not self._memory_fits(machine.label_kb if labelled else 0.0):
             return self._deny(ticket, Denial.MEMORY)
-        if labelled and ticket.arrived + track.window > now:
-            self._remember(ticket, ticket.arrived + track.window - now)
+        if labelled:  # also one read past its window: a twin of it may lie unread for as long
+            self._remember(ticket, max(ticket.arrived + track.window - now, machine.tick))
         elif self._may_share(ticket):
             self._remember(ticket, left)
         # The budget for waiting. Departure, acts where the p99 takes nearly all of the page's budget, as with
--- /dev/null
+++ b/tests/test_crossing_repeats.py
@@ -0,0 +1,145 @@
+"""Repeats that cross the ends, lapses and late readings of what they repeat, on the routing layer.
+
+The judge here is stricter than the town's own and written apart from it: a try counts from when it was
+written, even if it lay unread; the window counts from `since` of each try that ran.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from test_routing import MACHINE
+from world import Town, Try, call
+
+from sablewheel.terms import Machine, Track
+
+SHORT = 0.3  # a window shorter than the deadline, the grace and many a wait
+LIMIT = 0.05  # by which the protocol makes every time limit longer
+
+
+def made(window: float, **rest: object) -> Machine:
+    """The usual machine with another window for its labelled track."""
+    track = replace(MACHINE.tracks[1], window=window)
+    return replace(MACHINE, tracks=(MACHINE.tracks[0], track), **rest)  # type: ignore[arg-type]
+
+
+class Judged(Town):
+    """A town where tries may lie unread; every step is judged by the rules on sockets."""
+
+    def __init__(self, machine: Machine) -> None:
+        self.unread: list[tuple[Try, bytes]] = []
+        self.read_at: dict[Try, float] = {}
+        self.ran_before: list[bytes] = []  # names, as of the last judgement
+        self.judged: set[Try] = set()
+        self.never_ran: set[bytes] = set()  # names of which the interpreter said so
+        super().__init__(machine)
+
+    def track_of(self, name: bytes) -> Track:
+        return self.machine.tracks[name == b"record"]
+
+    def track(self, one: Try) -> Track:
+        return self.track_of(one.track)
+
+    def write(self, track: bytes, label: bytes = b"", router: int = 4) -> Try:
+        """A router writes a try, now; it lies unread until `read`."""
+        tag = len(self.tries) + 1
+        one = Try(tag, b"%016x" % tag, track, label, self.now)
+        self.tries.append(one)
+        self.unread.append((one, call(tag, one.name, track, one.since, one.body, label, router)))
+        return one
+
+    def read(self, *tries: Try) -> None:
+        """All that lies unread, or these of it, comes in one read."""
+        going = [(one, data) for one, data in self.unread if not tries or one in tries]
+        self.unread = [each for each in self.unread if each not in going]
+        self.read_at.update({one: self.now for one, _ in going})
+        if going:
+            self.router.feed(b"".join(data for _, data in going))
+
+    def call(self, track: bytes, label: bytes = b"", ago: float = 0.0) -> Try:
+        assert not ago
+        one = self.write(track, label)
+        self.read(one)
+        return one
+
+    def stall(self, span: float) -> None:
+        """The server stands still; what was due meanwhile is due once it goes on."""
+        self.scheduler.clock.now += span
+        self.read_at.update({one: self.now for one in self.read_at})
+        self.wait(0.0)
+
+    def end(self, name: bytes, how: bytes = b"success") -> None:
+        if how == b"nothing":
+            self.never_ran.add(name)
+        super().end(name, how)
+
+    def ran(self) -> list[Try]:
+        by_name = {one.name: one for one in self.tries}
+        names = [name for name, *_ in self.interpreter.applied if name not in self.never_ran]
+        return [by_name[name] for name in names]
+
+    def check(self) -> None:
+        machine, slack = self.machine, self.machine.slack + LIMIT + 1e-6
+        ran = self.ran()
+        assert len(set(ran)) == len(ran), "one try was run twice"
+        for place, one in enumerate(ran):
+            assert one.since <= self.notice + machine.drain_grace + LIMIT, "run after the drain's grace"
+            for before in ran[:place]:
+                if one.label and one.label == before.label:
+                    assert one.since > before.since + self.track(before).window + LIMIT, "ran twice"
+        for one in self.tries:
+            assert len(one.answers) <= 1, "answered twice"
+            if one in self.read_at and not one.answers and not one.cancelled:
+                due = max(one.since + self.track(one).abandon, self.read_at[one])
+                assert self.now <= min(due + slack, self.stop), "lost"
+            if not one.answers or one in self.judged:
+                continue
+            self.judged.add(one)
+            word = one.answers[0][1]
+            if word == b"OK":
+                assert one.answers[0][3] == b"made of " + one.body, "result changed"
+                assert any(other.body == one.body for other in ran), "result of no run"
+            if word == b"BUSY":
+                assert one not in ran, "denied what has run"
+                for other in ran:
+                    if one.label and other.label == one.label and other.name in self.ran_before:
+                        until = other.since + self.track(other).window
+                        assert one.since > until, "a repeat of what has run was denied"
+        self.ran_before = [one.name for one in ran]
+
+
+def words(*tries: Try) -> list[bytes]:
+    return [one.answers[0][1] if one.answers else b"" for one in tries]
+
+
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize("window", [SHORT, 0.0])
+def test_two_tries_that_are_read_after_their_window_run_once(together: bool, window: float) -> None:
+    """What was read past its own window was not remembered: its twin, as late, ran beside it."""
+    town = Judged(made(window))
+    first, second = town.write(b"record", b"a"), town.write(b"record", b"a")
+    town.scheduler.clock.now += 0.5
+    town.read(*([first, second] if together else [first]))
+    town.settle()
+    town.read()
+    town.settle()
+    assert town.ran() == [first]
+    town.end(first.name)
+    town.settle()
+    assert words(first, second) == [b"OK", b"OK"]
+
+
+def test_two_tries_that_waited_for_the_interpreter_past_their_window_run_once() -> None:
+    town = Judged(made(SHORT))
+    town.dispatch._controller = None  # as before the first greeting
+    first, second = town.call(b"record", b"a"), town.call(b"record", b"a")
+    town.settle()
+    assert town.dispatch.open_count == 2 and not town.ran()
+    town.scheduler.clock.now += 1.0
+    town.dispatch.greeted(cold=False, age=1.0)
+    town.settle()
+    assert town.ran() == [first]
+    town.end(first.name)
+    town.settle()
+    assert words(first, second) == [b"OK", b"OK"]
