A label counts for the 50 ms by which the protocol makes every time limit longer

Seen: with an answer slack of 0 in the settings, a repeat written 0.35 s after a first with a window of 0.3 s ran. The protocol makes every time limit 50 ms longer, and `since` is told in whole milliseconds, so a window counted from the cut-off value ends up to 1 ms early. At fault: `Labels` looked up for `answer-slack-s` past an entry's life and no more; that setting is 0 where it is absent. Now 51 ms are added. With a slack of 0.08 s nothing changed in the cases of the test; 1 s after the first a try runs anew, as before.

--- a/sablewheel/routing/labels.py
+++ b/sablewheel/routing/labels.py
@@ -10,12 +10,14 @@
 
 from .exchange import Exchange
 
+LONGER = 0.051  # the protocol makes every time limit 50 ms longer, and tells times in whole milliseconds
+
 
 class Labels:
     """Entries by label, each with the try that holds it; kept results have a bound in bytes."""
 
     def __init__(self, lag: float, slack: float, bytes_most: int) -> None:
-        self._lag, self._slack, self._bytes_most = lag, slack, bytes_most
+        self._lag, self._slack, self._bytes_most = lag, slack + LONGER, bytes_most
         self._entries: dict[bytes, tuple[Exchange, float]] = {}
         self._lapses: deque[tuple[float, bytes]] = deque()
         self._kept: deque[Exchange] = deque()
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -143,3 +143,16 @@
     town.end(first.name)
     town.settle()
     assert words(first, second) == [b"OK", b"OK"]
+
+
+@pytest.mark.parametrize("slack", [0.0, 0.08])
+@pytest.mark.parametrize("after", [SHORT, SHORT + LIMIT, 1.0])
+def test_the_window_ends_as_late_as_the_protocol_allows(slack: float, after: float) -> None:
+    town = Judged(made(SHORT, slack=slack))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.wait(after)
+    again = town.call(b"record", b"a")
+    town.settle()
+    assert (again in town.ran()) == (after == 1.0)
