A try that came while the round went on has its window counted from then

Seen: a round that had gone on for 0.25 s when it read a labelled try with `since` of that moment. The window of 0.3 s ended 0.25 s early: a repeat 0.29 s after the first ran. At fault: the ticket's `arrived` is the lesser of `since` and the clock of the round, which stands while the round reads; the entry's life is counted from it. A stall or a long round between the poll and the reading is enough, so it also happens at windows that are long. Ruled out: the entry's own clock (`remember` is called with the time of the decision, read anew). Now a labelled ticket whose `arrived` is the round's clock has the entry live longer by what the clock has gone on since: its true time lies in between. Its due time stays the earlier one, and it is looked up itself by the earlier one, both on the safe side. One reading of the clock for such tickets only.

--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -116,6 +116,10 @@
                 return exchange.terminate()
             if exchange.first is None and self._memory.may_not_run(exchange):
                 return exchange.terminate()
+            if ticket.arrived >= self._clock.now:
+                # The round's clock stands while it reads: this one may have come since, and by its own
+                # `since` the window ends later than counted from the time that is known here.
+                exchange.ahead = self._clock.read() - ticket.arrived
             self._undecided.add(label)
             self._memory.prepare(exchange)
             ticket.repeats = exchange.first.ticket if exchange.first is not None else None
@@ -244,7 +248,7 @@
                 exchange.terminate()
                 self._answered(exchange)
             case terms.Remember(_, life):
-                self._labels.remember(exchange, self._clock.now, life)
+                self._labels.remember(exchange, self._clock.now, life + exchange.ahead)
                 self._memory.remember(exchange)
             case terms.Release():
                 self._labels.release(exchange)
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -79,8 +79,8 @@
     """One try, from its bytes to its answer; kept for repeats, it lets go of all that they do not need."""
 
     __slots__ = (
-        "began", "billed", "body", "caller", "digest", "first", "joined", "label", "name", "notice", "place",
-        "result", "sameness", "session", "tag", "ticket", "took", "track", "witness",
+        "ahead", "began", "billed", "body", "caller", "digest", "first", "joined", "label", "name", "notice",
+        "place", "result", "sameness", "session", "tag", "ticket", "took", "track", "witness",
     )  # fmt: skip
 
     def __init__(
@@ -107,6 +107,7 @@
         self.result: bytes | None = None  # as long as it is kept
         self.joined: list[Exchange] = []  # repeats that wait for its end
         self.began = 0.0  # when its join was decided
+        self.ahead = 0.0  # how much later it may have come than its ticket says
         self.first: Exchange | None = None  # what it repeats
         self.session = ""  # the key of the session that it belongs to, where sessions are told apart
 
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -145,6 +145,28 @@
     assert words(first, second) == [b"OK", b"OK"]
 
 
+def test_a_try_that_came_while_the_round_went_on_counts_from_then() -> None:
+    """The round's clock stands while it lasts: a window counted from it ended too early."""
+    town = Judged(made(SHORT))
+    clock, start = town.scheduler.clock, town.now
+
+    def read() -> float:
+        clock.now = max(clock.now, start + 0.25)
+        return clock.now
+
+    first = Try(1, b"%016x" % 1, b"record", b"a", start + 0.25)
+    town.tries.append(first)
+    town.router.feed(call(1, first.name, b"record", first.since, first.body, b"a"))
+    town.read_at[first] = first.since
+    clock.read = read  # type: ignore[method-assign]
+    town.settle()
+    assert town.ran() == [first] and town.now == start + 0.25
+    clock.now = first.since + SHORT - 0.01
+    again = town.call(b"record", b"a")
+    town.settle()
+    assert town.ran() == [first] and not again.answers
+
+
 @pytest.mark.parametrize("slack", [0.0, 0.08])
 @pytest.mark.parametrize("after", [SHORT, SHORT + LIMIT, 1.0])
 def test_the_window_ends_as_late_as_the_protocol_allows(slack: float, after: float) -> None:
