Labels and results of short windows are let go behind a long window

Seen: two labelled tracks with windows of 0.2 s and 60 s. Twenty labels of the short one, taken in behind one of the long one, were still there 5 s later, with their results, and the controller booked the memory of all 21. At the bound of bytes the result of the long window was dropped first, for results that nobody could mean any more, and its repeat ended in an error. At fault: `Labels._lapses` and `Controller.labels` were queues that took lapses to come in the order of the entries, and the kept results were dropped from the front only, while the front was not held. True for one window; not for several, nor for what is read late. Now both are heaps, and a result goes with its entry.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -116,7 +116,7 @@
         self.unread = 0.0  # how long the last ticket read had waited for that
         self.on_cores = 0
         self.kb = 0.0
-        self.labels: deque[tuple[float, Ticket]] = deque()
+        self.labels: list[tuple[float, int, Ticket]] = []  # a heap: windows differ by track
         self.calls: dict[Ticket, float] = {}
         self.past_calls: deque[tuple[float, float]] = deque()
         self.call_times = Samples()
@@ -156,7 +156,7 @@
             self.deeds.append(terms.Health(True, True))
         # Entries expire by themselves: a release would cut off a repeat that came before and is read after.
         while self.labels and self.labels[0][0] <= now:
-            self._forget(self.labels.popleft()[1])
+            self._forget(heappop(self.labels)[2])
         for happening in happenings:
             match happening:
                 case terms.Arrived(ticket):
@@ -580,7 +580,7 @@
     def _keep_label(self, ticket: Ticket, life: float) -> None:
         ticket.remembered = True
         self.kb += self.machine.label_kb
-        self.labels.append((self.now + life, ticket))
+        heappush(self.labels, (self.now + life, id(ticket), ticket))
 
     def _may_share(self, ticket: Ticket) -> bool:
         reads = ticket.track.nature is Nature.REDOABLE and not ticket.writes and ticket.subject is not None
--- a/sablewheel/routing/labels.py
+++ b/sablewheel/routing/labels.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from heapq import heappop, heappush
 
 from .exchange import Exchange
 
@@ -17,10 +17,11 @@
     """Entries by label, each with the try that holds it; kept results have a bound in bytes."""
 
     def __init__(self, lag: float, slack: float, bytes_most: int) -> None:
-        self._lag, self._slack, self._bytes_most = lag, slack + LONGER, bytes_most
+        self._slack, self._bytes_most = slack + LONGER, bytes_most
+        self._lag = lag
         self._entries: dict[bytes, tuple[Exchange, float]] = {}
-        self._lapses: deque[tuple[float, bytes]] = deque()
-        self._kept: deque[Exchange] = deque()
+        self._lapses: list[tuple[float, bytes]] = []  # a heap: windows differ by track
+        self._kept: dict[Exchange, None] = {}
         self._bytes = 0
 
     def find(self, label: bytes, reached: float) -> Exchange | None:
@@ -31,34 +32,36 @@
     def remember(self, exchange: Exchange, now: float, life: float) -> None:
         """The entry is this try's from now on; it is renewed if it was already."""
         if exchange.label is not None:
+            if (entry := self._entries.get(exchange.label)) is not None and entry[0] is not exchange:
+                self._drop(entry[0])
             self._entries[exchange.label] = (exchange, now + life)
-            self._lapses.append((now + life, exchange.label))
+            heappush(self._lapses, (now + life, exchange.label))
 
     def release(self, exchange: Exchange) -> None:
         if exchange.label is not None and self.holds(exchange):
             del self._entries[exchange.label]
 
     def holds(self, exchange: Exchange) -> bool:
-        return exchange.label is not None and self._entries.get(exchange.label, (None, 0.0))[0] is exchange
+        return exchange.label is not None and self._entries.get(exchange.label, (None,))[0] is exchange
 
     def keep(self, exchange: Exchange, result: bytes) -> None:
         """Keep a result for repeats; beyond the bound the oldest go, and their repeats end in an error."""
         exchange.result = result
-        self._kept.append(exchange)
+        self._kept[exchange] = None
         self._bytes += len(result)
         while self._bytes > self._bytes_most:
-            self._drop()
+            self._drop(next(iter(self._kept)))
 
     def sweep(self, now: float) -> None:
         """Let go of entries that no unread repeat can mean any more, and of their results."""
-        while self._lapses and self._lapses[0][0] + self._lag < now:
-            _, label = self._lapses.popleft()
-            if label in self._entries and self._entries[label][1] + self._lag < now:
-                del self._entries[label]
-        while self._kept and not self.holds(self._kept[0]):
-            self._drop()
+        oldest = now - self._lag
+        while self._lapses and self._lapses[0][0] < oldest:
+            _, label = heappop(self._lapses)
+            if label in self._entries and self._entries[label][1] < oldest:
+                self._drop(self._entries.pop(label)[0])
 
-    def _drop(self) -> None:
-        exchange = self._kept.popleft()
-        self._bytes -= len(exchange.result or b"")
-        exchange.result = None
+    def _drop(self, exchange: Exchange) -> None:
+        if exchange in self._kept:
+            del self._kept[exchange]
+            self._bytes -= len(exchange.result or b"")
+            exchange.result = None
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -178,3 +178,49 @@
     again = town.call(b"record", b"a")
     town.settle()
     assert (again in town.ran()) == (after == 1.0)
+
+
+def two_windows(**rest: object) -> Machine:
+    tracks = (replace(MACHINE.tracks[1], window=0.2), replace(MACHINE.tracks[1], window=60.0))
+    return replace(MACHINE, tracks=tracks, **rest)  # type: ignore[arg-type]
+
+
+def test_labels_of_short_windows_are_let_go_behind_one_of_a_long_window() -> None:
+    """Lapses were taken to come in order: whatever came behind a long window was kept and counted with it."""
+    town = Judged(two_windows())
+    controller = town.dispatch._controller
+    assert controller is not None
+    long = town.call(b"record", b"long")
+    town.settle()
+    town.end(long.name)
+    town.settle()
+    for place in range(20):
+        one = town.call(b"lookup", b"short%d" % place)
+        town.settle()
+        town.end(one.name)
+        town.settle()
+    kept = town.labels._bytes
+    town.wait(5.0)
+    assert len(town.labels._entries) == 1 and town.labels._bytes < kept / 10
+    assert controller.kb == pytest.approx(MACHINE.label_kb)
+    again = town.call(b"record", b"long")
+    town.settle()
+    assert words(again) == [b"OK"]
+
+
+def test_a_long_windows_result_is_not_dropped_for_those_that_nobody_can_mean() -> None:
+    town = Judged(two_windows())
+    long = town.call(b"record", b"long")
+    town.settle()
+    town.end(long.name)
+    town.settle()
+    town.labels._bytes_most = 100
+    for place in range(20):
+        one = town.call(b"lookup", b"short%d" % place)
+        town.settle()
+        town.end(one.name)
+        town.wait(5.0 if place % 4 == 3 else 0.0)
+    assert town.labels._bytes <= 100
+    again = town.call(b"record", b"long")
+    town.settle()
+    assert words(again) == [b"OK"]
