A label taken over by a try that never ran falls back to the one that ran

Seen: a first ran; past its window a later try of the label was read, held and then denied (or its caller left); a repeat written inside the window of the first but read only then ran (after the cancel) or was denied as one that never ran (after the denial). At fault: `Labels.remember` overwrote the entry of the first, `release` deleted the label altogether. Two more holes led to the same: a denial gives no `Release` once the controller's own life of the label is over, and a caller that leaves takes its exchange away before the controller's `Release` is carried out. The dead entry then stood for the label, and what it stood for had not begun. Now an entry remembers the one before it if that one has begun, and gives way to it when released; a denial and a caller's leaving release as well, unless the run was stopped, which is no `never ran`. At most one entry before each is kept, and it goes with it.

--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -153,6 +153,8 @@
             return
         self._happenings.append(terms.CallerGone(exchange.ticket))
         if exchange.place is Place.HELD:
+            if not exchange.ticket.begun:  # one that was stopped has run
+                self._labels.release(exchange)
             self._memory.release(exchange)
         if exchange.place in (Place.HELD, Place.JOINED):
             self._over(exchange)
@@ -243,6 +245,7 @@
             case terms.Deny(_, come_back, nowhere, why):
                 exchange.deny(come_back, nowhere)
                 self._count_denial(why, come_back)
+                self._labels.release(exchange)  # the controller releases none whose life is over
                 self._answered(exchange)
             case terms.Terminate():
                 exchange.terminate()
--- a/sablewheel/routing/labels.py
+++ b/sablewheel/routing/labels.py
@@ -14,32 +14,49 @@
 
 
 class Labels:
-    """Entries by label, each with the try that holds it; kept results have a bound in bytes."""
+    """Entries by label, each with the try that holds it; kept results have a bound in bytes.
+
+    A label may be taken over by a try that came past the entry's life and is then never run. So an entry also
+    has what ran before it, which counts again once that try lets go of it.
+    """
 
     def __init__(self, lag: float, slack: float, bytes_most: int) -> None:
         self._slack, self._bytes_most = slack + LONGER, bytes_most
         self._lag = lag
-        self._entries: dict[bytes, tuple[Exchange, float]] = {}
+        self._entries: dict[bytes, tuple[Exchange, float, tuple[Exchange, float] | None]] = {}
         self._lapses: list[tuple[float, bytes]] = []  # a heap: windows differ by track
         self._kept: dict[Exchange, None] = {}
         self._bytes = 0
 
     def find(self, label: bytes, reached: float) -> Exchange | None:
         """The try that one with this label repeats, by when it reached the machine."""
-        first, until = self._entries.get(label, (None, 0.0))
+        first, until, _ = self._entries.get(label, (None, 0.0, None))
         return first if reached <= until + self._slack else None
 
     def remember(self, exchange: Exchange, now: float, life: float) -> None:
         """The entry is this try's from now on; it is renewed if it was already."""
-        if exchange.label is not None:
-            if (entry := self._entries.get(exchange.label)) is not None and entry[0] is not exchange:
-                self._drop(entry[0])
-            self._entries[exchange.label] = (exchange, now + life)
-            heappush(self._lapses, (now + life, exchange.label))
+        label, until = exchange.label, now + life
+        if label is None:
+            return
+        before = None
+        if (entry := self._entries.get(label)) is not None:
+            first, _, before = entry
+            if first is not exchange and first.ticket.begun:
+                if before is not None:
+                    self._drop(before[0])
+                before = entry[:2]
+        self._entries[label] = (exchange, until, before)
+        heappush(self._lapses, (until, label))
 
     def release(self, exchange: Exchange) -> None:
-        if exchange.label is not None and self.holds(exchange):
-            del self._entries[exchange.label]
+        """It has not run and never will: the entry is that of the one before it again, if any."""
+        label = exchange.label
+        if label is None or not self.holds(exchange):
+            return
+        before = self._entries.pop(label)[2]
+        if before is not None:
+            self._entries[label] = (*before, None)
+            heappush(self._lapses, (before[1], label))
 
     def holds(self, exchange: Exchange) -> bool:
         return exchange.label is not None and self._entries.get(exchange.label, (None,))[0] is exchange
@@ -58,7 +75,10 @@
         while self._lapses and self._lapses[0][0] < oldest:
             _, label = heappop(self._lapses)
             if label in self._entries and self._entries[label][1] < oldest:
-                self._drop(self._entries.pop(label)[0])
+                first, _, before = self._entries.pop(label)
+                self._drop(first)
+                if before is not None:
+                    self._drop(before[0])
 
     def _drop(self, exchange: Exchange) -> None:
         if exchange in self._kept:
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -180,6 +180,52 @@
     assert (again in town.ran()) == (after == 1.0)
 
 
+def test_a_repeat_read_late_still_meets_the_first_when_a_later_try_was_denied() -> None:
+    """The later try took the label over and let go of it: the one that ran was forgotten with it."""
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.wait(SHORT)
+    late = town.write(b"record", b"a")  # within the window
+    town.scheduler.clock.now += 0.2
+    denied = town.call(b"record", b"a")  # past it
+    town.settle()
+    town.wait(MACHINE.tracks[1].goal)
+    assert words(denied) == [b"BUSY"]
+    for one in lookups:
+        town.end(one.name)
+    town.settle()
+    town.read(late)
+    town.settle()
+    assert town.ran() == [first, *lookups] and words(late) == [b"OK"]
+
+
+def test_a_repeat_read_late_still_meets_the_first_when_a_later_try_was_cancelled() -> None:
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.wait(SHORT)
+    late = town.write(b"record", b"a")
+    town.scheduler.clock.now += 0.2
+    gone = town.call(b"record", b"a")
+    town.settle()
+    assert not gone.answers
+    town.cancel(gone)
+    town.settle()
+    for one in lookups:
+        town.end(one.name)
+    town.settle()
+    town.read(late)
+    town.settle()
+    assert town.ran() == [first, *lookups] and words(late) == [b"OK"]
+
+
 def two_windows(**rest: object) -> Machine:
     tracks = (replace(MACHINE.tracks[1], window=0.2), replace(MACHINE.tracks[1], window=60.0))
     return replace(MACHINE, tracks=tracks, **rest)  # type: ignore[arg-type]
