A try still held past a short window is not overtaken by its own repeat

Seen: window 0.3 s, cores full. A try beyond its customer's share is held; 0.55 s later another try of its label comes, within the share. The entry had lapsed, so the second was a first of its own and ran before the held one, which ran as well: a try that was written before the end of the window of one that has run. At fault: `Labels.find` went by the entry's life alone. The life counts from the arrival; what has not begun can begin at any time after it. Now one that still waits to run is found past its life too, and the later try waits for its result. A first that runs already does not count past its window, as the rule allows.

--- a/sablewheel/routing/labels.py
+++ b/sablewheel/routing/labels.py
@@ -8,7 +8,7 @@
 
 from heapq import heappop, heappush
 
-from .exchange import Exchange
+from .exchange import Exchange, Place
 
 LONGER = 0.051  # the protocol makes every time limit 50 ms longer, and tells times in whole milliseconds
 
@@ -29,9 +29,15 @@
         self._bytes = 0
 
     def find(self, label: bytes, reached: float) -> Exchange | None:
-        """The try that one with this label repeats, by when it reached the machine."""
+        """The try that one with this label repeats, by when it reached the machine.
+
+        One that has not begun counts past its life as well: the later try might overtake it, and it would run
+        within that one's window.
+        """
         first, until, _ = self._entries.get(label, (None, 0.0, None))
-        return first if reached <= until + self._slack else None
+        if first is None or reached <= until + self._slack:
+            return first
+        return first if first.place is Place.HELD else None
 
     def remember(self, exchange: Exchange, now: float, life: float) -> None:
         """The entry is this try's from now on; it is renewed if it was already."""
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -12,7 +12,7 @@
 from test_routing import MACHINE
 from world import Town, Try, call
 
-from sablewheel.terms import Machine, Track
+from sablewheel.terms import Customer, Machine, Track
 
 SHORT = 0.3  # a window shorter than the deadline, the grace and many a wait
 LIMIT = 0.05  # by which the protocol makes every time limit longer
@@ -226,6 +226,31 @@
     assert town.ran() == [first, *lookups] and words(late) == [b"OK"]
 
 
+def test_an_older_try_does_not_run_after_a_newer_one() -> None:
+    """Held past a short window, the label was taken over; one within its share then overtook the older."""
+    town = Judged(made(SHORT, crowd_multiple=1.0, over_share_worth=0.5, customers=(Customer(0.5),)))
+    for _ in range(4):
+        one = town.call(b"lookup")
+        town.settle()
+        town.end(one.name)
+        town.settle()
+    town.wait(2.0)
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.wait(1.8)
+    older = town.call(b"record", b"a")  # beyond its customer's share
+    town.wait(SHORT + LIMIT + 0.2)
+    assert not older.answers
+    newer = town.call(b"record", b"a")  # within it
+    town.settle()
+    for one in lookups:
+        town.end(one.name)
+        town.settle()
+    assert town.ran()[-1] is older
+    town.end(older.name)
+    town.settle()
+    assert words(older, newer) == [b"OK", b"OK"]
+
+
 def two_windows(**rest: object) -> Machine:
     tracks = (replace(MACHINE.tracks[1], window=0.2), replace(MACHINE.tracks[1], window=60.0))
     return replace(MACHINE, tracks=tracks, **rest)  # type: ignore[arg-type]
