A labelled try older than the table's memory ends in an error and is never run

Seen: a server that stood still for longer than the longest wait swept the label in its first round and read the repeat in the next (another connection, or one not accepted yet). The repeat ran where runs had lately taken longer than anybody waits, as on a slow machine; else it was denied as one that never ran, though its label had. The look-up could not tell `nothing known` from `not known any more`. New settings with a longer wait did not lengthen that time at all. Ruled out: keeping entries for 60 s, which costs memory for tickets that nobody waits for. Now a labelled try that finds nothing and is older than the longest wait is terminated: neither run nor denied.

--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -66,6 +66,7 @@
             machine = replace(machine, fresh_start=self._controller.machine.fresh_start)
             self._controller.retune(machine)
         self._machine = machine
+        self._labels.lag = max(self._labels.lag, *(track.abandon for track in machine.tracks))
 
     def greeted(self, cold: bool, age: float) -> None:
         """The interpreter is up, for `age` seconds: the controller opens the server as of then."""
@@ -114,7 +115,10 @@
             exchange.first = self._labels.find(label, ticket.arrived)
             if exchange.first is not None and not exchange.first.asks_same(exchange):
                 return exchange.terminate()
-            if exchange.first is None and self._memory.may_not_run(exchange):
+            # What it repeats may be forgotten, on either side of a restart: neither run nor denied.
+            if exchange.first is None and (
+                self._labels.forgets(ticket.arrived, self._clock.now) or self._memory.may_not_run(exchange)
+            ):
                 return exchange.terminate()
             if ticket.arrived >= self._clock.now:
                 # The round's clock stands while it reads: this one may have come since, and by its own
--- a/sablewheel/routing/labels.py
+++ b/sablewheel/routing/labels.py
@@ -22,7 +22,7 @@
 
     def __init__(self, lag: float, slack: float, bytes_most: int) -> None:
         self._slack, self._bytes_most = slack + LONGER, bytes_most
-        self._lag = lag
+        self.lag = lag  # the longest that a ticket is waited for
         self._entries: dict[bytes, tuple[Exchange, float, tuple[Exchange, float] | None]] = {}
         self._lapses: list[tuple[float, bytes]] = []  # a heap: windows differ by track
         self._kept: dict[Exchange, None] = {}
@@ -39,6 +39,10 @@
             return first
         return first if first.place is Place.HELD else None
 
+    def forgets(self, reached: float, now: float) -> bool:
+        """Whether what a try repeats may be swept already. Nobody waits for that try any more."""
+        return now - reached > self.lag
+
     def remember(self, exchange: Exchange, now: float, life: float) -> None:
         """The entry is this try's from now on; it is renewed if it was already."""
         label, until = exchange.label, now + life
@@ -77,7 +81,7 @@
 
     def sweep(self, now: float) -> None:
         """Let go of entries that no unread repeat can mean any more, and of their results."""
-        oldest = now - self._lag
+        oldest = now - self.lag - self._slack
         while self._lapses and self._lapses[0][0] < oldest:
             _, label = heappop(self._lapses)
             if label in self._entries and self._entries[label][1] < oldest:
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -226,6 +226,25 @@
     assert town.ran() == [first, *lookups] and words(late) == [b"OK"]
 
 
+def test_a_repeat_read_after_a_long_stall_is_neither_run_nor_denied() -> None:
+    """By then the table has let go of the first, and runs that take longer than anybody waits look usual."""
+    town = Judged(made(SHORT))
+    controller = town.dispatch._controller
+    assert controller is not None
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    for row in controller.table.values():
+        row.service.add(100.0)
+    late = town.write(b"record", b"a")
+    town.scheduler.clock.now += MACHINE.tracks[1].abandon + 1.0
+    town.settle()  # a round that brings other things, or the accepting of its connection
+    town.read()
+    town.settle()
+    assert town.ran() == [first] and words(late) == [b"FAILED"]
+
+
 def test_an_older_try_does_not_run_after_a_newer_one() -> None:
     """Held past a short window, the label was taken over; one within its share then overtook the older."""
     town = Judged(made(SHORT, crowd_multiple=1.0, over_share_worth=0.5, customers=(Customer(0.5),)))
@@ -295,3 +314,22 @@
     again = town.call(b"record", b"long")
     town.settle()
     assert words(again) == [b"OK"]
+
+
+def test_a_longer_wait_in_new_settings_keeps_labels_for_as_long() -> None:
+    town = Judged(made(SHORT))
+    tracks = tuple(replace(one, abandon=10.0) for one in town.machine.tracks)
+    machine = replace(town.machine, tracks=tracks)
+    town.dispatch.retune(machine, (0, 3, 1))
+    town.server._tracks.update(zip((b"lookup", b"record"), tracks, strict=True))
+    town.machine = machine
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    late = town.write(b"record", b"a")
+    town.scheduler.clock.now += 6.0
+    town.settle()
+    town.read()
+    town.settle()
+    assert words(late) == [b"OK"] and town.ran() == [first]
