A repeat that waits for room ends with a first that never ran

Seen: cores full, a held first, a repeat that waits for room to join it; the first is held out and denied. The repeat stayed until room came or its own time was up, and ended in an error all the same. At fault: `_join` looked at how the first ended, which a denied or cancelled one never does. Now it ends at once, as repeats that had joined already do. An error and no denial: by the time it is decided the label may be that of an older one that ran.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -366,7 +366,7 @@
         One that the cores or memory don't bear right now waits till they do: the first ran, so it can't be
         denied, and an error for a result that lies here would be a loss.
         """
-        if first.ended not in (None, Outcome.WORKED):
+        if first.ended not in (None, Outcome.WORKED) or (first.answered and not first.begun):
             return self._terminate(ticket)
         if not self._survives_run(ticket):
             ticket.begun = True
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -316,6 +316,25 @@
     assert words(again) == [b"OK"]
 
 
+def test_two_repeats_in_the_round_of_the_firsts_denial() -> None:
+    """It never ran. One that waited for it ends at once, not at its own time; the label is free."""
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.settle()
+    first = town.call(b"record", b"a")
+    town.settle()
+    repeats = [town.call(b"record", b"a") for _ in range(2)]
+    town.scheduler.clock.now += MACHINE.tracks[1].goal  # held out, in the batch of the one repeat
+    town.settle()
+    assert words(first, *repeats) == [b"BUSY", b"FAILED", b"BUSY"]
+    for one in lookups:
+        town.end(one.name)
+    town.settle()
+    last = town.call(b"record", b"a")
+    town.settle()
+    assert town.ran() == [*lookups, last]
+
+
 def test_a_longer_wait_in_new_settings_keeps_labels_for_as_long() -> None:
     town = Judged(made(SHORT))
     tracks = tuple(replace(one, abandon=10.0) for one in town.machine.tracks)
