Random plays of repeats that lie unread, and the crossings that were clear

Six machines (short, long and two windows, full cores, irreversible tracks only, runs that are never stopped with no slack), 150 plays each: tries that are written and read later, stalls of up to 5.4 s, ends, failures, stopped runs, cancels, lost links, copied names, drains. The judge is written apart from the town's: every pair of runs of a label, by `since` of the one that ran and by when the other was written; no denial of a repeat of what has run. Clear, with a test each: a repeat in the round of its first's end, whether the run worked, failed, was stopped or never began, before or after it in the round, caller gone or not; a cancel of the first in one read with repeats, held, running or joined; the round of the first's due time; the drain's grace and the memory guard; a first that runs past its window; a window changed by new settings; a name that comes again after its end, irreversible or labelled.

--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -9,10 +9,12 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
 from test_routing import MACHINE
-from world import Town, Try, call
+from world import MadeStream, Town, Try, call
 
-from sablewheel.terms import Customer, Machine, Track
+from sablewheel.terms import Customer, Halting, Machine, Nature, Track
 
 SHORT = 0.3  # a window shorter than the deadline, the grace and many a wait
 LIMIT = 0.05  # by which the protocol makes every time limit longer
@@ -316,6 +318,60 @@
     assert words(again) == [b"OK"]
 
 
+@pytest.mark.parametrize("before", [True, False])
+@pytest.mark.parametrize("how", [b"success", b"failure", b"interrupted", b"nothing"])
+@pytest.mark.parametrize("gone", [True, False])
+def test_a_repeat_that_comes_in_the_round_of_the_firsts_end(before: bool, how: bytes, gone: bool) -> None:
+    town = Judged(made(SHORT))
+    first = town.call(b"record", b"a")
+    town.settle()
+    if gone:
+        town.cancel(first)
+    if before:
+        again = town.call(b"record", b"a")
+        town.end(first.name, how)
+    else:
+        town.end(first.name, how)
+        again = town.call(b"record", b"a")
+    town.settle()
+    last = town.call(b"record", b"a")
+    town.settle()
+    ran = town.ran()
+    if how == b"nothing":  # it never began: the next is a first, but one that waited for it ends with it
+        assert ran == [last if before or gone else again]  # a cancel and a repeat come in one read
+    else:
+        assert ran == [first]
+        word = b"OK" if how == b"success" else b"FAILED"
+        assert words(first, again, last) == [b"" if gone else word, word, word]
+
+
+@pytest.mark.parametrize("order", ["cancel repeat", "repeat cancel", "repeat cancel repeat"])
+@pytest.mark.parametrize("place", ["held", "running", "joined"])
+def test_a_repeat_that_comes_in_one_read_with_a_cancel(order: str, place: str) -> None:
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    if place == "held":
+        town.call(b"lookup")
+        town.call(b"lookup")
+    tries = [town.call(b"record", b"a")]
+    if place == "joined":
+        tries.append(town.call(b"record", b"a"))
+    town.settle()
+    for step in order.split():
+        if step == "cancel":
+            town.cancel(tries[0])
+        else:
+            tries.append(town.call(b"record", b"a"))
+    town.settle()
+    while town.interpreter.running:
+        town.end(next(iter(town.interpreter.running)))
+        town.settle()
+    assert town.dispatch.open_count == 0
+    answered = [one for one in tries if not one.cancelled]
+    assert all(one.answers for one in answered)
+    assert place == "held" or set(words(*answered)) <= {b"OK"}
+    assert sum(one.track == b"record" for one in town.ran()) <= 1
+
+
 def test_two_repeats_in_the_round_of_the_firsts_denial() -> None:
     """It never ran. One that waited for it ends at once, not at its own time; the label is free."""
     town = Judged(made(SHORT, crowd_multiple=1.0))
@@ -335,6 +391,85 @@
     assert town.ran() == [*lookups, last]
 
 
+def test_a_repeat_past_the_grace_or_the_memory_guard_gets_the_result() -> None:
+    town = Judged(made(20.0))
+    first, second = town.call(b"record", b"a"), town.call(b"record", b"b")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    town.drain(4.0)
+    town.wait(MACHINE.drain_grace + 0.5)
+    controller = town.dispatch._controller
+    assert controller is not None
+    controller.kb += MACHINE.memory_kb  # no room for anything
+    late = [town.call(b"record", label) for label in (b"a", b"b", b"c")]
+    town.settle()
+    assert words(*late) == [b"", b"", b"BUSY"]
+    controller.kb -= MACHINE.memory_kb
+    town.end(second.name, b"failure")
+    town.wait(0.1)
+    assert words(*late) == [b"OK", b"FAILED", b"BUSY"]
+
+
+def test_a_repeat_in_the_round_of_its_firsts_due_time() -> None:
+    town = Judged(made(20.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    again = town.call(b"record", b"a")
+    town.scheduler.clock.now += MACHINE.tracks[1].abandon + 0.01
+    town.settle()
+    assert words(first, again) == [b"FAILED", b"FAILED"]
+    third = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    assert words(third) == [b"OK"] and town.ran() == [first]
+
+
+def test_a_first_that_runs_past_its_window_still_answers_those_that_came_within() -> None:
+    town = Judged(made(SHORT))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.wait(SHORT)
+    within = town.write(b"record", b"a")
+    town.scheduler.clock.now += 0.5
+    town.settle()
+    town.read()
+    town.settle()
+    assert town.ran() == [first]
+    past = town.call(b"record", b"a")
+    town.settle()
+    assert town.ran() == [first, past]  # as the rule allows
+    town.end(first.name)
+    town.end(past.name)
+    town.settle()
+    assert words(first, within, past) == [b"OK"] * 3
+
+
+@pytest.mark.parametrize("window", [0.1, 5.0])
+def test_a_window_that_changes_counts_for_what_is_taken_in_from_then_on(window: float) -> None:
+    town = Judged(made(1.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    machine = made(window)
+    town.dispatch.retune(machine, (0, 3, 1))
+    town.server._tracks.update(zip((b"lookup", b"record"), machine.tracks, strict=True))
+    town.wait(0.9)
+    again = town.call(b"record", b"a")
+    town.settle()
+    assert words(again) == [b"OK"] and town.ran() == [first]
+    other = town.call(b"record", b"b")
+    town.settle()
+    town.end(other.name)
+    town.wait(0.9)
+    town.machine = machine
+    town.call(b"record", b"b")
+    town.settle()
+    assert len(town.ran()) == (3 if window < 0.9 else 2)
+
+
 def test_a_longer_wait_in_new_settings_keeps_labels_for_as_long() -> None:
     town = Judged(made(SHORT))
     tracks = tuple(replace(one, abandon=10.0) for one in town.machine.tracks)
@@ -352,3 +487,121 @@
     town.read()
     town.settle()
     assert words(late) == [b"OK"] and town.ran() == [first]
+
+
+@pytest.mark.parametrize("nature", [Nature.IRREVERSIBLE, Nature.LABELLED])
+def test_a_name_that_comes_again_after_its_try_is_over_is_not_run_again(nature: Nature) -> None:
+    track = replace(MACHINE.tracks[1], nature=nature, window=SHORT)
+    town = Judged(replace(MACHINE, tracks=(MACHINE.tracks[0], track)))
+    label = b"a" if nature is Nature.LABELLED else b""
+    one = town.call(b"record", label)
+    town.settle()
+    town.end(one.name)
+    town.wait(1.0)
+    copy = call(900, one.name, b"record", town.now, one.body, label)
+    town.router.feed(copy)
+    town.settle(deliver=False)
+    town.settle()
+    assert town.dispatch.open_count == 0 and town.ran() == [one]
+    if label:  # and the label is free for a true try
+        true = town.call(b"record", b"a")
+        town.settle()
+        assert town.ran() == [one, true]
+
+
+VARIANTS = {
+    "short": made(SHORT),
+    "tight": made(SHORT, crowd_multiple=1.0),
+    "long": made(20.0),
+    "two windows": two_windows(crowd_multiple=1.0),
+    "irreversible": replace(
+        MACHINE,
+        tracks=tuple(replace(one, nature=Nature.IRREVERSIBLE, window=SHORT) for one in MACHINE.tracks),
+    ),
+    "never stopped": made(0.0, halting=Halting.NEVER, slack=0.0),
+}
+OFTEN = ["read"] * 2 + ["write"] * 3 + ["lie"] * 3 + ["deliver"] * 3 + ["end"] * 3 + ["fail", "stop", "copy"]
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["cancel", "wait", "pass", "long", "stall", "lose", "rush", "drain", *OFTEN]
+        ),
+        st.integers(0, 3),
+    ),
+    max_size=40,
+)
+
+
+@pytest.mark.parametrize("name", VARIANTS)
+@settings(
+    max_examples=150,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=[Phase.generate, Phase.shrink],
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(STEPS)
+def test_rules_hold_while_tries_lie_unread(name: str, steps: list[tuple[str, int]]) -> None:
+    town = Judged(VARIANTS[name])
+
+    def label(track: bytes, which: int) -> bytes:
+        return b"%b%d" % (track, which) if town.track_of(track).nature is Nature.LABELLED else b""
+
+    for step, which in steps:
+        running = list(town.interpreter.running)
+        tries = [one for one in town.tries if one in town.read_at]
+        ran, deliver = town.ran(), True
+        known = [one for one in tries if one in ran or not (one.answers or one.cancelled)]
+        match step:
+            case "read":
+                town.call(b"lookup", label(b"lookup", which))
+            case "write":
+                town.call(b"record", label(b"record", which))
+            case "lie":
+                track = (b"lookup", b"record")[which % 2]
+                town.write(track, label(track, which))
+                town.write(track, label(track, which))
+            case "deliver" if town.unread:
+                town.read(town.unread[which % len(town.unread)][0])
+                if which == 3:
+                    town.read()
+            case "rush":
+                first = town.call(b"record", label(b"record", which))
+                town.call(b"record", label(b"record", which))
+                town.cancel(first)
+                town.call(b"record", label(b"record", which))
+            case "cancel" if tries:
+                town.cancel(tries[-1 - which % len(tries)])
+            case "end" | "fail" | "stop" if running:
+                how = {"end": b"success", "fail": b"failure", "stop": b"interrupted"}[step]
+                town.end(running[which % len(running)], how)
+            case "wait":
+                town.wait(0.1 * which)
+            case "pass":
+                town.wait(SHORT + 0.02 * which)
+            case "long":
+                town.wait(2.0 * which)
+            case "stall" if town.notice == float("inf"):
+                town.stall(0.2 * 3**which)
+            case "copy" if known:  # a bad client: a name once more, of a try that is open or ran
+                one = known[-1 - which % len(known)]
+                stream = MadeStream(town.scheduler)
+                town.server.accepted(stream)
+                stream.feed(call(1, one.name, one.track, town.now, one.body, one.label))
+            case "lose":
+                town.call(b"record", label(b"record", which))
+                town.settle(deliver=False)
+                town.cut(lost=True)
+            case "drain":
+                town.drain(1.0 + which)
+            case _:
+                deliver = False
+        town.settle(deliver)
+    town.read()
+    if town.notice == float("inf"):
+        town.drain(2.0)
+    town.settle()
+    town.wait(town.stop - town.now - 0.002 if town.stop > town.now else 0.0)
+    town.check()
+    assert all(one.answers or one.cancelled for one in town.tries if town.read_at[one] < town.stop)
