--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -116,7 +116,7 @@
         self.unread = 0.0  # how long the last ticket read had waited for that
         self.on_cores = 0
         self.kb = 0.0
-        self.labels: deque[tuple[float, Ticket]] = deque()
+        self.labels: list[tuple[float, int, Ticket]] = []  # a heap: windows differ by track
         self.calls: dict[Ticket, float] = {}
         self.past_calls: deque[tuple[float, float]] = deque()
         self.call_times = Samples()
@@ -156,7 +156,7 @@
             self.deeds.append(terms.Health(True, True))
         # Entries expire by themselves: a release would cut off a repeat that came before and is read after.
         while self.labels and self.labels[0][0] <= now:
-            self._forget(self.labels.popleft()[1])
+            self._forget(heappop(self.labels)[2])
         for happening in happenings:
             match happening:
                 case terms.Arrived(ticket):
@@ -228,8 +228,8 @@
             return self._deny(ticket, Denial.NO_ROOM)
         if not self._memory_fits(machine.label_kb if labelled else 0.0):
             return self._deny(ticket, Denial.MEMORY)
-        if labelled and ticket.arrived + track.window > now:
-            self._remember(ticket, ticket.arrived + track.window - now)
+        if labelled:  # also one read past its window: a twin of it may lie unread for as long
+            self._remember(ticket, max(ticket.arrived + track.window - now, machine.tick))
         elif self._may_share(ticket):
             self._remember(ticket, left)
         # The budget for waiting. Departure, acts where the p99 takes nearly all of the page's budget, as with
@@ -366,7 +366,7 @@
         One that the cores or memory don't bear right now waits till they do: the first ran, so it can't be
         denied, and an error for a result that lies here would be a loss.
         """
-        if first.ended not in (None, Outcome.WORKED):
+        if first.ended not in (None, Outcome.WORKED) or (first.answered and not first.begun):
             return self._terminate(ticket)
         if not self._survives_run(ticket):
             ticket.begun = True
@@ -580,7 +580,7 @@
     def _keep_label(self, ticket: Ticket, life: float) -> None:
         ticket.remembered = True
         self.kb += self.machine.label_kb
-        self.labels.append((self.now + life, ticket))
+        heappush(self.labels, (self.now + life, id(ticket), ticket))
 
     def _may_share(self, ticket: Ticket) -> bool:
         reads = ticket.track.nature is Nature.REDOABLE and not ticket.writes and ticket.subject is not None
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -66,6 +66,7 @@
             machine = replace(machine, fresh_start=self._controller.machine.fresh_start)
             self._controller.retune(machine)
         self._machine = machine
+        self._labels.lag = max(self._labels.lag, *(track.abandon for track in machine.tracks))
 
     def greeted(self, cold: bool, age: float) -> None:
         """The interpreter is up, for `age` seconds: the controller opens the server as of then."""
@@ -114,8 +115,15 @@
             exchange.first = self._labels.find(label, ticket.arrived)
             if exchange.first is not None and not exchange.first.asks_same(exchange):
                 return exchange.terminate()
-            if exchange.first is None and self._memory.may_not_run(exchange):
+            # What it repeats may be forgotten, on either side of a restart: neither run nor denied.
+            if exchange.first is None and (
+                self._labels.forgets(ticket.arrived, self._clock.now) or self._memory.may_not_run(exchange)
+            ):
                 return exchange.terminate()
+            if ticket.arrived >= self._clock.now:
+                # The round's clock stands while it reads: this one may have come since, and by its own
+                # `since` the window ends later than counted from the time that is known here.
+                exchange.ahead = self._clock.read() - ticket.arrived
             self._undecided.add(label)
             self._memory.prepare(exchange)
             ticket.repeats = exchange.first.ticket if exchange.first is not None else None
@@ -149,6 +157,8 @@
             return
         self._happenings.append(terms.CallerGone(exchange.ticket))
         if exchange.place is Place.HELD:
+            if not exchange.ticket.begun:  # one that was stopped has run
+                self._labels.release(exchange)
             self._memory.release(exchange)
         if exchange.place in (Place.HELD, Place.JOINED):
             self._over(exchange)
@@ -239,12 +249,13 @@
             case terms.Deny(_, come_back, nowhere, why):
                 exchange.deny(come_back, nowhere)
                 self._count_denial(why, come_back)
+                self._labels.release(exchange)  # the controller releases none whose life is over
                 self._answered(exchange)
             case terms.Terminate():
                 exchange.terminate()
                 self._answered(exchange)
             case terms.Remember(_, life):
-                self._labels.remember(exchange, self._clock.now, life)
+                self._labels.remember(exchange, self._clock.now, life + exchange.ahead)
                 self._memory.remember(exchange)
             case terms.Release():
                 self._labels.release(exchange)
--- a/sablewheel/routing/labels.py
+++ b/sablewheel/routing/labels.py
@@ -6,57 +6,92 @@
 
 from __future__ import annotations
 
-from collections import deque
+from heapq import heappop, heappush
 
-from .exchange import Exchange
+from .exchange import Exchange, Place
+
+LONGER = 0.051  # the protocol makes every time limit 50 ms longer, and tells times in whole milliseconds
 
 
 class Labels:
-    """Entries by label, each with the try that holds it; kept results have a bound in bytes."""
+    """Entries by label, each with the try that holds it; kept results have a bound in bytes.
+
+    A label may be taken over by a try that came past the entry's life and is then never run. So an entry also
+    has what ran before it, which counts again once that try lets go of it.
+    """
 
     def __init__(self, lag: float, slack: float, bytes_most: int) -> None:
-        self._lag, self._slack, self._bytes_most = lag, slack, bytes_most
-        self._entries: dict[bytes, tuple[Exchange, float]] = {}
-        self._lapses: deque[tuple[float, bytes]] = deque()
-        self._kept: deque[Exchange] = deque()
+        self._slack, self._bytes_most = slack + LONGER, bytes_most
+        self.lag = lag  # the longest that a ticket is waited for
+        self._entries: dict[bytes, tuple[Exchange, float, tuple[Exchange, float] | None]] = {}
+        self._lapses: list[tuple[float, bytes]] = []  # a heap: windows differ by track
+        self._kept: dict[Exchange, None] = {}
         self._bytes = 0
 
     def find(self, label: bytes, reached: float) -> Exchange | None:
-        """The try that one with this label repeats, by when it reached the machine."""
-        first, until = self._entries.get(label, (None, 0.0))
-        return first if reached <= until + self._slack else None
+        """The try that one with this label repeats, by when it reached the machine.
+
+        One that has not begun counts past its life as well: the later try might overtake it, and it would run
+        within that one's window.
+        """
+        first, until, _ = self._entries.get(label, (None, 0.0, None))
+        if first is None or reached <= until + self._slack:
+            return first
+        return first if first.place is Place.HELD else None
+
+    def forgets(self, reached: float, now: float) -> bool:
+        """Whether what a try repeats may be swept already. Nobody waits for that try any more."""
+        return now - reached > self.lag
 
     def remember(self, exchange: Exchange, now: float, life: float) -> None:
         """The entry is this try's from now on; it is renewed if it was already."""
-        if exchange.label is not None:
-            self._entries[exchange.label] = (exchange, now + life)
-            self._lapses.append((now + life, exchange.label))
+        label, until = exchange.label, now + life
+        if label is None:
+            return
+        before = None
+        if (entry := self._entries.get(label)) is not None:
+            first, _, before = entry
+            if first is not exchange and first.ticket.begun:
+                if before is not None:
+                    self._drop(before[0])
+                before = entry[:2]
+        self._entries[label] = (exchange, until, before)
+        heappush(self._lapses, (until, label))
 
     def release(self, exchange: Exchange) -> None:
-        if exchange.label is not None and self.holds(exchange):
-            del self._entries[exchange.label]
+        """It has not run and never will: the entry is that of the one before it again, if any."""
+        label = exchange.label
+        if label is None or not self.holds(exchange):
+            return
+        before = self._entries.pop(label)[2]
+        if before is not None:
+            self._entries[label] = (*before, None)
+            heappush(self._lapses, (before[1], label))
 
     def holds(self, exchange: Exchange) -> bool:
-        return exchange.label is not None and self._entries.get(exchange.label, (None, 0.0))[0] is exchange
+        return exchange.label is not None and self._entries.get(exchange.label, (None,))[0] is exchange
 
     def keep(self, exchange: Exchange, result: bytes) -> None:
         """Keep a result for repeats; beyond the bound the oldest go, and their repeats end in an error."""
         exchange.result = result
-        self._kept.append(exchange)
+        self._kept[exchange] = None
         self._bytes += len(result)
         while self._bytes > self._bytes_most:
-            self._drop()
+            self._drop(next(iter(self._kept)))
 
     def sweep(self, now: float) -> None:
         """Let go of entries that no unread repeat can mean any more, and of their results."""
-        while self._lapses and self._lapses[0][0] + self._lag < now:
-            _, label = self._lapses.popleft()
-            if label in self._entries and self._entries[label][1] + self._lag < now:
-                del self._entries[label]
-        while self._kept and not self.holds(self._kept[0]):
-            self._drop()
-
-    def _drop(self) -> None:
-        exchange = self._kept.popleft()
-        self._bytes -= len(exchange.result or b"")
-        exchange.result = None
+        oldest = now - self.lag - self._slack
+        while self._lapses and self._lapses[0][0] < oldest:
+            _, label = heappop(self._lapses)
+            if label in self._entries and self._entries[label][1] < oldest:
+                first, _, before = self._entries.pop(label)
+                self._drop(first)
+                if before is not None:
+                    self._drop(before[0])
+
+    def _drop(self, exchange: Exchange) -> None:
+        if exchange in self._kept:
+            del self._kept[exchange]
+            self._bytes -= len(exchange.result or b"")
+            exchange.result = None
--- /dev/null
+++ b/tests/test_crossing_repeats.py
@@ -0,0 +1,607 @@
+"""Repeats that cross the ends, lapses and late readings of what they repeat, on the routing layer.
+
+The judge here is stricter than the town's own and written apart from it: a try counts from when it was
+written, even if it lay unread; the window counts from `since` of each try that ran.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from test_routing import MACHINE
+from world import MadeStream, Town, Try, call
+
+from sablewheel.terms import Customer, Halting, Machine, Nature, Track
+
+SHORT = 0.3  # a window shorter than the deadline, the grace and many a wait
+LIMIT = 0.05  # by which the protocol makes every time limit longer
+
+
+def made(window: float, **rest: object) -> Machine:
+    """The usual machine with another window for its labelled track."""
+    track = replace(MACHINE.tracks[1], window=window)
+    return replace(MACHINE, tracks=(MACHINE.tracks[0], track), **rest)  # type: ignore[arg-type]
+
+
+class Judged(Town):
+    """A town where tries may lie unread; every step is judged by the rules on sockets."""
+
+    def __init__(self, machine: Machine) -> None:
+        self.unread: list[tuple[Try, bytes]] = []
+        self.read_at: dict[Try, float] = {}
+        self.ran_before: list[bytes] = []  # names, as of the last judgement
+        self.judged: set[Try] = set()
+        self.never_ran: set[bytes] = set()  # names of which the interpreter said so
+        super().__init__(machine)
+
+    def track_of(self, name: bytes) -> Track:
+        return self.machine.tracks[name == b"record"]
+
+    def track(self, one: Try) -> Track:
+        return self.track_of(one.track)
+
+    def write(self, track: bytes, label: bytes = b"", router: int = 4) -> Try:
+        """A router writes a try, now; it lies unread until `read`."""
+        tag = len(self.tries) + 1
+        one = Try(tag, b"%016x" % tag, track, label, self.now)
+        self.tries.append(one)
+        self.unread.append((one, call(tag, one.name, track, one.since, one.body, label, router)))
+        return one
+
+    def read(self, *tries: Try) -> None:
+        """All that lies unread, or these of it, comes in one read."""
+        going = [(one, data) for one, data in self.unread if not tries or one in tries]
+        self.unread = [each for each in self.unread if each not in going]
+        self.read_at.update({one: self.now for one, _ in going})
+        if going:
+            self.router.feed(b"".join(data for _, data in going))
+
+    def call(self, track: bytes, label: bytes = b"", ago: float = 0.0) -> Try:
+        assert not ago
+        one = self.write(track, label)
+        self.read(one)
+        return one
+
+    def stall(self, span: float) -> None:
+        """The server stands still; what was due meanwhile is due once it goes on."""
+        self.scheduler.clock.now += span
+        self.read_at.update({one: self.now for one in self.read_at})
+        self.wait(0.0)
+
+    def end(self, name: bytes, how: bytes = b"success") -> None:
+        if how == b"nothing":
+            self.never_ran.add(name)
+        super().end(name, how)
+
+    def ran(self) -> list[Try]:
+        by_name = {one.name: one for one in self.tries}
+        names = [name for name, *_ in self.interpreter.applied if name not in self.never_ran]
+        return [by_name[name] for name in names]
+
+    def check(self) -> None:
+        machine, slack = self.machine, self.machine.slack + LIMIT + 1e-6
+        ran = self.ran()
+        assert len(set(ran)) == len(ran), "one try was run twice"
+        for place, one in enumerate(ran):
+            assert one.since <= self.notice + machine.drain_grace + LIMIT, "run after the drain's grace"
+            for before in ran[:place]:
+                if one.label and one.label == before.label:
+                    assert one.since > before.since + self.track(before).window + LIMIT, "ran twice"
+        for one in self.tries:
+            assert len(one.answers) <= 1, "answered twice"
+            if one in self.read_at and not one.answers and not one.cancelled:
+                due = max(one.since + self.track(one).abandon, self.read_at[one])
+                assert self.now <= min(due + slack, self.stop), "lost"
+            if not one.answers or one in self.judged:
+                continue
+            self.judged.add(one)
+            word = one.answers[0][1]
+            if word == b"OK":
+                assert one.answers[0][3] == b"made of " + one.body, "result changed"
+                assert any(other.body == one.body for other in ran), "result of no run"
+            if word == b"BUSY":
+                assert one not in ran, "denied what has run"
+                for other in ran:
+                    if one.label and other.label == one.label and other.name in self.ran_before:
+                        until = other.since + self.track(other).window
+                        assert one.since > until, "a repeat of what has run was denied"
+        self.ran_before = [one.name for one in ran]
+
+
+def words(*tries: Try) -> list[bytes]:
+    return [one.answers[0][1] if one.answers else b"" for one in tries]
+
+
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize("window", [SHORT, 0.0])
+def test_two_tries_that_are_read_after_their_window_run_once(together: bool, window: float) -> None:
+    """What was read past its own window was not remembered: its twin, as late, ran beside it."""
+    town = Judged(made(window))
+    first, second = town.write(b"record", b"a"), town.write(b"record", b"a")
+    town.scheduler.clock.now += 0.5
+    town.read(*([first, second] if together else [first]))
+    town.settle()
+    town.read()
+    town.settle()
+    assert town.ran() == [first]
+    town.end(first.name)
+    town.settle()
+    assert words(first, second) == [b"OK", b"OK"]
+
+
+def test_two_tries_that_waited_for_the_interpreter_past_their_window_run_once() -> None:
+    town = Judged(made(SHORT))
+    town.dispatch._controller = None  # as before the first greeting
+    first, second = town.call(b"record", b"a"), town.call(b"record", b"a")
+    town.settle()
+    assert town.dispatch.open_count == 2 and not town.ran()
+    town.scheduler.clock.now += 1.0
+    town.dispatch.greeted(cold=False, age=1.0)
+    town.settle()
+    assert town.ran() == [first]
+    town.end(first.name)
+    town.settle()
+    assert words(first, second) == [b"OK", b"OK"]
+
+
+def test_a_try_that_came_while_the_round_went_on_counts_from_then() -> None:
+    """The round's clock stands while it lasts: a window counted from it ended too early."""
+    town = Judged(made(SHORT))
+    clock, start = town.scheduler.clock, town.now
+
+    def read() -> float:
+        clock.now = max(clock.now, start + 0.25)
+        return clock.now
+
+    first = Try(1, b"%016x" % 1, b"record", b"a", start + 0.25)
+    town.tries.append(first)
+    town.router.feed(call(1, first.name, b"record", first.since, first.body, b"a"))
+    town.read_at[first] = first.since
+    clock.read = read  # type: ignore[method-assign]
+    town.settle()
+    assert town.ran() == [first] and town.now == start + 0.25
+    clock.now = first.since + SHORT - 0.01
+    again = town.call(b"record", b"a")
+    town.settle()
+    assert town.ran() == [first] and not again.answers
+
+
+@pytest.mark.parametrize("slack", [0.0, 0.08])
+@pytest.mark.parametrize("after", [SHORT, SHORT + LIMIT, 1.0])
+def test_the_window_ends_as_late_as_the_protocol_allows(slack: float, after: float) -> None:
+    town = Judged(made(SHORT, slack=slack))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.wait(after)
+    again = town.call(b"record", b"a")
+    town.settle()
+    assert (again in town.ran()) == (after == 1.0)
+
+
+def test_a_repeat_read_late_still_meets_the_first_when_a_later_try_was_denied() -> None:
+    """The later try took the label over and let go of it: the one that ran was forgotten with it."""
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.wait(SHORT)
+    late = town.write(b"record", b"a")  # within the window
+    town.scheduler.clock.now += 0.2
+    denied = town.call(b"record", b"a")  # past it
+    town.settle()
+    town.wait(MACHINE.tracks[1].goal)
+    assert words(denied) == [b"BUSY"]
+    for one in lookups:
+        town.end(one.name)
+    town.settle()
+    town.read(late)
+    town.settle()
+    assert town.ran() == [first, *lookups] and words(late) == [b"OK"]
+
+
+def test_a_repeat_read_late_still_meets_the_first_when_a_later_try_was_cancelled() -> None:
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.wait(SHORT)
+    late = town.write(b"record", b"a")
+    town.scheduler.clock.now += 0.2
+    gone = town.call(b"record", b"a")
+    town.settle()
+    assert not gone.answers
+    town.cancel(gone)
+    town.settle()
+    for one in lookups:
+        town.end(one.name)
+    town.settle()
+    town.read(late)
+    town.settle()
+    assert town.ran() == [first, *lookups] and words(late) == [b"OK"]
+
+
+def test_a_repeat_read_after_a_long_stall_is_neither_run_nor_denied() -> None:
+    """By then the table has let go of the first, and runs that take longer than anybody waits look usual."""
+    town = Judged(made(SHORT))
+    controller = town.dispatch._controller
+    assert controller is not None
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    for row in controller.table.values():
+        row.service.add(100.0)
+    late = town.write(b"record", b"a")
+    town.scheduler.clock.now += MACHINE.tracks[1].abandon + 1.0
+    town.settle()  # a round that brings other things, or the accepting of its connection
+    town.read()
+    town.settle()
+    assert town.ran() == [first] and words(late) == [b"FAILED"]
+
+
+def test_an_older_try_does_not_run_after_a_newer_one() -> None:
+    """Held past a short window, the label was taken over; one within its share then overtook the older."""
+    town = Judged(made(SHORT, crowd_multiple=1.0, over_share_worth=0.5, customers=(Customer(0.5),)))
+    for _ in range(4):
+        one = town.call(b"lookup")
+        town.settle()
+        town.end(one.name)
+        town.settle()
+    town.wait(2.0)
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.wait(1.8)
+    older = town.call(b"record", b"a")  # beyond its customer's share
+    town.wait(SHORT + LIMIT + 0.2)
+    assert not older.answers
+    newer = town.call(b"record", b"a")  # within it
+    town.settle()
+    for one in lookups:
+        town.end(one.name)
+        town.settle()
+    assert town.ran()[-1] is older
+    town.end(older.name)
+    town.settle()
+    assert words(older, newer) == [b"OK", b"OK"]
+
+
+def two_windows(**rest: object) -> Machine:
+    tracks = (replace(MACHINE.tracks[1], window=0.2), replace(MACHINE.tracks[1], window=60.0))
+    return replace(MACHINE, tracks=tracks, **rest)  # type: ignore[arg-type]
+
+
+def test_labels_of_short_windows_are_let_go_behind_one_of_a_long_window() -> None:
+    """Lapses were taken to come in order: whatever came behind a long window was kept and counted with it."""
+    town = Judged(two_windows())
+    controller = town.dispatch._controller
+    assert controller is not None
+    long = town.call(b"record", b"long")
+    town.settle()
+    town.end(long.name)
+    town.settle()
+    for place in range(20):
+        one = town.call(b"lookup", b"short%d" % place)
+        town.settle()
+        town.end(one.name)
+        town.settle()
+    kept = town.labels._bytes
+    town.wait(5.0)
+    assert len(town.labels._entries) == 1 and town.labels._bytes < kept / 10
+    assert controller.kb == pytest.approx(MACHINE.label_kb)
+    again = town.call(b"record", b"long")
+    town.settle()
+    assert words(again) == [b"OK"]
+
+
+def test_a_long_windows_result_is_not_dropped_for_those_that_nobody_can_mean() -> None:
+    town = Judged(two_windows())
+    long = town.call(b"record", b"long")
+    town.settle()
+    town.end(long.name)
+    town.settle()
+    town.labels._bytes_most = 100
+    for place in range(20):
+        one = town.call(b"lookup", b"short%d" % place)
+        town.settle()
+        town.end(one.name)
+        town.wait(5.0 if place % 4 == 3 else 0.0)
+    assert town.labels._bytes <= 100
+    again = town.call(b"record", b"long")
+    town.settle()
+    assert words(again) == [b"OK"]
+
+
+@pytest.mark.parametrize("before", [True, False])
+@pytest.mark.parametrize("how", [b"success", b"failure", b"interrupted", b"nothing"])
+@pytest.mark.parametrize("gone", [True, False])
+def test_a_repeat_that_comes_in_the_round_of_the_firsts_end(before: bool, how: bytes, gone: bool) -> None:
+    town = Judged(made(SHORT))
+    first = town.call(b"record", b"a")
+    town.settle()
+    if gone:
+        town.cancel(first)
+    if before:
+        again = town.call(b"record", b"a")
+        town.end(first.name, how)
+    else:
+        town.end(first.name, how)
+        again = town.call(b"record", b"a")
+    town.settle()
+    last = town.call(b"record", b"a")
+    town.settle()
+    ran = town.ran()
+    if how == b"nothing":  # it never began: the next is a first, but one that waited for it ends with it
+        assert ran == [last if before or gone else again]  # a cancel and a repeat come in one read
+    else:
+        assert ran == [first]
+        word = b"OK" if how == b"success" else b"FAILED"
+        assert words(first, again, last) == [b"" if gone else word, word, word]
+
+
+@pytest.mark.parametrize("order", ["cancel repeat", "repeat cancel", "repeat cancel repeat"])
+@pytest.mark.parametrize("place", ["held", "running", "joined"])
+def test_a_repeat_that_comes_in_one_read_with_a_cancel(order: str, place: str) -> None:
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    if place == "held":
+        town.call(b"lookup")
+        town.call(b"lookup")
+    tries = [town.call(b"record", b"a")]
+    if place == "joined":
+        tries.append(town.call(b"record", b"a"))
+    town.settle()
+    for step in order.split():
+        if step == "cancel":
+            town.cancel(tries[0])
+        else:
+            tries.append(town.call(b"record", b"a"))
+    town.settle()
+    while town.interpreter.running:
+        town.end(next(iter(town.interpreter.running)))
+        town.settle()
+    assert town.dispatch.open_count == 0
+    answered = [one for one in tries if not one.cancelled]
+    assert all(one.answers for one in answered)
+    assert place == "held" or set(words(*answered)) <= {b"OK"}
+    assert sum(one.track == b"record" for one in town.ran()) <= 1
+
+
+def test_two_repeats_in_the_round_of_the_firsts_denial() -> None:
+    """It never ran. One that waited for it ends at once, not at its own time; the label is free."""
+    town = Judged(made(SHORT, crowd_multiple=1.0))
+    lookups = [town.call(b"lookup") for _ in range(MACHINE.cores)]
+    town.settle()
+    first = town.call(b"record", b"a")
+    town.settle()
+    repeats = [town.call(b"record", b"a") for _ in range(2)]
+    town.scheduler.clock.now += MACHINE.tracks[1].goal  # held out, in the batch of the one repeat
+    town.settle()
+    assert words(first, *repeats) == [b"BUSY", b"FAILED", b"BUSY"]
+    for one in lookups:
+        town.end(one.name)
+    town.settle()
+    last = town.call(b"record", b"a")
+    town.settle()
+    assert town.ran() == [*lookups, last]
+
+
+def test_a_repeat_past_the_grace_or_the_memory_guard_gets_the_result() -> None:
+    town = Judged(made(20.0))
+    first, second = town.call(b"record", b"a"), town.call(b"record", b"b")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    town.drain(4.0)
+    town.wait(MACHINE.drain_grace + 0.5)
+    controller = town.dispatch._controller
+    assert controller is not None
+    controller.kb += MACHINE.memory_kb  # no room for anything
+    late = [town.call(b"record", label) for label in (b"a", b"b", b"c")]
+    town.settle()
+    assert words(*late) == [b"", b"", b"BUSY"]
+    controller.kb -= MACHINE.memory_kb
+    town.end(second.name, b"failure")
+    town.wait(0.1)
+    assert words(*late) == [b"OK", b"FAILED", b"BUSY"]
+
+
+def test_a_repeat_in_the_round_of_its_firsts_due_time() -> None:
+    town = Judged(made(20.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    again = town.call(b"record", b"a")
+    town.scheduler.clock.now += MACHINE.tracks[1].abandon + 0.01
+    town.settle()
+    assert words(first, again) == [b"FAILED", b"FAILED"]
+    third = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    assert words(third) == [b"OK"] and town.ran() == [first]
+
+
+def test_a_first_that_runs_past_its_window_still_answers_those_that_came_within() -> None:
+    town = Judged(made(SHORT))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.wait(SHORT)
+    within = town.write(b"record", b"a")
+    town.scheduler.clock.now += 0.5
+    town.settle()
+    town.read()
+    town.settle()
+    assert town.ran() == [first]
+    past = town.call(b"record", b"a")
+    town.settle()
+    assert town.ran() == [first, past]  # as the rule allows
+    town.end(first.name)
+    town.end(past.name)
+    town.settle()
+    assert words(first, within, past) == [b"OK"] * 3
+
+
+@pytest.mark.parametrize("window", [0.1, 5.0])
+def test_a_window_that_changes_counts_for_what_is_taken_in_from_then_on(window: float) -> None:
+    town = Judged(made(1.0))
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    machine = made(window)
+    town.dispatch.retune(machine, (0, 3, 1))
+    town.server._tracks.update(zip((b"lookup", b"record"), machine.tracks, strict=True))
+    town.wait(0.9)
+    again = town.call(b"record", b"a")
+    town.settle()
+    assert words(again) == [b"OK"] and town.ran() == [first]
+    other = town.call(b"record", b"b")
+    town.settle()
+    town.end(other.name)
+    town.wait(0.9)
+    town.machine = machine
+    town.call(b"record", b"b")
+    town.settle()
+    assert len(town.ran()) == (3 if window < 0.9 else 2)
+
+
+def test_a_longer_wait_in_new_settings_keeps_labels_for_as_long() -> None:
+    town = Judged(made(SHORT))
+    tracks = tuple(replace(one, abandon=10.0) for one in town.machine.tracks)
+    machine = replace(town.machine, tracks=tracks)
+    town.dispatch.retune(machine, (0, 3, 1))
+    town.server._tracks.update(zip((b"lookup", b"record"), tracks, strict=True))
+    town.machine = machine
+    first = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name)
+    town.settle()
+    late = town.write(b"record", b"a")
+    town.scheduler.clock.now += 6.0
+    town.settle()
+    town.read()
+    town.settle()
+    assert words(late) == [b"OK"] and town.ran() == [first]
+
+
+@pytest.mark.parametrize("nature", [Nature.IRREVERSIBLE, Nature.LABELLED])
+def test_a_name_that_comes_again_after_its_try_is_over_is_not_run_again(nature: Nature) -> None:
+    track = replace(MACHINE.tracks[1], nature=nature, window=SHORT)
+    town = Judged(replace(MACHINE, tracks=(MACHINE.tracks[0], track)))
+    label = b"a" if nature is Nature.LABELLED else b""
+    one = town.call(b"record", label)
+    town.settle()
+    town.end(one.name)
+    town.wait(1.0)
+    copy = call(900, one.name, b"record", town.now, one.body, label)
+    town.router.feed(copy)
+    town.settle(deliver=False)
+    town.settle()
+    assert town.dispatch.open_count == 0 and town.ran() == [one]
+    if label:  # and the label is free for a true try
+        true = town.call(b"record", b"a")
+        town.settle()
+        assert town.ran() == [one, true]
+
+
+VARIANTS = {
+    "short": made(SHORT),
+    "tight": made(SHORT, crowd_multiple=1.0),
+    "long": made(20.0),
+    "two windows": two_windows(crowd_multiple=1.0),
+    "irreversible": replace(
+        MACHINE,
+        tracks=tuple(replace(one, nature=Nature.IRREVERSIBLE, window=SHORT) for one in MACHINE.tracks),
+    ),
+    "never stopped": made(0.0, halting=Halting.NEVER, slack=0.0),
+}
+OFTEN = ["read"] * 2 + ["write"] * 3 + ["lie"] * 3 + ["deliver"] * 3 + ["end"] * 3 + ["fail", "stop", "copy"]
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["cancel", "wait", "pass", "long", "stall", "lose", "rush", "drain", *OFTEN]
+        ),
+        st.integers(0, 3),
+    ),
+    max_size=40,
+)
+
+
+@pytest.mark.parametrize("name", VARIANTS)
+@settings(
+    max_examples=150,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=[Phase.generate, Phase.shrink],
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(STEPS)
+def test_rules_hold_while_tries_lie_unread(name: str, steps: list[tuple[str, int]]) -> None:
+    town = Judged(VARIANTS[name])
+
+    def label(track: bytes, which: int) -> bytes:
+        return b"%b%d" % (track, which) if town.track_of(track).nature is Nature.LABELLED else b""
+
+    for step, which in steps:
+        running = list(town.interpreter.running)
+        tries = [one for one in town.tries if one in town.read_at]
+        ran, deliver = town.ran(), True
+        known = [one for one in tries if one in ran or not (one.answers or one.cancelled)]
+        match step:
+            case "read":
+                town.call(b"lookup", label(b"lookup", which))
+            case "write":
+                town.call(b"record", label(b"record", which))
+            case "lie":
+                track = (b"lookup", b"record")[which % 2]
+                town.write(track, label(track, which))
+                town.write(track, label(track, which))
+            case "deliver" if town.unread:
+                town.read(town.unread[which % len(town.unread)][0])
+                if which == 3:
+                    town.read()
+            case "rush":
+                first = town.call(b"record", label(b"record", which))
+                town.call(b"record", label(b"record", which))
+                town.cancel(first)
+                town.call(b"record", label(b"record", which))
+            case "cancel" if tries:
+                town.cancel(tries[-1 - which % len(tries)])
+            case "end" | "fail" | "stop" if running:
+                how = {"end": b"success", "fail": b"failure", "stop": b"interrupted"}[step]
+                town.end(running[which % len(running)], how)
+            case "wait":
+                town.wait(0.1 * which)
+            case "pass":
+                town.wait(SHORT + 0.02 * which)
+            case "long":
+                town.wait(2.0 * which)
+            case "stall" if town.notice == float("inf"):
+                town.stall(0.2 * 3**which)
+            case "copy" if known:  # a bad client: a name once more, of a try that is open or ran
+                one = known[-1 - which % len(known)]
+                stream = MadeStream(town.scheduler)
+                town.server.accepted(stream)
+                stream.feed(call(1, one.name, one.track, town.now, one.body, one.label))
+            case "lose":
+                town.call(b"record", label(b"record", which))
+                town.settle(deliver=False)
+                town.cut(lost=True)
+            case "drain":
+                town.drain(1.0 + which)
+            case _:
+                deliver = False
+        town.settle(deliver)
+    town.read()
+    if town.notice == float("inf"):
+        town.drain(2.0)
+    town.settle()
+    town.wait(town.stop - town.now - 0.002 if town.stop > town.now else 0.0)
+    town.check()
+    assert all(one.answers or one.cancelled for one in town.tries if town.read_at[one] < town.stop)
