KNOWN-RED.txt: up to three tests known to be red are run, printed and passed over

There was no way to keep a test that shows a real fault which can't be mended yet: it either kept the checks red or had to be skipped, which hides it. The file at the root names such tests, `test id | cause | issue N` a line, three at most; without the file nothing changes.

Why not xfail marks set at collection: pytest's xfail also takes an error of set-up or tear-down, and a skip, for a fault seen. Here only a failure of the test's own body is passed over, and its message is printed, so another fault than the one listed is seen. A listed test that passes or is skipped, an id that a whole run does not find, a fourth line and a malformed or empty file fail the run; ids are not judged when only a part of the tests is asked for, or when a test file can't be read, which fails by itself.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,176 @@
+"""What KNOWN-RED.txt does to a run of pytest: runs of small suites, made up in a folder of their own."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+pytest_plugins = ["pytester"]
+
+SUITE = """
+import pytest
+
+@pytest.fixture
+def broken():
+    raise RuntimeError("set-up")
+
+@pytest.fixture
+def torn():
+    yield
+    raise RuntimeError("tear-down")
+
+def test_good(): pass
+def test_bad(): assert 1 == 2, "one is not two"
+def test_skips(): pytest.skip("not here")
+@pytest.mark.skipif(True, reason="not here either")
+def test_marked(): pass
+@pytest.mark.xfail(strict=True)
+def test_forgiven(): pass
+def test_set_up(broken): pass
+def test_tear_down(torn): assert False
+@pytest.mark.parametrize("x", ["a | b", "c"])
+def test_some(x): assert x == "c"
+"""
+BAD = "tests/test_suite.py::test_bad | sums are off | issue 12"
+
+
+@pytest.fixture
+def suite(pytester: pytest.Pytester, monkeypatch: pytest.MonkeyPatch) -> pytest.Pytester:
+    monkeypatch.delenv("PYTEST_ADDOPTS", raising=False)
+    pytester.makepyprojecttoml('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
+    folder = pytester.mkdir("tests")
+    (folder / "test_suite.py").write_text(SUITE)
+    (folder / "test_other.py").write_text("def test_fine(): pass\n")
+    return pytester
+
+
+def play(suite: pytest.Pytester, listed: str | None, *arguments: str) -> pytest.RunResult:
+    if listed is not None:
+        (suite.path / "KNOWN-RED.txt").write_text(listed)
+    return suite.runpytest_inprocess("-q", "-p", "known_red", *arguments)
+
+
+def only(suite: pytest.Pytester, *names: str) -> None:
+    """Takes all tests but these out of the suite."""
+    text = SUITE.replace("def test_", "def no_test_")
+    for name in names:
+        text = text.replace(f"def no_{name}(", f"def {name}(")
+    (suite.path / "tests" / "test_suite.py").write_text(text)
+
+
+def test_a_listed_failure_is_passed_over_and_printed(suite: pytest.Pytester) -> None:
+    only(suite, "test_good", "test_bad")
+    run = play(suite, BAD + "\n")
+    assert run.ret == pytest.ExitCode.OK
+    run.assert_outcomes(passed=2, xfailed=1)
+    run.stdout.fnmatch_lines(["*known red, passed over*", BAD, "    AssertionError: one is not two*"])
+
+
+def test_a_failure_that_is_not_listed_fails_beside_one_that_is(suite: pytest.Pytester) -> None:
+    only(suite, "test_bad", "test_some")
+    run = play(suite, BAD)
+    assert run.ret == pytest.ExitCode.TESTS_FAILED
+    run.assert_outcomes(passed=2, xfailed=1, failed=1)
+
+
+def test_parameters_are_part_of_the_id(suite: pytest.Pytester) -> None:
+    only(suite, "test_some")
+    line = "tests/test_suite.py::test_some[a | b] | the bar is taken for an end | issue 3"
+    run = play(suite, line)
+    assert run.ret == pytest.ExitCode.OK
+    run.assert_outcomes(passed=2, xfailed=1)
+    run.stdout.fnmatch_lines([line.replace("[", "[[]")])
+
+
+@pytest.mark.parametrize("name", ["test_good", "test_forgiven"])
+def test_a_listed_test_that_passes_fails_the_run(suite: pytest.Pytester, name: str) -> None:
+    only(suite, name)
+    run = play(suite, f"tests/test_suite.py::{name} | none left | issue 1")
+    assert run.ret == pytest.ExitCode.TESTS_FAILED
+    run.assert_outcomes(passed=1, failed=1)
+    run.stdout.fnmatch_lines(["*passes: take its line out*" if name == "test_good" else "*XPASS(strict)*"])
+    run.stdout.no_fnmatch_line("*known red*")
+
+
+@pytest.mark.parametrize("name", ["test_skips", "test_marked"])
+def test_a_skip_shows_no_fault(suite: pytest.Pytester, name: str) -> None:
+    only(suite, name)
+    run = play(suite, f"tests/test_suite.py::{name} | not seen | issue 1")
+    assert run.ret == pytest.ExitCode.TESTS_FAILED
+    run.stdout.fnmatch_lines(["*is skipped, which shows no fault*"])
+
+
+@pytest.mark.parametrize("name", ["test_set_up", "test_tear_down"])
+def test_an_error_beside_the_body_is_not_passed_over(suite: pytest.Pytester, name: str) -> None:
+    only(suite, name)
+    run = play(suite, f"tests/test_suite.py::{name} | something | issue 1")
+    assert run.ret == pytest.ExitCode.TESTS_FAILED
+    run.assert_outcomes(passed=1, errors=1, xfailed=int(name == "test_tear_down"))
+
+
+@pytest.mark.parametrize(
+    "name", ["test_suite.py::test_gone", "test_gone.py::test_a", "test_suite.py::test_some"]
+)
+def test_an_unknown_id_fails_a_whole_run(suite: pytest.Pytester, name: str) -> None:
+    run = play(suite, f"tests/{name} | long mended | issue 1")
+    assert run.ret == pytest.ExitCode.USAGE_ERROR
+    run.stderr.fnmatch_lines([f"ERROR: KNOWN-RED.txt: no such test: tests/{name}"])
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("-k", "fine"),
+        ("tests/test_other.py",),
+        ("--ignore=tests/test_suite.py",),
+        ("--deselect=tests/test_suite.py",),
+    ],
+)
+def test_a_part_of_the_tests_asks_for_no_other(suite: pytest.Pytester, arguments: tuple[str, ...]) -> None:
+    run = play(suite, "tests/test_suite.py::test_gone | long mended | issue 1", *arguments)
+    assert run.ret == pytest.ExitCode.OK
+    assert run.parseoutcomes()["passed"] == 1
+
+
+def test_a_file_that_cannot_be_read_is_told_by_itself(suite: pytest.Pytester) -> None:
+    (suite.path / "tests" / "test_suite.py").write_text("import nothing_of_this_name\n")
+    run = play(suite, BAD)
+    assert run.ret == pytest.ExitCode.INTERRUPTED
+    run.stdout.fnmatch_lines(["*nothing_of_this_name*"])
+
+
+@pytest.mark.parametrize(
+    ("listed", "told"),
+    [
+        ("\n".join(BAD.replace("test_bad", f"test_{n}") for n in "abcd"), "line 4: 3 at most"),
+        (f"{BAD}\n\n", "line 2: ''; wanted: *"),
+        (f"# those\n{BAD}", "line 1: '# those'; wanted: *"),
+        (f"{BAD}\ntests/test_suite.py::test_good | slow", "line 2: *; wanted: *"),
+        ("tests/test_suite.py::test_good | issue 3", "line 1: *; wanted: *"),
+        ("tests/test_suite.py | all | issue 3", "line 1: *; wanted: *"),
+        ("tests/test_suite.py::test_good | slow | issue 0", "line 1: *; wanted: *"),
+        ("tests/test_suite.py::test_good | slow | 7", "line 1: *; wanted: *"),
+        ("tests/test_suite.py::test_good |  | issue 7", "line 1: *; wanted: *"),
+        (f"{BAD}\n{BAD}", "line 2: tests/test_suite.py::test_bad is listed twice"),
+        ("", "no line in it; *"),
+    ],
+)
+def test_a_malformed_list_fails_any_run(suite: pytest.Pytester, listed: str, told: str) -> None:
+    run = play(suite, listed, "tests/test_other.py")
+    assert run.ret == pytest.ExitCode.USAGE_ERROR
+    run.stderr.fnmatch_lines([f"ERROR: KNOWN-RED.txt: {told}"])
+
+
+def test_without_the_file_nothing_is_passed_over(suite: pytest.Pytester) -> None:
+    only(suite, "test_good", "test_bad")
+    run = play(suite, None)
+    assert run.ret == pytest.ExitCode.TESTS_FAILED
+    run.assert_outcomes(passed=2, failed=1)
+    run.stdout.no_fnmatch_line("*known red*")
+
+
+def test_the_checks_run_all_tests_with_the_list(pytestconfig: pytest.Config) -> None:
+    assert pytestconfig.pluginmanager.hasplugin("known_red")
+    checks = (Path(__file__).parents[1] / ".ci" / "run").read_text().splitlines()
+    assert ".venv/bin/python -m pytest -q" in checks  # nothing left out: ids are checked in whole runs alone
