Signals are held back while the interpreter comes down

CPython gives signals their default action back before it takes the modules down, and that lasts for milliseconds of processor time: a second SIGTERM, a SIGHUP to all or a SIGUSR1 that came in it ended a process that had left in order with status -15, -1 or -10. Seen with an object whose finalizer sends the signal at that moment; all four signals killed the process. Now they are blocked again as `run` returns. Ruled out with tests: a signal between the open door and the handlers waits (the mask holds), and a SIGHUP that a shell ignored up to `exec` is taken once the handlers stand.

--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -41,7 +41,11 @@
         return 1
     application.prepare()
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    return application.run()
+    code = application.run()
+    # The interpreter gives signals back their default before it takes its modules down: one that comes late,
+    # as a second notice or a hang-up to all, would end a process that left in order by a signal.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    return code
 
 
 if __name__ == "__main__":
