A newcomer waits for a predecessor that still holds its address

A restarted process whose predecessor was still in its grace, its door open, ended at once with status 1, which counts as a crash. The sockets that linger after an end are no cause (SO_REUSEADDR, tested before by a kill and a start). Now the address is tried again every 50 ms, for as long as a predecessor with this `stop_ms` may take and a second more, before the same line and status as before; a SIGTERM meanwhile, held back by the mask, ends the wait with 0. With a features file on it ends as before: features hold folders by then.

--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -5,8 +5,12 @@
 import os
 import signal
 import sys
+import time
+from errno import EADDRINUSE
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+DOOR_SPARE = 1.0  # how long past a predecessor's own notice its door is waited for
+DOOR_AGAIN = 0.05
 
 
 def main() -> int:
@@ -31,7 +35,14 @@
             return 2
     logs.start(posting.level)
     try:
-        application = Application(posting, features)
+        try:
+            application = Application(posting, features)
+        except OSError as trouble:
+            if trouble.errno != EADDRINUSE or features is not None:  # features hold folders by now
+                raise
+            if not await_door(posting.listen, posting.stop_after + DOOR_SPARE):
+                return 0
+            application = Application(posting)
     except OSError as trouble:
         if trouble.errno is None or trouble.filename:  # a feature's folder, not the door
             print(f"sablewheel: {trouble}", file=sys.stderr)
@@ -48,5 +59,28 @@
     return code
 
 
+def await_door(address: tuple[str, int], most: float) -> bool:
+    """Wait while another holds the address; False: told to leave meanwhile.
+
+    Guards against a predecessor that still leaves, its door open up to its grace's end or later: an end by
+    that would be a crash. Whoever holds the address for longer is told of at the next attempt.
+    """
+    import socket
+
+    until = time.monotonic() + most
+    while time.monotonic() < until:
+        if signal.sigpending() & {signal.SIGTERM, signal.SIGINT}:
+            return False
+        time.sleep(DOOR_AGAIN)
+        with socket.socket() as door:
+            door.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                door.bind(address)
+            except OSError:
+                continue
+            return True
+    return True
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -226,6 +226,41 @@
     door.listener.close()
 
 
+def test_an_address_that_is_still_held_is_waited_for(place: Place) -> None:
+    """A predecessor that leaves has its door open for a while yet: that must not end the newcomer."""
+    host, port = place.address
+    process = child(
+        place,
+        f"""
+import socket
+old = socket.create_server(({host!r}, {port}))
+def sleep(span):
+    old.close()
+    time.sleep(span)
+start.time = type("Time", (), dict(sleep=sleep, monotonic=time.monotonic))
+""",
+    )
+    peer = place.ready()
+    assert peer.ask(1, peer.call(1))[1] == b"OK"
+    peer.sock.close()
+    process.send_signal(signal.SIGTERM)
+    ended(process)
+
+
+def test_told_to_leave_while_the_address_is_held_it_leaves(place: Place) -> None:
+    place.told["stop_ms"] = 60_000
+    host, port = place.address
+    process = child(
+        place,
+        f"""
+import socket
+old = socket.create_server(({host!r}, {port}))
+start.time = type("Time", (), dict(sleep=lambda span: tell(signal.SIGTERM), monotonic=time.monotonic))
+""",
+    )
+    ended(process)
+
+
 # -- reports
 
 
