The door closes over nobody in the line

`Listener.close` looked once at the line of connections that the machine had accepted: with a full table it looked at none of it, and who connected between that look and the close was not taken either. The close resets them with the ticket they had written. Probes on loopback: close over one in the line: reset; shutdown(SHUT_RD) resets the line as well (accept: EINVAL); listen(0) leaves one place and lets others wait. So `shut` takes all, looks again with nothing but accepts up to EAGAIN, closes, and only then makes streams of the last few. While the table is full and somebody waits it stays open and is tried again every 20 ms, as the drain's farewells make room. Closing later than the grace was weighed: after the farewell routers connect anew, so just before it is the quieter moment, and a door open up to the end would not let the process end with nothing open.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -31,6 +31,7 @@
 REPORT_EVERY = 0.25  # a server silent for 3 s is off the list, and one report in a few may be lost
 CONNECT_MOST = 1.0  # one try to reach the interpreter
 LAST_INSTANT = 0.03  # before the stop: whoever still has a connection open then is left behind
+DOOR_AGAIN = 0.02  # until the door is tried again that can't be shut over those who wait before it
 KEPT_SHARE = 16  # results kept for repeats get one part in so many of the program's memory
 
 log = logging.getLogger(__name__)
@@ -106,6 +107,7 @@
         self._dispatch.attach(self._server, self._client)
         self._post = Post(posting.naming)
         self._stop_at = 0.0
+        self._shut_door = False
         self._failed = False
 
     def prepare(self) -> None:
@@ -162,13 +164,21 @@
 
     def _part(self) -> None:
         self._enter(Phase.PARTING)
-        self._listener.close()
+        self._shut()
         self._feature.parting()
-        self._scheduler.spawn(self._server.farewell)  # behind the first reading of those just taken
         self._scheduler.after(max(self._stop_at - LAST_INSTANT - self._scheduler.clock.now, 0.0), self._end)
 
+    def _shut(self) -> None:
+        """Close the door; with a full table it stays open until those before it were let in."""
+        self._shut_door = self._listener.shut()
+        self._scheduler.spawn(self._server.farewell)  # to those just taken as well
+        if not self._shut_door:
+            self._scheduler.after(DOOR_AGAIN, self._shut)
+
     def _look_for_end(self) -> None:
-        if self.phase is not Phase.PARTING or self._server.connections or self._dispatch.open_count:
+        if self.phase is not Phase.PARTING or not self._shut_door:
+            return
+        if self._server.connections or self._dispatch.open_count:
             return
         if self._feature.settled():
             self._end()
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -197,3 +197,43 @@
                 return False  # no descriptor or no memory for it now
             self._accepted(stream)
         return False
+
+    LAST_MOST = 4  # taken as the door closes, whatever room there is: out of the descriptors in hand
+
+    def shut(self) -> bool:
+        """Listen no longer, unless somebody is left in the line; whether that is so.
+
+        A connection that the machine accepted may carry a whole ticket, and a close resets it unread. So the
+        line is empty before, and nothing lies between the last look at it and the close but the close.
+        """
+        if not self._open:
+            return True
+        if not self._take() and self._line:
+            self._crowded()
+            return False
+        self._open = False
+        self._scheduler.forget(self._socket.fileno())
+        last: list[socket.socket] = []
+        while len(last) < self.LAST_MOST:
+            try:
+                last.append(self._socket.accept()[0])
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                break
+        self._socket.close()
+        for sock in last:
+            try:
+                self._accepted(Stream(self._scheduler, sock, HIGH_WATER, FAIR_CHUNK))
+            except OSError:
+                continue  # this one was gone before it was taken
+        return True
+
+    @property
+    def _line(self) -> bool:
+        """Whether the machine has accepted connections that were not taken here."""
+        import select
+
+        line = select.poll()
+        line.register(self._socket.fileno(), READABLE)
+        return bool(line.poll(0))
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -226,6 +226,58 @@
     door.listener.close()
 
 
+def test_who_connects_behind_the_last_look_at_the_line_is_taken(door: Door) -> None:
+    door.client()
+    door.sock.empty.append(door.client)
+    assert door.listener.shut() and door.listener.shut()
+    assert door.answer() == [b"told", b"told"]
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(door.address, timeout=PATIENCE)
+
+
+def test_a_full_table_keeps_the_door_open_for_those_before_it(door: Door) -> None:
+    door.most = 1
+    for _ in range(3):
+        door.client()
+    assert not door.listener.shut() and door.crowds == 1 and len(door.taken) == 1
+    door.most = 3
+    assert door.listener.shut() and door.answer() == [b"told"] * 3
+
+
+def test_a_full_table_and_nobody_before_it_is_no_reason_to_stay_open(door: Door) -> None:
+    door.most = 0
+    assert door.listener.shut() and not door.crowds
+
+
+def test_a_drain_with_a_full_table_answers_those_in_the_line(tmp_path: Path) -> None:
+    """The grace ends while routers wait in the machine's line: they are let in as connections go."""
+    place = Place(tmp_path, stop_ms=1500, limits={"sockets": 16, "memory_mb": 32})  # room for 4 connections
+    place.told["settings"]["safety"]["drain-grace-s"] = 0.0
+    process = place.start()
+    try:
+        peers = [place.ready() for _ in range(4)]
+        place.engine.at_once = False
+        for peer in peers:
+            peer.send(peer.call(1))
+        wait_until(lambda: len(place.engine.core.running) == 4)
+        with held(process):
+            late = place.router()
+            late.send(late.call(1))
+            process.send_signal(signal.SIGTERM)
+        assert peers[0].read(0)[1] == b"BYE"
+        place.engine.at_once = True
+        for name in list(place.engine.core.running):
+            place.engine.end(name)
+        for peer in peers:
+            assert peer.read(1)[1] == b"OK"
+            peer.sock.close()
+        assert late.read(1)[1] in (b"BUSY", b"OK") and late.read(0)[1] == b"BYE"
+        late.sock.close()
+        ended(process)
+    finally:
+        place.end()
+
+
 def test_an_address_that_is_still_held_is_waited_for(place: Place) -> None:
     """A predecessor that leaves has its door open for a while yet: that must not end the newcomer."""
     host, port = place.address
