Every open ticket has its answer before the end, also if the start is left

SIGTERM while the interpreter was not up ended the process at once: what had been read and waited for the start, was half read, or lay unread in the machine's buffers got nothing. Now the door is shut over nobody, all are refused (nothing ran), farewells go out, and the process ends when the connections are gone; at once if there are none. With hardly a slack or tick (0 and 0: the module's last answers fall 30 ms behind the program's end), with a notice of 1 ms, with labelled tickets that wait for what is remembered, nobody answered what was open at the end. After a pause past the stop, who was taken from the line in the last round was never read: 2 ms of rounds follow the last answers. What ran is not denied: a repeat of what the table of labels knows, and a copy of an open ticket's name, fail instead. Clear by tests: signals of one round in any order, a notice within a hand-over.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -15,7 +15,7 @@
 from ..routing.dispatch import Dispatch
 from ..routing.exchange import Exchange, Standing
 from ..routing.labels import Labels
-from ..routing.server import Server
+from ..routing.server import Desk, Server
 from ..terms import Outcome
 from ..transport.datagram import Post
 from ..transport.scheduler import Clock, Scheduler
@@ -31,6 +31,8 @@
 REPORT_EVERY = 0.25  # a server silent for 3 s is off the list, and one report in a few may be lost
 CONNECT_MOST = 1.0  # one try to reach the interpreter
 LAST_INSTANT = 0.03  # before the stop: whoever still has a connection open then is left behind
+LAST_ANSWERS = 2 * LAST_INSTANT  # before the stop: what is open then is answered, whatever it is doing
+LAST_ROUNDS = 0.002  # that are played after the last answers, however late these are
 DOOR_AGAIN = 0.02  # until the door is tried again that can't be shut over those who wait before it
 KEPT_SHARE = 16  # results kept for repeats get one part in so many of the program's memory
 
@@ -47,6 +49,16 @@
     ENDED = "ended"
 
 
+class Refusing:
+    """In front of the desk once nothing that comes may run: each try is refused as it is read."""
+
+    def __init__(self, inner: Desk, refuse: Callable[[Exchange], None]) -> None:
+        self._inner, self.arrived = inner, refuse
+
+    def gone(self, exchange: Exchange) -> None:
+        self._inner.gone(exchange)
+
+
 class Application:
     """All parts, and how they start and end."""
 
@@ -144,17 +156,21 @@
     def _opened(self) -> None:
         if self.phase is Phase.WAITING:
             self._enter(Phase.SERVING)
+        elif self.phase is Phase.PARTING:  # told to leave before that: the controller has yet to hear of it
+            self._standing.good = False
+            self._dispatch.notice(max(self._stop_at - self._scheduler.clock.now, 0.0))
 
     def _leave(self) -> None:
         """The notice to leave; a second one changes nothing."""
-        if self.phase is Phase.WAITING:
-            self._feature.leaving()
-            self._listener.close()
-            return self._end()
-        if self.phase is not Phase.SERVING:
+        if self.phase not in (Phase.WAITING, Phase.SERVING):
             return
         posting, now = self._posting, self._scheduler.clock.now
         self._stop_at = now + posting.stop_after
+        if self.phase is Phase.WAITING:
+            # Nothing ran and nothing will: who waits for the start, here or still unread, is owed that word.
+            self._feature.leaving()
+            self._refuse()
+            return self._part()
         self._dispatch.notice(posting.stop_after)
         self._feature.leaving()
         self._enter(Phase.DRAINING)
@@ -166,7 +182,8 @@
         self._enter(Phase.PARTING)
         self._shut()
         self._feature.parting()
-        self._scheduler.after(max(self._stop_at - LAST_INSTANT - self._scheduler.clock.now, 0.0), self._end)
+        left = self._stop_at - self._scheduler.clock.now
+        self._scheduler.after(max(left - LAST_ANSWERS, 0.0), self._answer_all)
 
     def _shut(self) -> None:
         """Close the door; with a full table it stays open until those before it were let in."""
@@ -175,6 +192,24 @@
         if not self._shut_door:
             self._scheduler.after(DOOR_AGAIN, self._shut)
 
+    def _refuse(self) -> None:
+        """From now on nothing that is read runs, and what waits for the start has waited for nothing."""
+        if not isinstance(self._server.desk, Refusing):
+            self._server.desk = Refusing(self._server.desk, self._dispatch.refuse)
+        self._dispatch.refuse_early()
+
+    def _answer_all(self) -> None:
+        """Nobody is left without an answer, and there is still time to take it.
+
+        The controller has answered all by then, unless there is hardly a slack or a tick, the notice is too
+        short for both, or what a server remembers is not known yet.
+        """
+        self._refuse()
+        self._dispatch.answer_all()
+        # A pause may end past the stop: who was let in only now is read in a round to come, and answered.
+        left = self._stop_at - self._scheduler.clock.now
+        self._scheduler.after(max(left - LAST_INSTANT, LAST_ROUNDS), self._end)
+
     def _look_for_end(self) -> None:
         if self.phase is not Phase.PARTING or not self._shut_door:
             return
@@ -248,6 +283,7 @@
         log.error("not started", extra={"pairs": {"reason": reason}})
         self._failed = True
         self._listener.close()
+        self._refuse()
         self._end()
 
     def _never_begun(self, exchange: Exchange) -> None:
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -290,3 +290,40 @@
         joined, exchange.joined = exchange.joined, []
         for one in joined:
             self._end_join(one, result)
+
+    # -- leaving
+
+    def refuse(self, exchange: Exchange) -> None:
+        """One that never ran, nor will on a server that leaves: it may come back to whoever follows.
+
+        But what ran is not denied, in any other try either: what repeats it, or may, is terminated.
+        """
+        ticket = exchange.ticket
+        if ticket not in self._exchanges and exchange.name in self._names:  # the name of one that is open
+            return exchange.terminate()
+        if ticket.track.nature is Nature.LABELLED and exchange.label is not None:
+            first = self._labels.find(exchange.label, ticket.arrived)
+            if first not in (None, exchange) or not self._memory.ready or self._memory.may_not_run(exchange):
+                return exchange.terminate()
+        exchange.deny(self._machine.advice_limit, False)
+        self._count_denial(terms.Denial.DRAINING, self._machine.advice_limit)
+
+    def refuse_early(self) -> None:
+        """Those that wait for the start, which the server leaves without."""
+        early, self._early = self._early, {}
+        for exchange in early:
+            self.refuse(exchange)
+
+    def answer_all(self) -> None:
+        """The process ends: whatever is open gets its answer, and the controller hears that nobody waits.
+
+        A run is stopped where it may be; one that goes on ends without a word, as after any late answer.
+        """
+        for exchange in list(self._exchanges.values()):
+            if exchange.closed:
+                continue
+            if exchange.place is Place.HELD and not exchange.ticket.begun:
+                self.refuse(exchange)
+            else:
+                exchange.terminate()
+            self.gone(exchange)
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -89,12 +89,269 @@
 # -- told to leave before the interpreter is up
 
 
+def test_all_that_wait_for_the_start_are_refused_when_it_is_left(place: Place) -> None:
+    """Read and waiting, half read, in the machine's buffer, on a connection that was not taken yet."""
+    place.engine.core.up = False
+    process = place.start()
+    read, half, unread = (place.router() for _ in range(3))
+    for peer in (read, half, unread):
+        assert peer.ask(999, HEALTH)[1] == b"DOWN"
+    read.send(read.call(1) + HEALTH)
+    whole = half.call(1)
+    half.send(HEALTH + whole[:-9])
+    read.read(999)
+    half.read(999)
+    with held(process):
+        half.send(whole[-9:])
+        unread.send(unread.call(1))
+        waiting = place.router()
+        waiting.send(waiting.call(1))
+        process.send_signal(signal.SIGTERM)
+    for peer in (read, half, unread, waiting):
+        assert peer.read(1)[1] == b"BUSY"
+        peer.sock.close()
+    text = ended(process)
+    assert "denied_draining=4" in text and not place.engine.core.applied
+
+
+def test_nothing_open_and_the_interpreter_not_up_it_ends_at_once(place: Place) -> None:
+    place.told["stop_ms"] = 60_000
+    place.engine.core.up = False
+    process = place.start()
+    peer = place.router()
+    assert peer.ask(999, HEALTH)[1] == b"DOWN"
+    peer.sock.close()
+    process.send_signal(signal.SIGTERM)
+    ended(process)
+
+
+@pytest.mark.parametrize("first", ["greeting", "notice"])
+def test_the_greeting_and_the_notice_in_one_round(place: Place, first: str) -> None:
+    """Whichever is seen first: what waited has its one answer, and the server is not up any more."""
+    calls = ["greeted(self, *values)", "application[0]._leave()"]
+    process = child(
+        place,
+        f"""
+application, greeted, init = [], Dispatch.greeted, Application.__init__
+def remembering(self, *values):
+    init(self, *values)
+    application.append(self)
+def both(self, *values):
+    {"; ".join(calls if first == "greeting" else calls[::-1])}
+notice = Dispatch.notice
+def noticed(self, left):
+    print("the controller has notice", file=sys.stderr)
+    notice(self, left)
+Application.__init__, Dispatch.greeted, Dispatch.notice = remembering, both, noticed
+""",
+    )
+    place.engine.core.up = False
+    peer = place.router()
+    peer.send(peer.call(1) + HEALTH)
+    assert peer.read(999)[1] == b"DOWN"
+    wait_until(lambda: place.engine.link is not None)
+    assert place.engine.link is not None
+    place.engine.core.up = True
+    place.engine.link.sendall(b"BANNER steady 5000\r\n")
+    assert peer.read(1)[1] == (b"OK" if first == "greeting" else b"BUSY")
+    health = place.router() if first == "greeting" else peer
+    assert health.ask(999, HEALTH)[1] == b"DOWN"
+    health.sock.close()
+    peer.sock.close()
+    assert ended(process).count("the controller has notice") == 1
+    assert len(place.engine.core.applied) == (first == "greeting")
+
+
+def test_an_interpreter_that_comes_up_while_it_is_left_runs_nothing(place: Place) -> None:
+    place.engine.core.up = False
+    process = place.start()
+    peer = place.router()
+    peer.send(peer.call(1) + HEALTH)
+    assert peer.read(999)[1] == b"DOWN"
+    wait_until(lambda: place.engine.link is not None)
+    process.send_signal(signal.SIGTERM)
+    assert peer.read(1)[1] == b"BUSY" and peer.read(0)[1] == b"BYE"
+    place.engine.core.up = True
+    assert place.engine.link is not None
+    place.engine.link.sendall(b"BANNER steady 5000\r\n")
+    assert peer.ask(999, HEALTH)[1] == b"DOWN"  # in time or not: it never says that it is up
+    peer.send(peer.call(2))
+    assert peer.read(2)[1] == b"BUSY"
+    peer.sock.close()
+    ended(process)
+    assert not place.engine.core.applied
+
+
 # -- the last instant
 
 
+@pytest.mark.parametrize("halt", ["drop", "off"])
+@pytest.mark.parametrize(
+    ("slack", "tick", "stop_ms"),
+    [(0.08, 0.002, 400), (0.0, 0.0, 300), (0.01, 0.0, 150), (0.08, 0.002, 50), (0.0, 0.0, 1), (5.0, 0.0, 90)],
+)
+def test_whatever_is_open_has_its_answer_before_the_end(
+    tmp_path: Path, slack: float, tick: float, stop_ms: int, halt: str
+) -> None:
+    settings = json.loads(json.dumps(SETTINGS))
+    settings["safety"] |= {"answer-slack-s": slack, "drain-grace-s": 0.05}
+    settings["extra"]["halt"] = halt
+    settings["tick-s"] = tick
+    place = Place(tmp_path, stop_ms=stop_ms, settings=settings)
+    process = place.start()
+    try:
+        peer, other = place.ready(), place.router()
+        place.engine.at_once = False
+        peer.send(peer.call(1) + peer.call(2, b"record", b"ab"))
+        wait_until(lambda: len(place.engine.core.running) == 2)
+        with held(process):
+            other.send(other.call(1, b"record", b"ab") + other.call(2))
+            process.send_signal(signal.SIGTERM)
+        assert {peer.read(1)[1], peer.read(2)[1], other.read(1)[1]} == {b"FAILED"}
+        assert alone(other, 2) in (b"FAILED", b"BUSY")
+        peer.sock.close()
+        ended(process)
+    finally:
+        place.end()
+
+
+@pytest.mark.parametrize("ends", [True, False])
+def test_what_is_read_after_the_last_answers_is_refused(place: Place, ends: bool) -> None:
+    """A run ends and a ticket comes between the last answers and the end: no second answer, and no run.
+
+    While the run goes on, a ticket of its name fails: a refusal would say that what it names never ran.
+    """
+    place.told["settings"]["safety"]["answer-slack-s"] = 0.0
+    place.told["settings"]["tick-s"] = 0.0
+    place.told["settings"]["extra"]["halt"] = "off"
+    process = child(
+        place,
+        """
+answer_all = Application._answer_all
+def slow(self):
+    self._scheduler.after(0.0, lambda: tell(signal.SIGSTOP))
+    answer_all(self)
+    self._stop_at = self._scheduler.clock.now + 60.0  # the end waits for the connections
+    self._end = lambda: None if self._server.connections else Application._end(self)
+Application._answer_all = slow
+""",
+    )
+    peer, other = place.ready(), place.router()
+    place.engine.at_once = False
+    name = b"%016x" % 77
+    peer.send(call(1, name, b"lookup", time.time(), b"body"))
+    wait_until(lambda: place.engine.core.running)
+    process.send_signal(signal.SIGTERM)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+    if ends:
+        place.engine.end(name)
+    else:
+        other.send(call(3, name, b"lookup", time.time(), b"body"))
+    # It came to the machine within the grace, so that alone would let it run.
+    peer.send(call(2, b"%016x" % 2, b"lookup", time.time() - 1.0, b"body2"))
+    process.send_signal(signal.SIGCONT)
+    assert peer.read(1)[1] == b"FAILED" and peer.read(2)[1] == b"BUSY"
+    if not ends:
+        assert other.read(3)[1] == b"FAILED"
+        place.engine.end(name)
+    other.sock.close()
+    peer.sock.close()
+    ended(process)
+    assert len(place.engine.core.applied) == 1
+
+
+def test_who_waits_for_what_is_remembered_is_answered_before_the_end(place: Place) -> None:
+    """It may be a repeat of what ran before the start: so it fails, and it is not denied."""
+    process = child(place, "from sablewheel.routing import seam; seam.Unremembered.ready = False")
+    peer = place.ready()
+    peer.send(peer.call(1, b"record", b"ab"))
+    assert peer.ask(999, HEALTH)[1] == b"UP"
+    process.send_signal(signal.SIGTERM)
+    assert alone(peer, 1) == b"FAILED"
+    peer.sock.close()
+    ended(process)
+    assert not place.engine.core.applied
+
+
+def test_a_pause_beyond_the_stop_answers_all_that_came_meanwhile(place: Place) -> None:
+    """Stopped past its time to leave: what runs, what was written, and who stood before the door."""
+    place.told["stop_ms"] = 100
+    process = child(
+        place,
+        """
+leave = Application._leave
+def paused(self):
+    leave(self)
+    self._scheduler.after(0.0, lambda: tell(signal.SIGSTOP))
+Application._leave = paused
+""",
+    )
+    peer, other = place.ready(), place.router()
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    wait_until(lambda: place.engine.core.running)
+    process.send_signal(signal.SIGTERM)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+    time.sleep(0.12)
+    other.send(other.call(2))
+    late = place.router()
+    late.send(late.call(3))
+    process.send_signal(signal.SIGCONT)
+    assert peer.read(1)[1] == b"FAILED"
+    assert {other.read(2)[1], late.read(3)[1]} <= {b"FAILED", b"BUSY"}
+    ended(process)
+    assert len(place.engine.core.applied) == 1
+
+
 # -- signals
 
 
+@pytest.mark.parametrize(
+    "numbers",
+    [
+        ("SIGTERM", "SIGTERM"),
+        ("SIGTERM", "SIGHUP"),
+        ("SIGHUP", "SIGTERM"),
+        ("SIGHUP", "SIGINT", "SIGTERM", "SIGUSR1"),
+    ],
+)
+@pytest.mark.parametrize("up", [True, False])
+def test_signals_of_one_round_end_it_in_order(place: Place, numbers: tuple[str, ...], up: bool) -> None:
+    place.engine.core.up = up
+    process = place.start()
+    peer = place.ready() if up else place.router()
+    place.engine.at_once = False
+    peer.send(peer.call(1) + HEALTH)
+    assert peer.read(999)[1] == (b"UP" if up else b"DOWN")
+    with held(process):
+        for number in numbers:
+            process.send_signal(getattr(signal, number))
+    if up:
+        wait_until(lambda: place.engine.core.running)
+        place.engine.end(next(iter(place.engine.core.running)))
+    assert peer.read(1)[1] == (b"OK" if up else b"BUSY")
+    peer.sock.close()
+    assert ("configuration read anew" in ended(process)) == ("SIGHUP" in numbers)
+
+
+def test_told_to_leave_within_the_hand_over_to_a_moved_interpreter(place: Place) -> None:
+    """The hang-up moves the interpreter to where nobody answers, and the notice comes before it does."""
+    process = place.start()
+    peer = place.ready()
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    wait_until(lambda: place.engine.core.running)
+    with socket.create_server(("127.0.0.1", 0)) as mute:  # takes the link, and says nothing
+        mute.settimeout(PATIENCE)
+        place.file.write_text(json.dumps(place.told | {"vm": f"127.0.0.1:{mute.getsockname()[1]}"}))
+        with held(process):
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+        mute.accept()[0].close()
+        assert alone(peer, 1) == b"FAILED"
+    ended(process)
+
+
 @pytest.mark.parametrize("number", ["SIGTERM", "SIGHUP", "SIGINT", "SIGUSR1"])
 def test_a_signal_in_the_midst_of_the_exit_changes_nothing(place: Place, number: str) -> None:
     """The interpreter gives signals back their default before the modules go: a late one must not kill it."""
