A server that leaves reports it at once and once more, then no longer

Reports went on through the whole grace, and the first `no` came up to 0.25 s after the notice. Now `no` goes out with the notice and once more within 0.25 s (one datagram may be lost), then nothing. A name with a lone surrogate in it ended the start with a traceback: it is sent with a mark in its place. Clear: errors of the socket, a name service that moves.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -174,6 +174,7 @@
         self._dispatch.notice(posting.stop_after)
         self._feature.leaving()
         self._enter(Phase.DRAINING)
+        self._send_report()
         # Past the grace nothing that comes may run: a closed door says so soonest.
         grace = min(posting.machine.drain_grace, posting.stop_after - 2 * LAST_INSTANT)
         self._scheduler.after(max(grace, 0.0), self._part)
@@ -293,9 +294,13 @@
     # -- small duties
 
     def _report(self) -> None:
-        """To the name service, well within the time after which it takes a silent server off its list."""
+        """To the name service, well within the time after which it takes a silent server off its list.
+
+        Where the word itself changes nothing, a server stays on the list as long as it reports: so one that
+        leaves says so at once and once more, and is silent from then on.
+        """
         self._send_report()
-        if self.phase is not Phase.PARTING:
+        if self.phase in (Phase.WAITING, Phase.SERVING):
             self._scheduler.after(REPORT_EVERY, self._report)
 
     def _send_report(self) -> None:
--- a/sablewheel/protocol/naming.py
+++ b/sablewheel/protocol/naming.py
@@ -2,4 +2,4 @@
 
 
 def report(name: str, serving: bool) -> bytes:
-    return f"renew {name} {'yes' if serving else 'no'}".encode()
+    return f"renew {name} {'yes' if serving else 'no'}".encode("utf-8", "replace")
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -22,6 +22,7 @@
 from test_program import PATIENCE, SETTINGS, Peer, Place, wait_until
 from world import call, frame
 
+from sablewheel.protocol import naming
 from sablewheel.transport.scheduler import Clock, Scheduler
 from sablewheel.transport.stream import Listener, Stream
 
@@ -585,6 +586,38 @@
 # -- reports
 
 
+@pytest.mark.parametrize(("every", "told"), [(60.0, 1), (0.05, 2)])
+def test_the_notice_is_reported_at_once_and_once_more(place: Place, every: float, told: int) -> None:
+    """Reports keep a server on the list, whatever they say: one that leaves is silent soon."""
+    process = child(
+        place, f"from sablewheel.program import application; application.REPORT_EVERY = {every}"
+    )
+    peer = place.ready()
+    while every < 1.0 and place.names.recv(64) != b"renew n3 yes":
+        pass  # of the time before it was up
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    wait_until(lambda: place.engine.core.running)
+    process.send_signal(signal.SIGTERM)
+    assert peer.read(1)[1] == b"FAILED" and peer.read(0)[1] == b"BYE"
+    peer.sock.close()
+    ended(process)
+    words = []
+    place.names.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            words.append(place.names.recv(64))
+    before = [b"renew n3 no"] if every > 1.0 else [word for word in words if word == b"renew n3 yes"]
+    assert words == before + [b"renew n3 no"] * told
+
+
+def test_reports_go_on_over_errors_of_the_socket(place: Place) -> None:
+    process = child(
+        place,
+        """
+from sablewheel.program import application
+from sablewheel.transport import datagram
+application.REPORT_EVERY = 0.02
 class Failing:
     left = 3
     def __init__(self, sock): self.sock = sock
@@ -603,3 +636,7 @@
     assert place.names.recv(64).startswith(b"renew n3 ")
     process.send_signal(signal.SIGTERM)
     assert "reports_failed=3" in ended(process)
+
+
+def test_a_name_that_is_no_text_is_reported_all_the_same() -> None:
+    assert naming.report("n\ud800", True) == b"renew n? yes"
