--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -219,3 +219,69 @@
                 continue
             self._accepted(stream)
         return False
+
+    ATTACH_FILTER = 26  # SO_ATTACH_FILTER
+    LAST_MOST = 4  # taken as the door closes, whatever room there is: out of the descriptors in hand
+
+    def shut(self) -> bool:
+        """Listen no longer, unless somebody is left in the line; whether that is so.
+
+        A connection that the machine accepted may carry a whole ticket, and a close resets it unread. So the
+        line is empty before, and nothing lies between the last look at it and the close but the close.
+        """
+        if not self._open:
+            return True
+        if not self._take() and self._line:
+            self._crowded()
+            return False
+        self._open = False
+        self._scheduler.forget(self._socket.fileno())
+        self._bar()
+        last: list[socket.socket] = []
+        while len(last) < self.LAST_MOST:
+            try:
+                last.append(self._socket.accept()[0])
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                break
+        self._socket.close()
+        for sock in last:
+            try:
+                self._accepted(Stream(self._scheduler, sock, HIGH_WATER, FAIR_CHUNK))
+            except OSError:
+                continue  # this one was gone before it was taken
+        return True
+
+    def _bar(self) -> None:
+        """No new connection from here on; those that the machine has accepted stay in the line.
+
+        A filter (classic BPF, Linux) that drops what asks for a connection: bit SYN of byte 13 of the TCP
+        header. Who asks now asks again a second later and is refused, which proves that nothing ran. Neither
+        a backlog of 0, which leaves one place, nor a shutdown, which resets the line, does the same. Where
+        there is no such filter, the moment before the close stays as short as it can be.
+        """
+        from array import array  # there since the start: no descriptor may be left to load it with
+
+        def bare(kind: str, number: int) -> bytes:
+            return array(kind, [number]).tobytes()
+
+        load_flags, if_syn, drop, take = (0x30, 0, 0, 13), (0x45, 0, 1, 2), (6, 0, 0, 0), (6, 0, 0, 65535)
+        steps = [bare("H", code) + bytes([yes, no]) + bare("I", k) for code, yes, no, k in (
+            load_flags, if_syn, drop, take)]  # fmt: skip
+        program = array("B", b"".join(steps))
+        place, _ = program.buffer_info()
+        told = bare("H", len(steps)).ljust(array("L").itemsize, b"\0") + bare("L", place)
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, self.ATTACH_FILTER, told)
+        except OSError:
+            return
+
+    @property
+    def _line(self) -> bool:
+        """Whether the machine has accepted connections that were not taken here."""
+        import select
+
+        line = select.poll()
+        line.register(self._socket.fileno(), READABLE)
+        return bool(line.poll(0))
--- /dev/null
+++ b/tests/test_crossing_shutdown.py
@@ -0,0 +1,649 @@
+"""Signals, requests and the end that cross: real processes and sockets, the moment held by a seam.
+
+A stopped process (SIGSTOP) reads all that came meanwhile in one round; a child's own script puts the other
+event between two given lines. No test waits in the hope that something happens.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from test_program import PATIENCE, SETTINGS, Peer, Place, wait_until
+from world import call, frame
+
+from sablewheel.protocol import naming
+from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.transport.stream import Listener, Stream
+
+HEALTH = frame(b"RPC.HEALTH", b"999", b"")
+
+
+@pytest.fixture
+def place(tmp_path: Path) -> Iterator[Place]:
+    place = Place(tmp_path, stop_ms=600)
+    yield place
+    place.end()
+
+
+@contextlib.contextmanager
+def held(process: subprocess.Popen[str]) -> Iterator[None]:
+    """Whatever comes meanwhile is there in the process's next round, all at once."""
+    process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+    try:
+        yield
+    finally:
+        process.send_signal(signal.SIGCONT)
+
+
+def ended(process: subprocess.Popen[str]) -> str:
+    _, text = process.communicate(timeout=PATIENCE)
+    assert process.returncode == 0 and "Traceback" not in text and "by a fault" not in text, text
+    return text
+
+
+def alone(peer: Peer, tag: int) -> bytes:
+    """The one final answer to it, and nothing else but a farewell up to the end of the connection."""
+    word = peer.read(tag)[1]
+    with contextlib.suppress(ConnectionResetError):
+        while data := peer.sock.recv(65536):
+            peer.frames += peer.parser.feed(data)
+    assert not [one for one in peer.frames if one[0] == b"%d" % tag]
+    return word
+
+
+def child(place: Place, script: str) -> subprocess.Popen[str]:
+    """The program with a seam of the test's in it."""
+    place.file.write_text(json.dumps(place.told))
+    process = subprocess.Popen(
+        [sys.executable, "-c", SCRIPT + script + "\nsys.exit(start.main())\n"],
+        env={**os.environ, "RELAY_CONFIG": str(place.file)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    place.processes.append(process)
+    return process
+
+
+SCRIPT = """
+import os, signal, sys, time
+from sablewheel import __main__ as start
+from sablewheel.program.application import Application
+from sablewheel.routing.dispatch import Dispatch
+def tell(*numbers):
+    for number in numbers:
+        os.kill(os.getpid(), number)
+"""
+
+
+# -- told to leave before the interpreter is up
+
+
+def test_all_that_wait_for_the_start_are_refused_when_it_is_left(place: Place) -> None:
+    """Read and waiting, half read, in the machine's buffer, on a connection that was not taken yet."""
+    place.engine.core.up = False
+    process = place.start()
+    read, half, unread = (place.router() for _ in range(3))
+    for peer in (read, half, unread):
+        assert peer.ask(999, HEALTH)[1] == b"DOWN"
+    read.send(read.call(1) + HEALTH)
+    whole = half.call(1)
+    half.send(HEALTH + whole[:-9])
+    read.read(999)
+    half.read(999)
+    with held(process):
+        half.send(whole[-9:])
+        unread.send(unread.call(1))
+        waiting = place.router()
+        waiting.send(waiting.call(1))
+        process.send_signal(signal.SIGTERM)
+    for peer in (read, half, unread, waiting):
+        assert peer.read(1)[1] == b"BUSY"
+        peer.sock.close()
+    text = ended(process)
+    assert "denied_draining=4" in text and not place.engine.core.applied
+
+
+def test_nothing_open_and_the_interpreter_not_up_it_ends_at_once(place: Place) -> None:
+    place.told["stop_ms"] = 60_000
+    place.engine.core.up = False
+    process = place.start()
+    peer = place.router()
+    assert peer.ask(999, HEALTH)[1] == b"DOWN"
+    peer.sock.close()
+    process.send_signal(signal.SIGTERM)
+    ended(process)
+
+
+@pytest.mark.parametrize("first", ["greeting", "notice"])
+def test_the_greeting_and_the_notice_in_one_round(place: Place, first: str) -> None:
+    """Whichever is seen first: what waited has its one answer, and the server is not up any more."""
+    calls = ["greeted(self, *values)", "application[0]._leave()"]
+    process = child(
+        place,
+        f"""
+application, greeted, init = [], Dispatch.greeted, Application.__init__
+def remembering(self, *values):
+    init(self, *values)
+    application.append(self)
+def both(self, *values):
+    {"; ".join(calls if first == "greeting" else calls[::-1])}
+notice = Dispatch.notice
+def noticed(self, left):
+    print("the controller has notice", file=sys.stderr)
+    notice(self, left)
+Application.__init__, Dispatch.greeted, Dispatch.notice = remembering, both, noticed
+""",
+    )
+    place.engine.core.up = False
+    peer = place.router()
+    peer.send(peer.call(1) + HEALTH)
+    assert peer.read(999)[1] == b"DOWN"
+    wait_until(lambda: place.engine.link is not None)
+    assert place.engine.link is not None
+    place.engine.core.up = True
+    place.engine.link.sendall(b"BANNER steady 5000\r\n")
+    assert peer.read(1)[1] == (b"OK" if first == "greeting" else b"BUSY")
+    health = place.router() if first == "greeting" else peer
+    assert health.ask(999, HEALTH)[1] == b"DOWN"
+    health.sock.close()
+    peer.sock.close()
+    assert ended(process).count("the controller has notice") == 1
+    assert len(place.engine.core.applied) == (first == "greeting")
+
+
+def test_an_interpreter_that_comes_up_while_it_is_left_runs_nothing(place: Place) -> None:
+    place.engine.core.up = False
+    process = place.start()
+    peer = place.router()
+    peer.send(peer.call(1) + HEALTH)
+    assert peer.read(999)[1] == b"DOWN"
+    wait_until(lambda: place.engine.link is not None)
+    process.send_signal(signal.SIGTERM)
+    assert peer.read(1)[1] == b"BUSY" and peer.read(0)[1] == b"BYE"
+    place.engine.core.up = True
+    assert place.engine.link is not None
+    place.engine.link.sendall(b"BANNER steady 5000\r\n")
+    assert peer.ask(999, HEALTH)[1] == b"DOWN"  # in time or not: it never says that it is up
+    peer.send(peer.call(2))
+    assert peer.read(2)[1] == b"BUSY"
+    peer.sock.close()
+    ended(process)
+    assert not place.engine.core.applied
+
+
+# -- the last instant
+
+
+@pytest.mark.parametrize(
+    ("slack", "tick", "stop_ms", "halt"),
+    [
+        (0.08, 0.002, 400, "drop"),
+        (0.0, 0.0, 300, "drop"),
+        (0.0, 0.0, 300, "off"),
+        (0.01, 0.0, 150, "off"),
+        (0.08, 0.002, 50, "drop"),
+        (0.0, 0.0, 1, "off"),
+        (5.0, 0.0, 90, "drop"),
+    ],
+)
+def test_whatever_is_open_has_its_answer_before_the_end(
+    tmp_path: Path, slack: float, tick: float, stop_ms: int, halt: str
+) -> None:
+    settings = json.loads(json.dumps(SETTINGS))
+    settings["safety"] |= {"answer-slack-s": slack, "drain-grace-s": 0.05}
+    settings["extra"]["halt"] = halt
+    settings["tick-s"] = tick
+    place = Place(tmp_path, stop_ms=stop_ms, settings=settings)
+    process = place.start()
+    try:
+        peer, other = place.ready(), place.router()
+        place.engine.at_once = False
+        peer.send(peer.call(1) + peer.call(2, b"record", b"ab"))
+        wait_until(lambda: len(place.engine.core.running) == 2)
+        with held(process):
+            other.send(other.call(1, b"record", b"ab") + other.call(2))
+            process.send_signal(signal.SIGTERM)
+        assert {peer.read(1)[1], peer.read(2)[1], other.read(1)[1]} == {b"FAILED"}
+        assert alone(other, 2) in (b"FAILED", b"BUSY")
+        peer.sock.close()
+        ended(process)
+    finally:
+        place.end()
+
+
+@pytest.mark.parametrize("ends", [True, False])
+def test_what_is_read_after_the_last_answers_is_refused(place: Place, ends: bool) -> None:
+    """A run ends and a ticket comes between the last answers and the end: no second answer, and no run.
+
+    While the run goes on, a ticket of its name fails: a refusal would say that what it names never ran.
+    """
+    place.told["settings"]["safety"]["answer-slack-s"] = 0.0
+    place.told["settings"]["tick-s"] = 0.0
+    place.told["settings"]["extra"]["halt"] = "off"
+    process = child(
+        place,
+        """
+answer_all = Application._answer_all
+def slow(self):
+    self._scheduler.after(0.0, lambda: tell(signal.SIGSTOP))
+    answer_all(self)
+    self._stop_at = self._scheduler.clock.now + 60.0  # the end waits for the connections
+    self._end = lambda: None if self._server.connections else Application._end(self)
+Application._answer_all = slow
+""",
+    )
+    peer, other = place.ready(), place.router()
+    place.engine.at_once = False
+    name = b"%016x" % 77
+    peer.send(call(1, name, b"lookup", time.time(), b"body"))
+    wait_until(lambda: place.engine.core.running)
+    process.send_signal(signal.SIGTERM)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+    if ends:
+        place.engine.end(name)
+    else:
+        other.send(call(3, name, b"lookup", time.time(), b"body"))
+    # It came to the machine within the grace, so that alone would let it run.
+    peer.send(call(2, b"%016x" % 2, b"lookup", time.time() - 1.0, b"body2"))
+    process.send_signal(signal.SIGCONT)
+    assert peer.read(1)[1] == b"FAILED" and peer.read(2)[1] == b"BUSY"
+    if not ends:
+        assert other.read(3)[1] == b"FAILED"
+        place.engine.end(name)
+    other.sock.close()
+    peer.sock.close()
+    ended(process)
+    assert len(place.engine.core.applied) == 1
+
+
+def test_who_waits_for_what_is_remembered_is_answered_before_the_end(place: Place) -> None:
+    """It may be a repeat of what ran before the start: so it fails, and it is not denied."""
+    process = child(place, "from sablewheel.routing import seam; seam.Unremembered.ready = False")
+    peer = place.ready()
+    peer.send(peer.call(1, b"record", b"ab"))
+    assert peer.ask(999, HEALTH)[1] == b"UP"
+    process.send_signal(signal.SIGTERM)
+    assert alone(peer, 1) == b"FAILED"
+    peer.sock.close()
+    ended(process)
+    assert not place.engine.core.applied
+
+
+def test_a_pause_beyond_the_stop_answers_all_that_came_meanwhile(place: Place) -> None:
+    """Stopped past its time to leave: what runs, what was written, and who stood before the door."""
+    place.told["stop_ms"] = 100
+    process = child(
+        place,
+        """
+leave = Application._leave
+def paused(self):
+    leave(self)
+    self._scheduler.after(0.0, lambda: tell(signal.SIGSTOP))
+Application._leave = paused
+""",
+    )
+    peer, other = place.ready(), place.router()
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    wait_until(lambda: place.engine.core.running)
+    process.send_signal(signal.SIGTERM)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+    time.sleep(0.12)
+    other.send(other.call(2))
+    late = place.router()
+    late.send(late.call(3))
+    process.send_signal(signal.SIGCONT)
+    assert peer.read(1)[1] == b"FAILED"
+    assert {other.read(2)[1], late.read(3)[1]} <= {b"FAILED", b"BUSY"}
+    ended(process)
+    assert len(place.engine.core.applied) == 1
+
+
+# -- signals
+
+
+@pytest.mark.parametrize(
+    ("up", "numbers"),
+    [
+        (True, ("SIGTERM", "SIGTERM")),
+        (True, ("SIGTERM", "SIGHUP")),
+        (True, ("SIGHUP", "SIGTERM")),
+        (False, ("SIGTERM", "SIGHUP")),
+        (False, ("SIGHUP", "SIGINT", "SIGTERM", "SIGUSR1")),
+    ],
+)
+def test_signals_of_one_round_end_it_in_order(place: Place, up: bool, numbers: tuple[str, ...]) -> None:
+    place.engine.core.up = up
+    process = place.start()
+    peer = place.ready() if up else place.router()
+    place.engine.at_once = False
+    peer.send(peer.call(1) + HEALTH)
+    assert peer.read(999)[1] == (b"UP" if up else b"DOWN")
+    with held(process):
+        for number in numbers:
+            process.send_signal(getattr(signal, number))
+    if up:
+        wait_until(lambda: place.engine.core.running)
+        place.engine.end(next(iter(place.engine.core.running)))
+    assert peer.read(1)[1] == (b"OK" if up else b"BUSY")
+    peer.sock.close()
+    assert ("configuration read anew" in ended(process)) == ("SIGHUP" in numbers)
+
+
+def test_told_to_leave_within_the_hand_over_to_a_moved_interpreter(place: Place) -> None:
+    """The hang-up moves the interpreter to where nobody answers, and the notice comes before it does."""
+    process = place.start()
+    peer = place.ready()
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    wait_until(lambda: place.engine.core.running)
+    with socket.create_server(("127.0.0.1", 0)) as mute:  # takes the link, and says nothing
+        mute.settimeout(PATIENCE)
+        place.file.write_text(json.dumps(place.told | {"vm": f"127.0.0.1:{mute.getsockname()[1]}"}))
+        with held(process):
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+        mute.accept()[0].close()
+        assert alone(peer, 1) == b"FAILED"
+    ended(process)
+
+
+@pytest.mark.parametrize("number", ["SIGTERM", "SIGHUP", "SIGINT", "SIGUSR1"])
+def test_a_signal_in_the_midst_of_the_exit_changes_nothing(place: Place, number: str) -> None:
+    """The interpreter gives signals back their default before the modules go: a late one must not kill it."""
+    process = child(
+        place,
+        f"""
+class Late:
+    def __del__(self, tell=os.kill, me=os.getpid(), number=signal.{number}):
+        tell(me, number)
+start.late = Late()
+Application.run = lambda self: 0
+""",
+    )
+    process.communicate(timeout=PATIENCE)
+    assert process.returncode == 0
+
+
+@pytest.mark.parametrize("number", ["SIGTERM", "SIGHUP"])
+def test_a_signal_between_the_open_door_and_the_handlers_waits(place: Place, number: str) -> None:
+    process = child(
+        place,
+        f"""
+prepare = Application.prepare
+def prepared(self):
+    tell(signal.{number})
+    prepare(self)
+    tell(signal.{number})
+Application.prepare = prepared
+""",
+    )
+    if number == "SIGHUP":
+        place.ready().sock.close()
+        process.send_signal(signal.SIGTERM)
+    text = ended(process)
+    assert ("configuration read anew" in text) == (number == "SIGHUP")
+
+
+def test_a_hang_up_is_taken_where_it_was_ignored_up_to_the_start(place: Place) -> None:
+    """A shell may ignore it on the way to `exec`: nothing is told before the configuration is read."""
+    place.file.write_text(json.dumps(place.told))
+    process = subprocess.Popen(
+        ["sh", "-c", f"trap '' HUP USR1; kill -HUP $$; exec {sys.executable} -m sablewheel"],
+        env={**os.environ, "RELAY_CONFIG": str(place.file)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    place.processes.append(process)
+    place.ready().sock.close()
+    with held(process):
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+    assert ended(process).count("configuration read anew") == 1
+
+
+# -- the door
+
+
+class Crossed:
+    """A listening socket, and what happens between two of its calls."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.empty, self.closing = sock, [], []  # type: ignore[var-annotated]
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        try:
+            return self.sock.accept()
+        except BlockingIOError:
+            if self.empty:
+                self.empty.pop()()
+            raise
+
+    def close(self) -> None:
+        for action in self.closing:
+            action()
+        self.sock.close()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+class Door:
+    """A real listener with a room of our own."""
+
+    def __init__(self) -> None:
+        self.taken: list[Stream] = []
+        self.most = 99
+        self.scheduler = Scheduler(Clock())
+        here = ("127.0.0.1", 0)
+        self.listener = Listener(self.scheduler, here, self.room, self.taken.append, self.crowd)
+        self.sock = self.listener._socket = Crossed(self.listener._socket)  # type: ignore[assignment]
+        self.address = self.sock.getsockname()
+        self.crowds = 0
+        self.made: list[socket.socket] = []
+
+    def room(self) -> bool:
+        return len(self.taken) < self.most
+
+    def crowd(self) -> None:
+        self.crowds += 1
+
+    def client(self, most: float = PATIENCE) -> None:
+        """One that connects and writes its ticket; it is kept if the machine accepted it."""
+        with contextlib.suppress(OSError):
+            self.made.append(socket.create_connection(self.address, timeout=most))
+            self.made[-1].sendall(b"ticket")
+
+    def answer(self) -> list[bytes]:
+        """Every client that was accepted gets an answer; what each was told."""
+        for stream in self.taken:
+            stream.write(b"told")
+            stream.flush()
+        told = []
+        for one in self.made:
+            one.settimeout(PATIENCE)
+            try:
+                told.append(one.recv(9))
+            except ConnectionResetError:
+                told.append(b"lost")
+            one.close()
+        return told
+
+
+@pytest.fixture
+def door() -> Iterator[Door]:
+    door = Door()
+    yield door
+    for stream in door.taken:
+        stream.close()
+    door.listener.close()
+
+
+def test_who_connects_behind_the_last_look_at_the_line_is_taken(door: Door) -> None:
+    door.client()
+    door.sock.empty.append(door.client)
+    assert door.listener.shut() and door.listener.shut()
+    assert door.answer() == [b"told", b"told"]
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(door.address, timeout=PATIENCE)
+
+
+def test_who_connects_as_the_door_closes_is_not_accepted_and_lost(door: Door) -> None:
+    door.sock.closing.append(lambda: door.client(0.05))
+    assert door.listener.shut()
+    assert door.answer() == []
+
+
+def test_where_there_is_no_filter_the_door_closes_all_the_same(door: Door) -> None:
+    door.listener.ATTACH_FILTER = 99
+    door.sock.empty.append(door.client)
+    assert door.listener.shut() and door.answer() == [b"told"]
+
+
+def test_a_full_table_keeps_the_door_open_for_those_before_it(door: Door) -> None:
+    door.most = 1
+    for _ in range(3):
+        door.client()
+    assert not door.listener.shut() and door.crowds == 1 and len(door.taken) == 1
+    door.most = 3
+    assert door.listener.shut() and door.answer() == [b"told"] * 3
+
+
+def test_a_full_table_and_nobody_before_it_is_no_reason_to_stay_open(door: Door) -> None:
+    door.most = 0
+    assert door.listener.shut() and not door.crowds
+
+
+def test_a_drain_with_a_full_table_answers_those_in_the_line(tmp_path: Path) -> None:
+    """The grace ends while routers wait in the machine's line: they are let in as connections go."""
+    place = Place(tmp_path, stop_ms=1500, limits={"sockets": 16, "memory_mb": 32})  # room for 4 connections
+    place.told["settings"]["safety"]["drain-grace-s"] = 0.0
+    process = place.start()
+    try:
+        peers = [place.ready() for _ in range(4)]
+        place.engine.at_once = False
+        for peer in peers:
+            peer.send(peer.call(1))
+        wait_until(lambda: len(place.engine.core.running) == 4)
+        with held(process):
+            late = place.router()
+            late.send(late.call(1))
+            process.send_signal(signal.SIGTERM)
+        assert peers[0].read(0)[1] == b"BYE"
+        place.engine.at_once = True
+        for name in list(place.engine.core.running):
+            place.engine.end(name)
+        for peer in peers:
+            assert peer.read(1)[1] == b"OK"
+            peer.sock.close()
+        assert late.read(1)[1] in (b"BUSY", b"OK") and late.read(0)[1] == b"BYE"
+        late.sock.close()
+        ended(process)
+    finally:
+        place.end()
+
+
+def test_an_address_that_is_still_held_is_waited_for(place: Place) -> None:
+    """A predecessor that leaves has its door open for a while yet: that must not end the newcomer."""
+    host, port = place.address
+    process = child(
+        place,
+        f"""
+import socket
+old = socket.create_server(({host!r}, {port}))
+def sleep(span):
+    old.close()
+    time.sleep(span)
+start.time = type("Time", (), dict(sleep=sleep, monotonic=time.monotonic))
+""",
+    )
+    peer = place.ready()
+    assert peer.ask(1, peer.call(1))[1] == b"OK"
+    peer.sock.close()
+    process.send_signal(signal.SIGTERM)
+    ended(process)
+
+
+def test_told_to_leave_while_the_address_is_held_it_leaves(place: Place) -> None:
+    place.told["stop_ms"] = 60_000
+    host, port = place.address
+    process = child(
+        place,
+        f"""
+import socket
+old = socket.create_server(({host!r}, {port}))
+start.time = type("Time", (), dict(sleep=lambda span: tell(signal.SIGTERM), monotonic=time.monotonic))
+""",
+    )
+    ended(process)
+
+
+# -- reports
+
+
+@pytest.mark.parametrize(("every", "told"), [(60.0, 1), (0.05, 2)])
+def test_the_notice_is_reported_at_once_and_once_more(place: Place, every: float, told: int) -> None:
+    """Reports keep a server on the list, whatever they say: one that leaves is silent soon."""
+    process = child(
+        place, f"from sablewheel.program import application; application.REPORT_EVERY = {every}"
+    )
+    peer = place.ready()
+    while every < 1.0 and place.names.recv(64) != b"renew n3 yes":
+        pass  # of the time before it was up
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    wait_until(lambda: place.engine.core.running)
+    process.send_signal(signal.SIGTERM)
+    assert peer.read(1)[1] == b"FAILED" and peer.read(0)[1] == b"BYE"
+    peer.sock.close()
+    ended(process)
+    words = []
+    place.names.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            words.append(place.names.recv(64))
+    before = [b"renew n3 no"] if every > 1.0 else [word for word in words if word == b"renew n3 yes"]
+    assert words == before + [b"renew n3 no"] * told
+
+
+def test_reports_go_on_over_errors_of_the_socket(place: Place) -> None:
+    process = child(
+        place,
+        """
+from sablewheel.program import application
+from sablewheel.transport import datagram
+application.REPORT_EVERY = 0.02
+class Failing:
+    left = 3
+    def __init__(self, sock): self.sock = sock
+    def sendto(self, *values):
+        if Failing.left:
+            Failing.left -= 1
+            raise OSError(105, "No buffer space available")
+        return self.sock.sendto(*values)
+init = datagram.Post.__init__
+def failing(self, address):
+    init(self, address)
+    self._socket = Failing(self._socket)
+datagram.Post.__init__ = failing
+""",
+    )
+    assert place.names.recv(64).startswith(b"renew n3 ")
+    process.send_signal(signal.SIGTERM)
+    assert "reports_failed=3" in ended(process)
+
+
+def test_a_name_that_is_no_text_is_reported_all_the_same() -> None:
+    assert naming.report("n\ud800", True) == b"renew n? yes"
