A fault of ours on the way out, or in one request's action, costs that and no more

Seen by reading, each forced by a test that fails without the change: - Application._leave and _part set the timer of the last answers after the steps that might fault: a fault in Dispatch.notice, a feature's leaving or the door left a server that was told to go with no end but SIGKILL. The timers come first now, and the end before the answers. - Dispatch.end_round: a fault in a decision skipped both flushes, so answers of that round were not written; they go out in any case. - Dispatch._carry_out: a fault in one action dropped those behind it, whose requests stood as running for good. It costs its own request, which ends in an error; the controller hears of its end. - Faults are counted (scheduler.on_fault), and at the last instant each connection is shut once it is answered, so that an end over unread bytes resets none (Server.finish). Tests: test_faults (5), test_crossing_shutdown (2 more).

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -71,6 +71,7 @@
         longest = max(track.abandon for track in posting.machine.tracks)
         labels = Labels(longest, posting.machine.slack, posting.memory_bytes // KEPT_SHARE)
         count = self._counters.count
+        scheduler.on_fault = lambda: count("faults")
         self._feature: Feature = NoFeature()
         if features is not None and features.any:
             from .parts import Parts
@@ -166,25 +167,25 @@
             return
         posting, now = self._posting, self._scheduler.clock.now
         self._stop_at = now + posting.stop_after
+        # First of all, so that no fault on the way can leave a server that is told to go without its end.
+        self._scheduler.after(max(posting.stop_after - LAST_ANSWERS, 0.0), self._answer_all)
         if self.phase is Phase.WAITING:
             # Nothing ran and nothing will: who waits for the start, here or still unread, is owed that word.
             self._feature.leaving()
             self._refuse()
             return self._part()
-        self._dispatch.notice(posting.stop_after)
-        self._feature.leaving()
-        self._enter(Phase.DRAINING)
-        self._send_report()
         # Past the grace nothing that comes may run: a closed door says so soonest.
         grace = min(posting.machine.drain_grace, posting.stop_after - 2 * LAST_INSTANT)
         self._scheduler.after(max(grace, 0.0), self._part)
+        self._enter(Phase.DRAINING)
+        self._dispatch.notice(posting.stop_after)
+        self._send_report()
+        self._feature.leaving()
 
     def _part(self) -> None:
         self._enter(Phase.PARTING)
         self._shut()
         self._feature.parting()
-        left = self._stop_at - self._scheduler.clock.now
-        self._scheduler.after(max(left - LAST_ANSWERS, 0.0), self._answer_all)
 
     def _shut(self) -> None:
         """Close the door; with a full table it stays open until those before it were let in."""
@@ -205,11 +206,12 @@
         The controller has answered all by then, unless there is hardly a slack or a tick, the notice is too
         short for both, or what a server remembers is not known yet.
         """
+        # A pause may end past the stop: who was let in only now is read in a round to come, and answered.
+        left = max(self._stop_at - self._scheduler.clock.now - LAST_INSTANT, LAST_ROUNDS)
+        self._scheduler.after(left, self._end)
+        self._scheduler.after(left / 2, self._server.finish)
         self._refuse()
         self._dispatch.answer_all()
-        # A pause may end past the stop: who was let in only now is read in a round to come, and answered.
-        left = self._stop_at - self._scheduler.clock.now
-        self._scheduler.after(max(left - LAST_INSTANT, LAST_ROUNDS), self._end)
 
     def _look_for_end(self) -> None:
         if self.phase is not Phase.PARTING or not self._shut_door:
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -203,10 +203,15 @@
     # -- the batch
 
     def end_round(self) -> None:
-        self.decide()
-        self._labels.sweep(self._clock.now)
-        self._client.flush()
-        self._server.flush()
+        """Decide on all that came, and let everything out, also what was decided before a fault of ours."""
+        try:
+            self.decide()
+            self._labels.sweep(self._clock.now)
+        finally:
+            try:
+                self._client.flush()
+            finally:
+                self._server.flush()
 
     def decide(self) -> None:
         """Batches until nothing is left: some deeds are followed by a happening at once."""
@@ -236,10 +241,25 @@
                 case _:
                     exchange = self._exchanges.get(deed.ticket)
                     if exchange is not None:
-                        self._act(deed, exchange)
+                        try:
+                            self._act(deed, exchange)
+                        except Exception:
+                            self._fail(exchange)
                     elif isinstance(deed, terms.Run):  # its caller left in this very batch
                         self._happenings.append(terms.Ended(deed.ticket, 0.0, Outcome.MOOT))
 
+    def _fail(self, exchange: Exchange) -> None:
+        """A fault of ours in what was decided of it: it ends in an error, and the other deeds are done."""
+        log.exception("request failed by a fault", extra={"pairs": {"tag": exchange.tag}})
+        self._scheduler.on_fault()
+        begun = exchange.place in (Place.RUNNING, Place.JOINED)
+        if begun:
+            self._happenings.append(terms.Ended(exchange.ticket, 0.0, Outcome.ERROR))
+        elif not exchange.closed:
+            self._happenings.append(terms.CallerGone(exchange.ticket))
+        exchange.terminate()
+        self._over(exchange)
+
     def _count_denial(self, why: terms.Denial, come_back: float) -> None:
         names = [f"denied_{why.value}"] + ([] if come_back > 0 else ["denied_without_advice"])
         for name in names:
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -364,6 +364,14 @@
         for connection in list(self.connections):
             connection.farewell()
 
+    def finish(self) -> None:
+        """The process is about to end: nothing more is taken, and each connection ends once it is answered.
+
+        Guards answers that routers have not read yet against the reset that an end over unread bytes is.
+        """
+        for connection in list(self.connections):
+            connection.finish()
+
     def _sweep(self) -> None:
         self.scheduler.after(SWEEP, self._sweep)
         now = self.scheduler.clock.now
--- a/tests/test_crossing_shutdown.py
+++ b/tests/test_crossing_shutdown.py
@@ -596,9 +596,7 @@
 @pytest.mark.parametrize(("every", "told"), [(60.0, 1), (0.05, 2)])
 def test_the_notice_is_reported_at_once_and_once_more(place: Place, every: float, told: int) -> None:
     """Reports keep a server on the list, whatever they say: one that leaves is silent soon."""
-    process = child(
-        place, f"from sablewheel.program import application; application.REPORT_EVERY = {every}"
-    )
+    process = child(place, f"from sablewheel.program import application; application.REPORT_EVERY = {every}")
     peer = place.ready()
     while every < 1.0 and place.names.recv(64) != b"renew n3 yes":
         pass  # of the time before it was up
@@ -647,3 +645,39 @@
 
 def test_a_name_that_is_no_text_is_reported_all_the_same() -> None:
     assert naming.report("n\ud800", True) == b"renew n? yes"
+
+
+FAULTY = """
+import sys
+from sablewheel import __main__ as start
+from sablewheel.routing.dispatch import Dispatch
+from sablewheel.transport.stream import Listener
+def fault(*_):
+    raise RuntimeError("a fault of ours")
+for kind, method in ((Dispatch, "notice"), (Listener, "shut")):
+    if method in sys.argv[1:]:
+        setattr(kind, method, fault)
+sys.exit(start.main())
+"""
+
+
+@pytest.mark.parametrize("method", ["notice", "shut"])
+def test_a_fault_on_the_way_out_still_answers_all_and_ends_before_the_stop(place: Place, method: str) -> None:
+    place.file.write_text(json.dumps(place.told | {"stop_ms": 900}))
+    process = subprocess.Popen(
+        [sys.executable, "-c", FAULTY, method],
+        env={**os.environ, "RELAY_CONFIG": str(place.file)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    place.processes.append(process)
+    peer = place.ready()
+    place.engine.at_once = False
+    peer.send(peer.call(1))
+    wait_until(lambda: place.engine.core.running)
+    began = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    assert peer.read(1)[1] == b"FAILED"
+    _, text = process.communicate(timeout=PATIENCE)
+    assert process.returncode == 0 and time.monotonic() - began < 1.2
+    assert "a fault of ours" in text
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,80 @@
+"""A fault of ours costs the one request that met it, loudly and counted; all others go on."""
+
+from __future__ import annotations
+
+import pytest
+from test_routing import MACHINE
+from world import Town
+
+from sablewheel.routing.exchange import Exchange
+
+
+@pytest.mark.parametrize("step", ["remember", "run", "deny"])
+def test_a_fault_in_one_request_s_action_leaves_those_of_the_same_batch_alone(step: str) -> None:
+    town = Town(MACHINE)
+    faults: list[bool] = []
+    town.scheduler.on_fault = lambda: faults.append(True)
+    part = {"remember": town.labels, "run": town.client, "deny": town.dispatch}[step]
+    method = {"remember": "remember", "run": "run", "deny": "_count_denial"}[step]
+    real = getattr(part, method)
+
+    def once(*values: object) -> None:
+        setattr(part, method, real)
+        raise RuntimeError("a fault of ours")
+
+    setattr(part, method, once)
+    late = 3.9 if step == "deny" else 0.0
+    bad = town.call(b"record", b"a", ago=late)
+    town.scheduler.run_ready()
+    good, other = town.call(b"record", b"b"), town.call(b"lookup")
+    town.settle()
+    for name in list(town.interpreter.running):
+        town.end(name)
+    town.settle()
+    assert faults == [True]
+    assert [words[1] for words in bad.answers] == [b"BUSY" if step == "deny" else b"FAILED"]
+    assert good.answers[0][1] == other.answers[0][1] == b"OK"
+    assert not town.dispatch.open_count
+    controller = town.dispatch._controller
+    assert controller is not None
+    town.settle()
+    assert controller.on_cores == 0 and not controller.running
+
+
+def test_a_fault_in_a_decision_still_lets_out_what_was_decided_before() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"lookup")
+    town.settle()
+    town.end(one.name)
+    town.scheduler.run_ready()  # its answer is queued
+    controller = town.dispatch._controller
+    assert controller is not None
+    real = controller.decide
+
+    def fault(*_: object) -> None:
+        raise RuntimeError("a fault of ours")
+
+    controller.decide = fault  # type: ignore[method-assign, assignment]
+    with pytest.raises(RuntimeError):
+        town.dispatch.end_round()
+    controller.decide = real  # type: ignore[method-assign]
+    said = town.answers.feed(town.router.taken())
+    assert [words[1] for words in said if words[0] == b"1"] == [b"OK"]
+
+
+def test_one_that_failed_by_a_fault_is_never_answered_again() -> None:
+    town = Town(MACHINE)
+    real = town.dispatch._over
+
+    def late(exchange: Exchange, result: bytes | None = None) -> None:
+        real(exchange, result)
+
+    town.dispatch._over = late  # type: ignore[method-assign]
+    one = town.call(b"lookup")
+    town.settle()
+    exchange = next(iter(town.dispatch._exchanges.values()))
+    town.dispatch._fail(exchange)
+    town.settle()
+    town.end(one.name)  # its run was under way all the same
+    town.settle()
+    assert [words[1] for words in one.answers] == [b"FAILED"]
