A cold server says what its cores survive, shared by all callers there are

Seen: with nothing held `_speak` said min(memory_most, 2**31) / callers with tickets out, just after a cold start 2147483648.0 to each, and never less than 1.0 each. 30 stand-ins for callers that obey what they hear sent a cold server (6 cores, a crowd of 5 a core, from 0.23 of its speed, span 1.5 s, runs of 0.3 s) at 60 tickets a second up to 2.1 times N + 2 x root of N + 2 in a span, at 200 a second 4.6 times, N being what `_crowd_most` allows. What runs kept its bound throughout: at most 0.42 of N in the mean of the span. Checked: silence, levels, refusals and health are untouched; a server that starts warm, or is warm, says what it did. Changed: during the warm-up of a fresh start the share is of the lower of pool and `_credit_most`, by `routers` of the settings or the callers known, if those are more, without the floor of one each: the value may be a fraction, which callers take by chance.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -623,10 +623,14 @@
     def _crowd_most(self) -> float:
         """Running tickets the cores survive; a cold server is taken at the slowest it may be."""
         machine, share = self.machine, 1.0
-        if machine.fresh_start and self.now < self.opened + machine.warm_up:
+        if self._warms():
             share = machine.cold_from + (1 - machine.cold_from) * (self.now - self.opened) / machine.warm_up
         return machine.cores * (1 + (machine.crowd_multiple - 1) * share)
 
+    def _warms(self) -> bool:
+        machine = self.machine
+        return machine.fresh_start and machine.cold_from < 1 and self.now < self.opened + machine.warm_up
+
     def _call_fits(self, allow: float) -> bool:
         """Whether the calls of any one span, at their longest, stay within this server's share."""
         ledger = self.machine.ledger
@@ -724,7 +728,7 @@
             late = takewhile(lambda router: router.heard > since, reversed(self.patience if behind else {}))
             callers = self.senders + sum(not router.out for router in late)
             most = pool if binds else min(self._memory_most(), 2**31)
-            amount = max(most / max(callers, 1), 1.0)
+            amount = self._cold_share(most, callers) if self._warms() else max(most / max(callers, 1), 1.0)
         else:
             share = pool / max(len(self.running) + len(self.hold[0]) + len(self.hold[1]), 1) if binds else 1.0
             amount = min(share, 1.0) if machine.speech is Speech.CHANCE else max(1 - share, 0.0)
@@ -733,6 +737,16 @@
             self.said = amount
             self.deeds.append(terms.Say(amount))
 
+    def _cold_share(self, most: float, callers: int) -> float:
+        """Each caller's share while this server warms up.
+
+        Departure, acts during a warm-up: what the cores survive then is shared by all callers there are, also
+        those with nothing out here, and a share may be under one, which a caller takes as a chance. Guards
+        against callers that each take an endless credit, or one, in the same moment; where there are more of
+        them than tickets that the cores survive, it may keep away some that had found room.
+        """
+        return min(most, self._credit_most()) / max(callers, self.machine.routers)
+
     # -- the clock
 
     def _set_clock(self) -> None:
--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,182 @@
+"""A cold server and all who send to it: what it gets in the span of the cores' guard stays near what it bears.
+
+The senders obey what they were told and no more; the clock, the work and their draws are made.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field, replace
+from math import inf, sqrt
+from random import Random
+
+import pytest
+
+from sablewheel import terms
+from sablewheel.choice import Controller
+from sablewheel.terms import Machine, Nature, Outcome, Router, Speech, Ticket, Track
+
+COLD = Machine(
+    tracks=(Track(Nature.REDOABLE, 1.5, 4.5),),
+    cores=6,
+    memory_kb=100_000.0,
+    run_factor=4.0,
+    speech=Speech.CREDIT,
+    said_for=1.0,
+    fresh_start=True,
+    idle=30.0,
+    tick=0.002,
+    slack=0.06,
+    crowd_multiple=5.0,
+    crowd_span=1.5,
+    cold_from=0.23,
+    warm_up=10.0,
+    advice_limit=1.0,
+)
+STEP = 0.01  # of the made clock
+CHECKED = 0.5  # each sender asks for the server's health so often
+
+
+@dataclass(eq=False)
+class Sender:
+    """Has at most as many tickets out as it was told, a fraction by chance, and stays away when advised."""
+
+    router: Router = field(default_factory=Router)
+    out: int = 0
+    told: float = inf
+    told_at: float = -inf
+    away_until: float = -inf
+
+    def may(self, now: float, lasts: float, draws: Random) -> bool:
+        if now < self.away_until:
+            return False
+        if now > self.told_at + lasts:
+            return True
+        return self.out < int(self.told) + (draws.random() < self.told % 1)
+
+
+class Fleet:
+    """Senders with always more to send than a cold server does, and that server with its cores."""
+
+    def __init__(self, machine: Machine, callers: int, flow: float, work: float) -> None:
+        self.machine, self.flow, self.work = replace(machine, routers=callers), flow, work
+        self.draws = Random(callers)
+        self.senders = [Sender() for _ in range(callers)]
+        self.controller = Controller(self.machine, 7)
+        self.start = self.now = 1000.0
+        self.said = inf
+        self.owners: dict[Ticket, Sender] = {}
+        self.left: dict[Ticket, float] = {}  # core time that each run still wants
+        self.got: deque[float] = deque()
+        self.began: deque[float] = deque()
+        self.crowds: deque[int] = deque(maxlen=round(machine.crowd_span / STEP))
+        self.served = 0
+        self.most_got = self.most_began = self.most_crowd = 0.0  # over what may be, the largest
+        self.decide([])
+        for sender in self.senders:
+            self.tell(sender)
+
+    @property
+    def speed(self) -> float:
+        machine = self.machine
+        warmed = min((self.now - self.start) / machine.warm_up, 1.0)
+        return machine.cold_from + (1 - machine.cold_from) * warmed
+
+    @property
+    def bears(self) -> float:
+        return self.machine.cores * (1 + (self.machine.crowd_multiple - 1) * self.speed)
+
+    def tell(self, sender: Sender) -> None:
+        sender.told, sender.told_at = self.said, self.now
+
+    def decide(self, happenings: list[terms.Happening]) -> None:
+        deeds = self.controller.decide(self.now, happenings)
+        for deed in deeds:
+            match deed:
+                case terms.Say(amount):
+                    self.said = amount
+                case terms.Run(ticket):
+                    self.left[ticket] = self.work * self.draws.uniform(0.5, 1.5)
+                    self.began.append(self.now)
+        # What is said goes with every answer of the batch.
+        for deed in deeds:
+            if isinstance(deed, (terms.Deny, terms.Terminate)):
+                sender = self.answer(deed.ticket)
+                if isinstance(deed, terms.Deny):
+                    sender.away_until = self.now + deed.come_back
+        for happening in happenings:
+            if isinstance(happening, terms.Ended) and happening.ticket in self.owners:
+                self.served += 1
+                self.answer(happening.ticket)
+
+    def answer(self, ticket: Ticket) -> Sender:
+        sender = self.owners.pop(ticket)
+        sender.out -= 1
+        self.tell(sender)
+        return sender
+
+    def send(self, sender: Sender) -> terms.Arrived:
+        ticket = Ticket(self.machine.tracks[0], sender.router, None, self.now, 10.0)
+        self.owners[ticket] = sender
+        sender.out += 1
+        self.got.append(self.now)
+        return terms.Arrived(ticket)
+
+    def pass_time(self) -> None:
+        self.now = round(self.now + STEP, 6)
+        happenings: list[terms.Happening] = []
+        each = STEP * self.speed * min(1.0, self.machine.cores / max(len(self.left), 1))
+        for ticket in list(self.left):
+            self.left[ticket] -= each
+            if self.left[ticket] <= 0:
+                del self.left[ticket]
+                happenings.append(terms.Ended(ticket, self.now - ticket.since, Outcome.WORKED))
+        for place, sender in enumerate(self.senders):
+            if (self.now - self.start + CHECKED * place / len(self.senders)) % CHECKED < STEP:
+                self.tell(sender)
+        for sender in self.draws.sample(self.senders, len(self.senders)):
+            comes = self.draws.random() < self.flow * STEP / len(self.senders)
+            if comes and sender.may(self.now, self.machine.said_for, self.draws):
+                happenings.append(self.send(sender))
+        self.decide(happenings)
+        self.look()
+
+    def look(self) -> None:
+        for times in (self.got, self.began):
+            while times and times[0] <= self.now - self.machine.crowd_span:
+                times.popleft()
+        self.crowds.append(len(self.left))
+        may = self.bears + 2 * sqrt(self.bears) + 2
+        self.most_got = max(self.most_got, len(self.got) / may)
+        self.most_began = max(self.most_began, len(self.began) / may)
+        self.most_crowd = max(self.most_crowd, sum(self.crowds) * STEP / self.machine.crowd_span / self.bears)
+
+
+@pytest.mark.parametrize("callers", [4, 20, 30, 400])
+def test_what_a_cold_server_says_is_for_all_callers_together(callers: int) -> None:
+    """With nothing held each caller heard of an endless credit, and all could take it in the same moment."""
+    fleet = Fleet(COLD, callers, 0.0, 0.3)
+    assert fleet.said * callers == pytest.approx(fleet.bears, abs=0.005 * callers)
+    crowd = sum(int(one.told) + (fleet.draws.random() < one.told % 1) for one in fleet.senders)
+    assert crowd <= fleet.bears + 2 * sqrt(fleet.bears) + 2
+
+
+def test_callers_share_more_as_a_server_warms_and_as_before_once_it_is_warm() -> None:
+    fleet = Fleet(COLD, 30, 0.0, 0.3)
+    said = []
+    for _ in range(3):
+        said.append(fleet.said)
+        fleet.now += 4.9
+        fleet.decide([terms.Bell()])
+    assert said[0] < said[1] < said[2] <= 1.0
+    fleet.now = fleet.start + COLD.warm_up
+    fleet.decide([terms.Bell()])
+    assert fleet.said == 2**31
+
+
+@pytest.mark.parametrize("change", [{"fresh_start": False}, {"cold_from": 1.0}, {"warm_up": 0.0}])
+def test_a_server_that_starts_warm_says_what_it_always_said(change: dict[str, object]) -> None:
+    fleet = Fleet(replace(COLD, **change), 30, 0.0, 0.3)  # type: ignore[arg-type]
+    assert fleet.said == 2**31
+    fleet.decide([fleet.send(sender) for sender in fleet.senders])
+    assert fleet.said == 1.0  # pressed: at least one each
