--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -623,10 +623,14 @@
     def _crowd_most(self) -> float:
         """Running tickets the cores survive; a cold server is taken at the slowest it may be."""
         machine, share = self.machine, 1.0
-        if machine.fresh_start and self.now < self.opened + machine.warm_up:
+        if self._warms():
             share = machine.cold_from + (1 - machine.cold_from) * (self.now - self.opened) / machine.warm_up
         return machine.cores * (1 + (machine.crowd_multiple - 1) * share)
 
+    def _warms(self) -> bool:
+        machine = self.machine
+        return machine.fresh_start and machine.cold_from < 1 and self.now < self.opened + machine.warm_up
+
     def _call_fits(self, allow: float) -> bool:
         """Whether the calls of any one span, at their longest, stay within this server's share."""
         ledger = self.machine.ledger
@@ -724,7 +728,7 @@
             late = takewhile(lambda router: router.heard > since, reversed(self.patience if behind else {}))
             callers = self.senders + sum(not router.out for router in late)
             most = pool if binds else min(self._memory_most(), 2**31)
-            amount = max(most / max(callers, 1), 1.0)
+            amount = self._cold_share(most, callers) if self._warms() else max(most / max(callers, 1), 1.0)
         else:
             share = pool / max(len(self.running) + len(self.hold[0]) + len(self.hold[1]), 1) if binds else 1.0
             amount = min(share, 1.0) if machine.speech is Speech.CHANCE else max(1 - share, 0.0)
@@ -733,6 +737,28 @@
             self.said = amount
             self.deeds.append(terms.Say(amount))
 
+    def _cold_share(self, most: float, callers: int) -> float:
+        """Each caller's share while this server warms up.
+
+        Departure, acts during a warm-up: what the cores survive then is shared by all callers there are, also
+        those with nothing out here, and a share may be under one, which a caller takes as a chance. What came
+        in the guard's span counts still, though it has its answer: else quick ones, denials above all, would
+        make room at once. Guards against callers that each take an endless credit, or one, in the same
+        moment; it may keep away some that had found room, where there are more callers than tickets that the
+        cores survive, or where a run takes much less than the span.
+        """
+        callers = max(callers, self.machine.routers)
+        out = len(self.running) + len(self.hold[0]) + len(self.hold[1])
+        room = max(self._crowd_most() - self._came_lately(), 0.0)
+        share = min(room / max(callers - self.senders, 1), (room + out) / callers)  # none out, or some each
+        return min(share, min(most, self._credit_most()) / callers)
+
+    def _came_lately(self) -> float:
+        """Tickets read in the guard's span; more than the reads that are kept are drawn out."""
+        span, reads = self.machine.crowd_span, self.reads
+        came = sum(1 for _ in takewhile(lambda read: read[0] > self.now - span, reversed(reads)))
+        return came if came < SAMPLES else came * span / max(self.now - reads[0][0], 1e-6)
+
     # -- the clock
 
     def _set_clock(self) -> None:
