A fault as one connection is let in does not close the door to all that come later

Seen by reading: Listener._accept ran in one greenlet, and an exception in whoever takes a connection, or makes room for it, ended that greenlet: nobody was ever accepted again, while the process went on. Two tests force it and fail (by their time) without the change.

--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import logging
 import socket
 from collections.abc import Callable
 from math import inf
@@ -18,6 +19,8 @@
 BACKLOG = 1024
 Address = tuple[str, int]
 
+log = logging.getLogger(__name__)
+
 
 class Stream:
     """One connection. What is written goes out at `flush`, or when the peer takes it."""
@@ -196,10 +199,16 @@
     def _accept(self) -> None:
         while self._open:
             self._scheduler.wait(self._socket.fileno(), READABLE)
-            if self._open and not self._take():
+            try:
+                if not self._open or self._take():
+                    continue
                 # The table is full: those who wait stay in the kernel's line. No spin, and no one is cut off.
                 self._crowded()
-                self._scheduler.sleep(0.02)
+            except Exception:
+                # A fault of ours costs one connection; without this nobody would ever be let in again.
+                log.exception("connection not taken for a fault")
+                self._scheduler.on_fault()
+            self._scheduler.sleep(0.02)
 
     def _take(self) -> bool:
         """Accept all that wait; whether there was room for them."""
--- a/tests/test_crossing_close.py
+++ b/tests/test_crossing_close.py
@@ -468,6 +468,31 @@
     assert "connections_crowded_out" not in hall.counts and len(hall.server.connections) == 2
 
 
+@pytest.mark.parametrize("method", ["accepted", "make_room"])
+def test_a_fault_as_one_is_let_in_does_not_keep_out_all_that_come_later(method: str) -> None:
+    hall = Hall(4)
+    faults: list[bool] = []
+    try:
+        hall.scheduler.on_fault = lambda: faults.append(True)
+        part = {"accepted": "_accepted", "make_room": "_crowded"}[method]
+        real = getattr(hall.listener, part)
+
+        def once(*_: object) -> None:
+            setattr(hall.listener, part, real)
+            raise RuntimeError("a fault of ours")
+
+        setattr(hall.listener, part, once)
+        first = [hall.peer() for _ in range(4 if method == "make_room" else 1)]
+        hall.turn(lambda: faults or len(hall.server.connections) == len(first))
+        hall.ahead(0.2)
+        late = hall.peer()
+        late.send(hall.call(1))
+        hall.turn(lambda: hall.desk.held)
+        assert faults == [True]
+    finally:
+        finish(hall)
+
+
 def test_a_full_table_of_the_narrowest_server_is_thinned_all_the_same() -> None:
     town = Town(replace(MACHINE))
     town.server._connections_most = 4
