Up to eight descriptors more are kept back, also where there are few

Now a quarter of what is over 28, up to eight: 28 keeps its 16 connections, 64 has 44, 512 has 492 as before.

--- a/sablewheel/program/configuration.py
+++ b/sablewheel/program/configuration.py
@@ -21,7 +21,7 @@
 SPEECHES = {"off": Speech.SILENT, "tokens": Speech.CREDIT, "min_rank": Speech.LEVEL, "bias": Speech.CHANCE}
 LEVELS = {"debug": "DEBUG", "info": "INFO", "warning": "WARNING", "error": "ERROR"}
 RESERVED = 12  # descriptors that routers' connections don't get: standard ones, links, some in hand
-RESERVED_PART = 64  # and one in so many more: what else the process was given by whoever started it
+RESERVED_MORE = 8  # and up to so many where there are more: what else whoever started the process gave it
 TAKEN_ANEW = ("vm", "naming", "settings")  # the keys that a running server takes from a new configuration
 
 Choice = TypeVar("Choice")
@@ -172,7 +172,7 @@
         seed=seed,
         stop_after=top.number("stop_ms", 3000, least=1) / 1000,
         memory_bytes=int(limits.number("memory_mb", 192, least=8) * 1e6),
-        connections_most=sockets - RESERVED - sockets // RESERVED_PART,
+        connections_most=sockets - RESERVED - min(max(sockets - 2 * RESERVED - 4, 0) // 4, RESERVED_MORE),
         machine=built,
         tracks=dict(zip(names, built.tracks, strict=True)),
         customers=dict(zip(owners, built.customers, strict=True)),
