A notice that is not on the page costs its own run, not the link and every other run

At fault: `_notice` in protocol/interpreter.py (any other word is garbled) and `_follow` in routing/client.py (one that is garbled breaks the link, at every link).

Any other notice that can't be read costs one link the first time and only itself the second, if it is the next by number. Notices before it in the same bytes are taken first: they were dropped with it.

What a call is made with is a question to the operators (docs/standing.md), not guessed.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -416,8 +416,8 @@
         self.on_cores -= 1
         if ticket.answered:
             return  # answered work ends by itself where it stands
-        # The budget again, against the oldest ticket that waits to call.
-        if self._oldest(self.at_call, Stage.AT_CALL) > max(ticket.budget, 0.0):
+        # The budget again, against the oldest ticket that waits to call; no call can be made of no ledger.
+        if self.machine.ledger is None or self._oldest(self.at_call, Stage.AT_CALL) > max(ticket.budget, 0.0):
             return self._go_without(ticket)
         self.at_call.append(ticket)
         self.read += 1
--- a/sablewheel/program/configuration.py
+++ b/sablewheel/program/configuration.py
@@ -161,7 +161,7 @@
         seed = int(digits, 16)
     except ValueError:
         raise FaultyKeyError("seed: hexadecimal digits are wanted") from None
-    built = machine(settings)
+    built = machine(settings, calls_below=False)
     gauges = settings.section("extra").items("gauges", [])
     names, owners = settings.names("classes"), settings.names("orgs")
     return Posting(
@@ -195,8 +195,11 @@
         yield path
 
 
-def machine(settings: Section) -> Machine:
-    """The controller's view of the settings; keys not known here are skipped."""
+def machine(settings: Section, calls_below: bool = True) -> Machine:
+    """The controller's view of the settings; keys not known here are skipped.
+
+    `calls_below`: whether the protocol has words for a call of the service below and for going on without.
+    """
     extra, safety = settings.section("extra"), settings.section("safety")
     limits = settings.section("limits", {})
     tracks = settings.sections("classes")
@@ -212,8 +215,8 @@
                 abandon=one.number("deadline-s"),
                 window=one.number("window-s", 0.0),
                 goal_stretch=one.number("aim-stretch", 0.0),
-                calls=calls.flag(str(place), False),
-                skip_share=skips.number(str(place), 0.0),
+                calls=calls.flag(str(place), False) and calls_below,
+                skip_share=skips.number(str(place), 0.0) * calls_below,
             )
             for place, one in enumerate(tracks)
         ),
@@ -223,7 +226,7 @@
         customers=tuple(
             Customer(quota=one.number("quota-rps", 0.0)) for one in settings.sections("orgs", [])
         ),
-        ledger=_ledger(extra),
+        ledger=_ledger(extra) if calls_below else None,
         servers=settings.whole("servers", 1) or 1,
         routers=extra.whole("callers", 1) or 1,
         label_kb=extra.number("key-kb", 0.0),
--- a/sablewheel/protocol/interpreter.py
+++ b/sablewheel/protocol/interpreter.py
@@ -9,7 +9,8 @@
 from ..terms import Outcome
 
 LINE_MOST = 4096
-RESULT_MOST = 1 << 20
+FOLLOWING_MOST = 1 << 20  # bytes behind a line
+UNNUMBERED = (b"BANNER", b"TOPS", b"ERROR")
 ENDS = {
     b"success": Outcome.WORKED,
     b"failure": Outcome.ERROR,
@@ -31,7 +32,9 @@
 
 
 class GarbledError(ValueError):
-    """What came is not of the interpreter's lines."""
+    """What came is not of the interpreter's lines. `number`: the notice's own, 0 if none can be made out."""
+
+    number = 0
 
 
 @dataclass(slots=True)
@@ -69,6 +72,14 @@
     name: bytes
 
 
+@dataclass(slots=True)
+class CallNeeded:
+    """A run stands at a call of a service below, and waits for its result: notice number, the run's id."""
+
+    number: int
+    name: bytes
+
+
 @dataclass(slots=True)
 class Remark:
     """A numbered notice with no meaning."""
@@ -76,7 +87,7 @@
     number: int
 
 
-Notice: TypeAlias = Greeting | RunOver | Gauges | Rejected | Remark
+Notice: TypeAlias = Greeting | RunOver | Gauges | Rejected | CallNeeded | Remark
 
 
 def connect(last: int) -> bytes:
@@ -100,33 +111,52 @@
 
     def __init__(self) -> None:
         self._bytes = bytearray()
-        self._head: list[bytes] | None = None  # of a run that is over, its result still to come
-        self._size = 0
 
     def feed(self, data: bytes) -> list[Notice]:
+        """All notices up to the first that is none; GarbledError if that is the first, each time anew."""
         self._bytes += data
         found: list[Notice] = []
-        while True:
-            if self._head is not None:
-                if len(self._bytes) < self._size + 2:
-                    return found
-                if self._bytes[self._size : self._size + 2] != b"\r\n":
-                    raise GarbledError("a result does not end where its length says")
-                found.append(_run_over(self._head, bytes(self._bytes[: self._size])))
-                del self._bytes[: self._size + 2]
-                self._head = None
-            end = self._bytes.find(b"\r\n")
-            if end < 0:
-                if len(self._bytes) > LINE_MOST:
-                    raise GarbledError("a line without an end")
-                return found
-            words = bytes(self._bytes[:end]).split(b" ")
-            del self._bytes[: end + 2]
-            if words[0] == b"VALUE" and len(words) == 6:
-                _whole(words[1])
-                self._head, self._size = words, _whole(words[5], RESULT_MOST)
+        try:
+            while (notice := self._next()) is not None:
+                found.append(notice)
+        except GarbledError:
+            if not found:
+                raise
+        return found
+
+    def _next(self) -> Notice | None:
+        end = self._bytes.find(b"\r\n")
+        if end < 0:
+            if len(self._bytes) > LINE_MOST:
+                raise GarbledError("a line without an end")
+            return None
+        words = bytes(self._bytes[:end]).split(b" ")
+        try:
+            size = _length(words)
+            if size is None:
+                notice, stop = _notice(words), end + 2
             else:
-                found.append(_notice(words))
+                stop = end + size + 4
+                if len(self._bytes) < stop:
+                    return None
+                if self._bytes[stop - 2 : stop] != b"\r\n":
+                    raise GarbledError("what follows a line does not end where its length says")
+                notice = _notice(words, bytes(self._bytes[end + 2 : stop - 2]))
+        except GarbledError as trouble:
+            numbered = len(words) > 1 and words[0] not in UNNUMBERED and words[1].isdigit()
+            trouble.number = int(words[1][:19]) if numbered else 0
+            raise
+        del self._bytes[:stop]
+        return notice
+
+
+def _length(words: list[bytes]) -> int | None:
+    """How many bytes follow a line, None for none."""
+    match words:
+        case [b"VALUE", number, _, _, _, size] | [b"AWAIT", number, _, size]:
+            _whole(number)
+            return _whole(size, FOLLOWING_MOST)
+    return None
 
 
 def _run_over(words: list[bytes], result: bytes) -> RunOver:
@@ -135,12 +165,14 @@
     return RunOver(_whole(words[1]), words[2], ENDS[words[3]], _number(words[4]) / 1000, result)
 
 
-def _notice(words: list[bytes]) -> Notice:
+def _notice(words: list[bytes], following: bytes = b"") -> Notice:
     match words:
         case [b"BANNER", (b"booting" | b"steady") as state, age]:
             return Greeting(state == b"booting", _number(age) / 1000)
-        case [b"VALUE", _, _, _, _]:
-            return _run_over(words, b"")
+        case [b"VALUE", _, _, _, _] | [b"VALUE", _, _, _, _, _]:
+            return _run_over(words, following)
+        case [b"AWAIT", number, name, _]:
+            return CallNeeded(_whole(number), name)
         case [b"TOPS", tag, *values]:
             return Gauges(tag, tuple(None if value == b"-" else _number(value) for value in values))
         case [b"ERROR", command, name, *_]:
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -37,6 +37,7 @@
 
     def greeted(self, cold: bool, age: float) -> None: ...
     def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None: ...
+    def call_needed(self, exchange: Exchange) -> None: ...
 
 
 class Run:
@@ -67,6 +68,7 @@
         self._stream: Stream | None = None
         self._ready = False  # behind the fence
         self._last = last
+        self._unreadable = 0  # the number of the last notice that broke a link, if it was the next
         self._fence = 0  # the last question for gauges that went out
         self._asking = False  # one goes out at the end of this round
         self._proven = 0  # the last that was answered: all commands before it were read
@@ -173,6 +175,7 @@
             reason: object = "the interpreter closed it"
         except interpreter.GarbledError as trouble:
             self._count("notices_garbled")
+            self._pass_over(trouble.number)
             reason = trouble
         except Exception as trouble:  # a fault of ours must not leave the server without its interpreter
             self._count("faults")
@@ -203,25 +206,51 @@
         stream.flush()
         while data := stream.read():
             self._unheard = 0
-            for notice in parser.feed(data):
-                match notice:
-                    case interpreter.Greeting(cold, age):
+            while notices := parser.feed(data):  # asked once more for what is left: nothing, or no notice
+                data = b""
+                for notice in notices:
+                    if isinstance(notice, interpreter.Greeting):
                         self._greeted = True
-                        self._desk.greeted(cold, age)
+                        self._desk.greeted(notice.cold, notice.age)
                         opening, self._asking = self._fence + 1, True
-                    case interpreter.RunOver():
-                        if notice.number > self._last:
-                            self._last = notice.number
-                            self._over(notice)
-                    case interpreter.Remark(number):
-                        self._last = max(self._last, number)
-                    case interpreter.Rejected(command, name):
-                        self._rejected(command, name)
-                        if command is interpreter.Command.GAUGES:  # none here, but a fence all the same
-                            self._pass_fence(name, opening, safe)
-                    case interpreter.Gauges(tag, values):
-                        self._gauges, self._told = values, self._scheduler.clock.now
-                        self._pass_fence(tag, opening, safe)
+                    else:
+                        self._heed(notice, opening, safe)
+
+    def _heed(self, notice: interpreter.Notice, opening: int, safe: int) -> None:
+        match notice:
+            case interpreter.RunOver():
+                if notice.number > self._last:
+                    self._last = notice.number
+                    self._over(notice)
+            case interpreter.CallNeeded(number, name):
+                if number > self._last:
+                    self._last = number
+                    self._count("calls_needed")
+                    if name in self._runs:
+                        self._desk.call_needed(self._runs[name].exchange)
+            case interpreter.Remark(number):
+                self._last = max(self._last, number)
+            case interpreter.Rejected(command, name):
+                self._rejected(command, name)
+                if command is interpreter.Command.GAUGES:  # none here, but a fence all the same
+                    self._pass_fence(name, opening, safe)
+            case interpreter.Gauges(tag, values):
+                self._gauges, self._told = values, self._scheduler.clock.now
+                self._pass_fence(tag, opening, safe)
+
+    def _pass_over(self, number: int) -> None:
+        """The next notice can't be read; a second time in a row it is passed over, and costs nothing else.
+
+        Guards against an interpreter that says more than this program knows, or the same thing wrongly each
+        time: a link that breaks for it brings it again and breaks again, and no run of any class would ever
+        end. Once may be an accident of the link, and is read anew. May harm the run that it was about: that
+        one is answered when its time is up.
+        """
+        if number and number == self._last + 1:
+            if number == self._unreadable:
+                self._last = number
+                self._count("notices_passed_over")
+            self._unreadable = number
 
     def _pass_fence(self, tag: bytes, opening: int, safe: int) -> None:
         """An answer proves that what was written before its question was read, but a break may still take the
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -188,6 +188,10 @@
             return
         self._over(exchange, result if outcome is Outcome.WORKED else None)
 
+    def call_needed(self, exchange: Exchange) -> None:
+        """Its run stands at a call of a service below."""
+        self._happenings.append(terms.CallNeeded(exchange.ticket))
+
     def notice(self, left: float) -> None:
         self._happenings.append(terms.Notice(left))
 
@@ -293,7 +297,8 @@
                 if exchange.place is Place.HELD:
                     self._join(exchange)
             case _:
-                # Calls below are no part of this protocol yet; a ticket never stands at one here.
+                # A call, or the word to go on without: the protocol has neither, so `configuration.posting`
+                # tells the controller of no service below, and it asks for neither.
                 pairs = {"deed": type(deed).__name__}
                 log.error("deed that this protocol does not know", extra={"pairs": pairs})
 
--- /dev/null
+++ b/tests/test_calls_below.py
@@ -0,0 +1,183 @@
+"""Notices that the protocol page does not have: runs at a call below, and words that nobody knows.
+
+Each costs at most the run that it is about. Before, one such notice broke the link, came again on the next
+one and broke that, and no run of any class ever ended.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from test_routing import MACHINE
+from world import Town, Try
+
+from sablewheel.program import configuration
+
+
+def notice(town: Town, words: bytes, following: bytes | None = None) -> bytes:
+    """The next numbered notice, told now and kept for later links: `%d` in `words` is its number."""
+    said = words % (len(town.interpreter.notices) + 1)
+    if following is not None:
+        said += b" %d\r\n%b" % (len(following), following)
+    town.interpreter.notices.append(said + b"\r\n")
+    assert town.link is not None
+    town.link.feed(town.interpreter.notices[-1])
+    town.settle()
+    return town.interpreter.notices[-1]
+
+
+def stand_at_call(town: Town, one: Try) -> None:
+    notice(town, b"AWAIT %d " + one.name, b"a question\r\nof any bytes \0")
+
+
+@pytest.fixture
+def town() -> Town:
+    return Town(MACHINE)
+
+
+def test_a_run_at_a_call_is_answered_at_once_and_all_others_end(town: Town) -> None:
+    one, other = town.call(b"lookup"), town.call(b"record", b"a")
+    town.settle()
+    stand_at_call(town, one)
+    assert [words[1] for words in one.answers] == [b"FAILED"]
+    town.end(other.name)
+    town.settle()
+    assert [words[1] for words in other.answers] == [b"OK"]
+    assert town.counts.count("links") == town.counts.count("calls_needed") == 1
+
+
+def test_a_run_at_a_call_leaves_its_core_to_others_and_its_memory_when_it_ends(town: Town) -> None:
+    controller = town.dispatch._controller
+    assert controller is not None
+    one = town.call(b"lookup")
+    town.settle()
+    stand_at_call(town, one)
+    assert controller.on_cores == 0
+    town.end(one.name, b"interrupted")
+    town.settle()
+    assert controller.kb == 0 and not controller.running and town.dispatch.open_count == 0
+
+
+def test_a_keyed_run_at_a_call_is_neither_denied_nor_run_again(town: Town) -> None:
+    first = town.call(b"record", b"a")
+    town.settle()
+    stand_at_call(town, first)
+    early = town.call(b"record", b"a")
+    town.settle()
+    town.end(first.name, b"interrupted")
+    late = town.call(b"record", b"a")
+    town.wait(0.2)  # the town checks the rules at each step
+    assert [[words[1] for words in one.answers] for one in (first, early, late)] == [[b"FAILED"]] * 3
+    assert len(town.interpreter.applied) == 1
+
+
+def test_the_next_link_does_not_bring_the_call_again(town: Town) -> None:
+    one, other = town.call(b"lookup"), town.call(b"lookup")
+    town.settle()
+    stand_at_call(town, one)
+    town.cut(lost=False)
+    town.wait(0.2)
+    town.end(other.name)
+    town.settle()
+    assert [words[1] for words in other.answers] == [b"OK"]
+    assert town.counts.count("links") == 2 and town.counts.count("calls_needed") == 1
+
+
+def test_a_call_told_while_the_link_was_down_is_read_with_the_next(town: Town) -> None:
+    one = town.call(b"lookup")
+    town.settle()
+    town.linked = False
+    town.cut(lost=False)
+    town.settle()
+    town.interpreter.notices.append(b"AWAIT 1 %b 2\r\nhi\r\n" % one.name)
+    town.linked = True
+    town.wait(0.6)
+    assert [words[1] for words in one.answers] == [b"FAILED"]
+
+
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_a_call_of_a_run_that_nobody_waits_for_is_nothing(town: Town, cancelled: bool) -> None:
+    one = town.call(b"lookup")
+    town.settle()
+    if cancelled:
+        town.cancel(one)
+        town.settle()
+    else:
+        town.end(one.name)
+        town.settle()
+    answers = list(one.answers)
+    stand_at_call(town, one)
+    assert one.answers == answers and town.counts.count("links") == 1
+
+
+@pytest.mark.parametrize(
+    "words, following",
+    [
+        (b"NOVEL %d", None),
+        (b"NOVEL %d 0123456789abcdef and more", None),
+        (b"NOVEL %d 0123456789abcdef", b""),
+        (b"NOVEL %d", b"VALUE 9 x success 1 0\r\n\r\n"),
+    ],
+)
+def test_a_notice_of_an_unknown_word_costs_nothing_but_itself(
+    town: Town, words: bytes, following: bytes | None
+) -> None:
+    one = town.call(b"lookup")
+    town.settle()
+    notice(town, words, following)
+    town.wait(0.2)
+    town.end(one.name)
+    town.settle()
+    assert [words[1] for words in one.answers] == [b"OK"]
+    assert town.counts.count("links") == 3 and town.counts.count("notices_passed_over") == 1
+    town.cut(lost=False)
+    town.wait(0.2)
+    assert town.counts.count("links") == 4 and town.counts.count("notices_passed_over") == 1
+
+
+def test_one_in_the_same_bytes_as_an_end_takes_nothing_of_it_along(town: Town) -> None:
+    one, other = town.call(b"lookup"), town.call(b"lookup")
+    town.settle()
+    assert town.link is not None
+    end = town.interpreter.end(one.name)
+    town.interpreter.notices.append(b"NOVEL 2 level 3\r\n")
+    town.link.feed(end + town.interpreter.notices[-1] + town.interpreter.end(other.name))
+    town.wait(0.2)
+    assert [words[1] for words in one.answers + other.answers] == [b"OK", b"OK"]
+    assert town.counts.count("links") == 3 and town.counts.count("runs_worked") == 2
+
+
+@pytest.mark.parametrize(
+    "garbled", [b"NOVEL 7 which never came\r\n", b"TOPS 1 nan\r\n", b"VALUE 1 x no 1 0\r\n\r\n"]
+)
+def test_what_is_unreadable_once_is_read_anew_and_nothing_is_passed_over(town: Town, garbled: bytes) -> None:
+    one = town.call(b"lookup")
+    town.settle()
+    for _ in range(1 if garbled.startswith(b"VALUE") else 3):
+        assert town.link is not None
+        town.link.feed(garbled)
+        town.wait(0.2)
+    town.end(one.name)
+    town.settle()
+    assert [words[1] for words in one.answers] == [b"OK"] and not town.counts.count("notices_passed_over")
+
+
+def test_the_program_counts_on_no_call_and_the_simulator_s_adapter_does(tmp_path: Path) -> None:
+    told = {
+        "name": "n1", "listen": "127.0.0.1:7001", "vm": "127.0.0.1:6100", "naming": "127.0.0.1:2379",
+        "seed": "2a",
+        "settings": {
+            "classes": [{"name": "a", "on-time-s": 1, "deadline-s": 4, "repeat": "safe"}],
+            "extra": {"cores": 2, "memory-kb": 2000, "below": "common", "calls-out": 2.5, "share-span-s": 5,
+                      "class-calls": [True], "class-skip-worth": [0.5]},
+            "safety": {"fall-multiple": 5},
+        },
+    }  # fmt: skip
+    file = tmp_path / "configuration.json"
+    file.write_text(json.dumps(told))
+    mine = configuration.posting({"RELAY_CONFIG": str(file)}).machine
+    assert mine.ledger is None and not mine.tracks[0].calls and not mine.tracks[0].skip_share
+    whole = configuration.machine(configuration.Section(told["settings"], "settings"))
+    assert whole.ledger is not None and whole.tracks[0].calls and whole.tracks[0].skip_share == 0.5
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -438,6 +438,9 @@
     def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None:
         self.ends.append((exchange.name, outcome, result))
 
+    def call_needed(self, exchange: Exchange) -> None:
+        raise AssertionError(f"no call is needed here: {exchange.name!r}")
+
 
 class Engine:
     """The interpreter at one address; all addresses share one core."""
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -15,7 +15,7 @@
 CALLS = call(7, b"9b1f03aa5c7e2d41", b"lookup", 1764576000.123, b"a\r\n$1\r\n") + frame(b"RPC.CANCEL", b"7")
 NOTICES = (
     b"BANNER booting 1500\r\nVALUE 1 ab success 12.5 7\r\na\r\nbTOP\r\nTRACE 2 what ever it says\r\n"
-    b"TOPS 3 0.25 4 - 17\r\nVALUE 3 cd failure 8 0\r\n\r\nERROR APPLY ef\r\n"
+    b"TOPS 3 0.25 4 - 17\r\nVALUE 3 cd failure 8 0\r\n\r\nERROR APPLY ef\r\nAWAIT 4 ab 9\r\nVALUE\r\n 5\r\n"
 )
 NAME = b"9b1f03aa5c7e2d41"
 Feed = Callable[[bytes], list[object]]
@@ -78,6 +78,9 @@
         b"VALUE 1 a success nan 0\r\n\r\n",
         b"VALUE 1 a success 1 9999999\r\n",
         b"VALUE 1 a success 1 1\r\nabc",
+        b"AWAIT x a 0\r\n\r\n",
+        b"AWAIT 1 a 1\r\nabc",
+        b"AWAIT 1 a 9999999\r\n",
         b"BANNER up 1\r\n",
         b"x" * 5000,
     ],
