Runs that wait beside the cores fill them within a burst, by how busy the cores are

Traced on a server that two runs at a time left 0.37 busy with 7 held: "on=4 runnable=1 busy=0.42" from 2.1 s to 9.4 s, the share learned 0.50 after 63 samples.

At fault: `_learn_waits` (choice.py): the median of a hundred samples, those of the start among them, of a gauge that also counts what is just read; and `_turn`, which cuts a pool whose denials outnumber what it takes in, so that the floor is all there is.

The world of the tests tells how busy its cores are by what runs on them, in place of a made number.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -22,6 +22,7 @@
 TRIPS = 4  # round trips in an iteration
 SAMPLES = 100  # raw samples kept of each measure: enough for a 99th percentile
 RECENT = 10  # samples that tell how things are now
+BUSY_MOST = 0.75  # of the cores, up to which the pool's floor fills them; past it runs slow each other
 WALKS_MOST = 0.2  # further tries among the tickets read, past which denied tickets are asked to stay
 FEW_KNOWN, MANY_KNOWN = 0.4, 0.5  # shares of the tickets that are from routers heard not long before
 SLOW_CALLS = 3.0  # median of the recent over lower quartile of all: about 2 for times that scatter evenly
@@ -33,8 +34,8 @@
 class Samples:
     """The last few raw samples of one measure."""
 
-    def __init__(self) -> None:
-        self.raw: deque[float] = deque(maxlen=SAMPLES)
+    def __init__(self, kept: int = SAMPLES) -> None:
+        self.raw: deque[float] = deque(maxlen=kept)
         self.ranked: list[float] | None = None
 
     def add(self, value: float) -> None:
@@ -130,7 +131,8 @@
         self.had_connections = -inf  # open ones at the last iteration
         self.idle = machine.idle  # how long an unused connection is kept
         self.armed = inf
-        self.on_cores_seen = Samples()  # of the running tickets, the share that demands a core, as gauged
+        self.demand = Samples()  # of the running tickets, the part that demands a core, as gauged
+        self.core_share = Samples(RECENT)  # of a core, the part that a running ticket takes, as gauged
 
     def retune(self, machine: Machine) -> None:
         """New settings in a running server: tickets taken in keep their track; new ones share its row.
@@ -173,10 +175,10 @@
                     self._keep_label(ticket, life)
                 case terms.Notice(left):
                     self._notice(left)
-                case terms.Bell(_, connections, runnable):
+                case terms.Bell(busy, connections, runnable):
                     self.armed = inf
                     self.connections = connections
-                    self._learn_waits(runnable)
+                    self._learn_core_share(busy, runnable)
         self._make_calls()
         while self.dues and (self.dues[0][0] <= now or self.dues[0][2].answered):
             self._give_up(heappop(self.dues)[2])
@@ -329,24 +331,36 @@
         """While pressed the credit pool bounds what runs or is at calls; the guards bound it always.
 
         Departure, acts while a core is free, after drops or with tickets at calls: the pool's floor of one a
-        core counts those on the cores only. Guards against a slow ledger that idles the cores of all tracks,
-        or any long wait beside them; it may run more tickets up to calls than the ledger takes.
+        core counts those on the cores only, each by the part of a core that it takes. Guards against a slow
+        ledger that idles the cores of all tracks, or any long wait beside them; it may run more tickets up to
+        calls than the ledger takes.
         """
         if not self._survives_run(ticket):
             return False
-        on_share = self.on_cores_seen.at(0.5, 1.0)
-        return self.on_cores * on_share < self.machine.cores or len(self.running) + 1 <= self.credit
-
-    def _learn_waits(self, runnable: float) -> None:
-        """What share of the running tickets demand a core, from the gauge of all work that does.
-
-        Departure, acts where runs wait beside the cores (disk, services below) without an event: the pool's
-        floor of one a core counts those on the cores only. Guards against idle cores behind a full pool. The
-        median of the samples is taken, not a running mean: a gauge rung between an end and the next start
-        reads low where runs do hold their cores. The guards still count every running ticket.
+        on_cores, cores = self.on_cores, self.machine.cores
+        each = min(self.demand.at(0.5, 1.0), self.core_share.at(0.5, 1.0) / BUSY_MOST)
+        floor = on_cores < cores or on_cores * each < cores
+        return floor or len(self.running) + 1 <= self.credit
+
+    def _learn_core_share(self, busy: float, runnable: float) -> None:
+        """What part of a core a running ticket takes, by how much demands one and by how busy they are.
+
+        Departure, acts where runs wait beside the cores (disk, services below) without an event: with the
+        floor of one run a core the cores would idle while tickets are held and denied, and the denials would
+        keep the pool at its floor. Medians, not running means: a gauge rung between an end and the next start
+        reads low where runs do hold their cores. What demands a core counts what is just read as well, and
+        tells too much; the cores' business is a mean, so that a server learns from a few samples, within a
+        burst, but it is of a while ago: a sample lets the runs double at the most. May crowd the
+        cores for a moment after a lull. The guards still count every running ticket.
         """
-        if runnable < inf and self.on_cores >= self.machine.cores:
-            self.on_cores_seen.add(min(max(runnable, 1.0) / self.on_cores, 1.0))
+        cores = self.machine.cores
+        if self.on_cores < cores:
+            return
+        if runnable < inf:
+            self.demand.add(min(max(runnable, 1.0) / self.on_cores, 1.0))
+        if busy < inf:  # of a while: it tells nothing where all that run demand a core by now
+            taken = max(busy, BUSY_MOST / 2) * cores if not self.on_cores <= runnable < inf else self.on_cores
+            self.core_share.add(min(taken / self.on_cores, 1.0))
 
     def _run(self, ticket: Ticket) -> None:
         ticket.stage, ticket.begun, ticket.since = Stage.RUNNING, True, self.now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 from world import CALLING, HELD, JOINED, OVER, RUNNING, STANDING, Fact, World
 
 from sablewheel import terms
-from sablewheel.choice import Controller, Samples
+from sablewheel.choice import BUSY_MOST, Controller, Samples
 from sablewheel.terms import (
     Customer,
     Halting,
@@ -438,17 +438,61 @@
 
 
 def test_runs_that_wait_beside_the_cores_let_more_start_within_the_guards() -> None:
-    """Runs that waited 1.1 s for disk without an event kept two-core boxes at two running and idle cores."""
+    """Runs that waited 1.1 s for disk without an event kept two-core boxes at two running and idle cores.
+
+    The part of a core that a run takes is told by how much demands one, or by how busy the cores are: then
+    the runs may double each time, up to three quarters of the cores, but not where all demand a core by now.
+    Where nothing is told, none is added.
+    """
     plain = replace(PLAIN, tracks=(Track(Nature.REDOABLE, 3.0, 6.0),), crowd_multiple=6.0, memory_kb=4000.0)
-    for runnable, most in [(float("inf"), 2), (1.0, 4)]:  # one of two running demands a core: four may run
+    absent = float("inf")
+    for busy, runnable, most in [
+        (absent, absent, 2),
+        (1.0, 2.0, 2),
+        (1.0, absent, 2),
+        (0.3, 2.0, 2),
+        (0.3, 1.0, 4),
+        (0.3, absent, 4),
+        (0.0, absent, 4),
+        (absent, 1.0, 4),
+        (absent, 2.0, 2),
+    ]:
         world = World(plain)
         flood = [world.arrive(0) for _ in range(2)]
         deeds(world)
-        world.batch([terms.Bell(0.3, 3.0, runnable)] * 3)
+        world.batch([terms.Bell(busy, 3.0, runnable)] * 3)
         flood += [world.arrive(0) for _ in range(14)]
         deeds(world)
         running = [one for one in flood if one.place == RUNNING]
-        assert len(running) == most
+        assert len(running) == most, (busy, runnable)
+
+
+def test_a_server_learns_within_a_burst_that_its_runs_leave_the_cores_idle() -> None:
+    """A hundred samples told it, those of its start among them: two-core boxes in a release stayed at four
+    runs, their cores a third busy, for ten seconds. That they fill the cores it learns in seconds too."""
+    plain = replace(PLAIN, tracks=(Track(Nature.REDOABLE, 3.0, 6.0),), crowd_multiple=6.0, memory_kb=9e3)
+    world = World(plain)
+    cores = plain.cores
+
+    def burst(core_part: float) -> int:
+        """Gauges five times a second for two seconds; how many run by then."""
+        world.core_part = core_part
+        for _ in range(10):
+            for _ in range(4):
+                world.arrive(0)
+            deeds(world)
+            world.batch([terms.Bell(world.busy(), 3.0)])
+            for fact in world.at(RUNNING)[:cores]:
+                world.finish(fact, Outcome.WORKED)
+            world.wait(0.2)
+        return len(world.at(RUNNING))
+
+    for _ in range(50):  # of its start, when runs did fill the cores
+        world.arrive(0)
+        world.batch([terms.Bell(1.0, 3.0)])
+    assert burst(0.15) >= 0.7 * BUSY_MOST * cores / 0.15
+    burst(1.0)
+    assert burst(1.0) <= cores + 1
 
 
 def test_new_settings_keep_what_was_taken_in_and_the_way_back_is_the_same() -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -41,6 +41,7 @@
     """Plays events into one controller and checks every deed and every moment."""
 
     def __init__(self, machine: Machine, seed: int = 7) -> None:
+        self.core_part = 1.0  # of a core, that a run takes
         self.machine, self.now, self.start = machine, 100.0, 100.0
         self.controller = Controller(machine, seed)
         self.routers = [Router() for _ in range(machine.routers)]
@@ -135,10 +136,14 @@
             for fact in self.at(CALLING):
                 if fact.abandon_at <= self.now:
                     self.call_back(fact, Outcome.TIMED_OUT)
-            self.batch([terms.Bell(self.now * 7 % 1, 3.0)] * bells)
+            self.batch([terms.Bell(self.busy(), 3.0)] * bells)
             if self.now >= until:
                 return
 
+    def busy(self) -> float:
+        """How busy the cores are; runs that wait for something beside them take a part of one."""
+        return min(len(self.at(RUNNING)) * self.core_part / self.machine.cores, 1.0)
+
     def _advance(self, to: float) -> None:
         running = len(self.at(RUNNING))
         self.crowd.append((self.now, to, running))
