Routers remembered: by need, 1,024 at least, not 512

Cause: Server kept 512 routers by number whatever the fleet was. With more, the one heard longest ago was forgotten and came back as a stranger to the controller (its open tickets and when it was heard are counted on the Router), at each ticket where they come in turn. Line at fault: routing/server.py, ROUTERS_MOST. It is now the largest of 1,024, twice the routers that the settings tell (a restart has a new number) and the connections that the descriptors allow; a new configuration changes it (Application._retune). Nothing is reserved. Ruled out: a long name filling the memory: `sender` is at most 19 digits (protocol/resp.py).

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -106,6 +106,7 @@
             count,
             max(posting.connections_most - self._feature.sockets, posting.connections_most // 2),
             self._feature.witness,
+            posting.machine.routers,
         )
         self._listener = Listener(
             scheduler,
@@ -268,6 +269,7 @@
         posting = self._posting
         machine = self._feature.machine(posting.machine)
         self._dispatch.retune(machine, posting.gauge_places)
+        self._server.expect(machine.routers)
         # The dicts that the server reads names by; their order is that of the settings.
         posting.tracks.update(zip(list(posting.tracks), machine.tracks, strict=True))
         posting.customers.update(zip(list(posting.customers), machine.customers, strict=True))
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -26,7 +26,8 @@
 LINGER = 0.5  # how long it has to close one that we shut; past ROOM_LEAST it goes sooner for want of room
 DISCARD_MOST = 1 << 16  # bytes read past a connection's end, so that no reset takes answers away
 AGE_MOST, AHEAD_MOST = 60.0, 1.0  # of a ticket on arrival: no wait and no two readings of one clock differ so
-ROUTERS_MOST = 512  # remembered by number; the one heard longest ago goes first
+ROUTERS_LEAST = 1024  # room to remember so many by number in any case; who was heard longest ago goes first
+ROUTERS_TIMES = 2  # of those that the settings tell: a router that is started anew has a new number
 
 log = logging.getLogger(__name__)
 
@@ -253,9 +254,12 @@
         count: Callable[[str], None],
         connections_most: int,
         witness: Witness = UNWITNESSED,
+        routers: int = 1,
     ) -> None:
+        """`routers`: how many the settings tell of."""
         self.witness = witness
         self._connections_most = connections_most
+        self.expect(routers)
         self.scheduler, self.standing, self.desk, self.count = scheduler, standing, desk, count
         self.connections: dict[Connection, None] = {}
         self.dirty: dict[Connection, None] = {}
@@ -264,6 +268,13 @@
         self._unused_most: float | None = None
         scheduler.every(SWEEP, self._sweep)
 
+    def expect(self, routers: int) -> None:
+        """Remember so many routers and more: each that the settings tell of, each that may be connected.
+
+        One that is forgotten and comes again is a stranger to the controller. Entries are made as they come.
+        """
+        self._routers_most = max(ROUTERS_LEAST, ROUTERS_TIMES * routers, self._connections_most)
+
     def accepted(self, stream: Stream) -> None:
         self.count("connections_in")
         connection = Connection(self, stream)
@@ -288,7 +299,7 @@
         arrived = min(asked.since, now)  # whole milliseconds of another's reading may lie ahead of ours
         router = self._routers.pop(asked.router, None) or Router(name=asked.router)
         self._routers[asked.router] = router
-        if len(self._routers) > ROUTERS_MOST:
+        while len(self._routers) > self._routers_most:  # a new configuration may tell of fewer
             del self._routers[next(iter(self._routers))]
         return Ticket(
             track,
