Membership: fleets past 256 start and grow; 1,024 and more at once

Found by letting whole fleets start and join in the made network (in-memory, seeds 3): - 1,024 members that start at once were never in any view, 60 s on (min, median, max 0). The founder kept the first 256 askers for good (joining.py, `joined`; JOINERS_MOST = 256): the second seed was not among them, so the majority of the seeds was never there. Room for 2,048 now, who was silent for long makes room for another, and a seed is always noted. - 115 that join 115 at once took 72.1 s of CPU (all 230 together) for the first half second: each report of a join had all reports judged anew (Reports._stable), though joins wait for more anyway, and each rumour was compared with all others (Gossip.spread). While there are but joins that wait, no cut is thought of (the outcome was None in each such case); rumours are found by their subject. - A vote for several hundred joins or removals, or four such that differ, was larger than a datagram (60,000 bytes) and would not have been sent. The made network has no such bound. A proposal takes 24,000 bytes of joins and 48,000 in all, and a message of votes as many proposals as fit. What is left out comes with a later view, as with `says` before. - RELAYED_MOST 64 to 1,024, NEWS_KEPT 512 to 1,024 or two a member; relayed probes end in order, so a step no longer looks at all of them. Ruled out: a cut that differs by it: what a proposal leaves out follows from the stable set alone, the same on all members.

--- a/sablewheel/membership/detector.py
+++ b/sablewheel/membership/detector.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from itertools import islice
 
 from .gossip import Gossip
 from .messages import Ack, Alive, Nack, Ping, PingReq, Suspect
@@ -17,7 +18,7 @@
 from .roster import Roster
 from .suspicions import Suspicion, Suspicions
 
-RELAYED_MOST = 64  # probes under way for others; one more is left to its asker's other helpers
+RELAYED_MOST = 1024  # probes under way for others; one more is left to its asker's other helpers
 
 
 @dataclass
@@ -70,16 +71,19 @@
     # -- timers
 
     def wakes(self) -> list[float]:
-        times = [self.next_probe, *(one.ends_at for one in self.relayed.values())]
+        times = [self.next_probe, *self.relays_end()]
         if self.probe is not None:
             times.append(self.probe.indirect_at if not self.probe.asked else self.probe.ends_at)
         return times
 
+    def relays_end(self) -> list[float]:
+        """When the first probe for another ends, if there is any: all last as long, so they end in order."""
+        return [one.ends_at for one in islice(self.relayed.values(), 1)]
+
     def end_relays(self, now: float) -> None:
-        for seq, relay in list(self.relayed.items()):
-            if now >= relay.ends_at:
-                del self.relayed[seq]
-                self._out.send(relay.asker, Nack(relay.seq))
+        while any(now >= ends_at for ends_at in self.relays_end()):
+            relay = self.relayed.pop(next(iter(self.relayed)))
+            self._out.send(relay.asker, Nack(relay.seq))
 
     def ring(self, now: float) -> None:
         probe = self.probe
--- a/sablewheel/membership/gossip.py
+++ b/sablewheel/membership/gossip.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
 
 from .messages import Alert, Alive, Judgement, News, Suspect
 from .plan import Mode, Settings
 from .roster import Roster
 
-NEWS_KEPT = 512  # rumours held at once
+NEWS_KEPT = 1024  # rumours held at once, or two of each member where that is more
 
 
-@dataclass
+@dataclass(eq=False)
 class Rumour:
     """News on its way, and how many more messages carry it."""
 
@@ -25,17 +26,26 @@
 
     def __init__(self, roster: Roster, settings: Settings) -> None:
         self._roster, self._settings = roster, settings
-        self.news: list[Rumour] = []
+        self.news: list[Rumour] = []  # the freshest first
+        self._of: dict[Hashable, list[Rumour]] = {}  # the same by what they are of
 
     def spread(self, item: News) -> None:
         if self._settings.mode is Mode.HEARTBEAT:
             return
         size = max(len(self._roster.known()), 1)
         times = self._settings.retransmit * math.ceil(math.log10(size + 1))
-        self.news = [one for one in self.news if not _same_subject(one.item, item)]
-        self.news.insert(0, Rumour(item, max(times, 1)))
+        over = {one for one in self._of.get(_subject(item), ()) if _same_subject(one.item, item)}
+        if over:
+            self.news = [one for one in self.news if one not in over]
+            self._forget(over)
+        rumour = Rumour(item, max(times, 1))
+        self.news.insert(0, rumour)
+        self._of.setdefault(_subject(item), []).append(rumour)
         # Guards the list against a flood of rumours: the oldest go, and full-state exchange heals the loss.
-        del self.news[NEWS_KEPT:]
+        most = max(NEWS_KEPT, 2 * size)
+        if len(self.news) > most:
+            self._forget(self.news[most:])
+            del self.news[most:]
 
     def load(self, first: News | None = None) -> tuple[News, ...]:
         """For one message: `first` if there is any, then the freshest news, each so many times."""
@@ -45,10 +55,31 @@
                 break
             chosen.append(one.item)
             one.left -= 1
-        self.news = [one for one in self.news if one.left > 0]
+        over = [one for one in self.news if one.left <= 0]
+        if over:
+            self.news = [one for one in self.news if one.left > 0]
+            self._forget(over)
         chosen.append(Alive(self._roster.me.name, self._roster.me.incarnation))
         return tuple(chosen)
 
+    def _forget(self, over: Iterable[Rumour]) -> None:
+        for one in over:
+            those = self._of[_subject(one.item)]
+            those.remove(one)
+            if not those:
+                del self._of[_subject(one.item)]
+
+
+def _subject(item: News) -> Hashable:
+    """What an item is of: none takes the place of one of another subject."""
+    match item:
+        case Alive(name, _) | Suspect(name, _, _):
+            return name
+        case Alert(epoch, by, join, member):
+            return (epoch, by, join, member.name)
+        case Judgement(_, by, _, fact):
+            return (by, fact.key)
+
 
 def _same_subject(one: News, other: News) -> bool:
     match one, other:
--- a/sablewheel/membership/joining.py
+++ b/sablewheel/membership/joining.py
@@ -76,7 +76,7 @@
         mine = self._roster.me.address
         if mine not in self._seeds:
             return None
-        fresh = now - 3 * self._settings.join_every
+        fresh = self._fresh(now)
         others = [member for member, heard in self._viewless.values() if heard >= fresh]
         place = self._seeds.index(mine)
         addresses = {one.address for one in others} | {mine}
@@ -112,8 +112,7 @@
         """It asks to be let in; this member's own report of it, if it is its observer."""
         view, me = self._roster.view, self._roster.me.name
         if view is None:
-            if len(self._viewless) < JOINERS_MOST or member.name in self._viewless:
-                self._viewless[member.name] = (member, now)
+            self._note_viewless(now, member)
             return None
         known = view.get(member.name)
         if known is not None and known.incarnation >= member.incarnation and known.address == member.address:
@@ -129,6 +128,25 @@
             return Alert(view.epoch, me, True, member)
         return None
 
+    def _note_viewless(self, now: float, member: Member) -> None:
+        """It has no view either. In a full table who was silent for long makes room, and anybody for a seed:
+        guards the first view against more askers than there is room for, among whom a seed would be missed.
+        """
+        held = self._viewless
+        held.pop(member.name, None)  # so that who was heard longest ago comes first
+        if len(held) >= JOINERS_MOST:
+            seed = member.address in self._seeds
+            others = (name for name, (one, _) in held.items() if one.address not in self._seeds)
+            oldest = next(others, None)
+            if oldest is None or not (seed or held[oldest][1] < self._fresh(now)):
+                return self._out.count("joins_refused")
+            del held[oldest]
+        held[member.name] = (member, now)
+
+    def _fresh(self, now: float) -> float:
+        """Who asked since then is taken to be there."""
+        return now - 3 * self._settings.join_every
+
     def welcome(self, changes: tuple[Change, ...]) -> None:
         """Who was let in waits for the view: its observers send it."""
         for change in changes:
--- a/sablewheel/membership/node.py
+++ b/sablewheel/membership/node.py
@@ -129,7 +129,7 @@
             return max(self.leaving.wake_at, self._last + 0.001)
         ours, view = self.roster.ours, self.view
         if ours and view is None:
-            times = [self.joining.next_join, *(one.ends_at for one in self.detector.relayed.values())]
+            times = [self.joining.next_join, *self.detector.relays_end()]
         else:
             beats = self.settings.mode is Mode.HEARTBEAT
             times = self.baseline.wakes() if beats else [*self.detector.wakes(), self.joining.next_sync]
--- a/sablewheel/membership/reports.py
+++ b/sablewheel/membership/reports.py
@@ -15,7 +15,17 @@
 from .plan import Settings
 from .roster import JOINERS_MOST, Roster
 from .suspicions import Suspicions
-from .view import NOBODY, SAYS_CUT_MOST, Change, Kind, Member, Proposal, proposal
+from .view import (
+    CUT_MOST,
+    JOINS_CUT_MOST,
+    NOBODY,
+    SAYS_CUT_MOST,
+    Change,
+    Kind,
+    Member,
+    Proposal,
+    proposal,
+)
 
 GATHER = 1.0  # periods that a join waits for others
 
@@ -36,6 +46,8 @@
         self._back_until = -math.inf  # it was: who is back says so, one after another
         self._gather_until: float | None = None  # joins wait so long for others that come with them
         self._leaving: set[str] = set()
+        self._joiners = 0  # who is reported to join
+        self._removing = False  # whether anybody was reported to go
 
     def take(self, now: float, alert: Alert) -> bool:
         """An observer's report, perhaps this member's own; whether it was news."""
@@ -45,9 +57,12 @@
         subject = alert.member.name
         if alert.by not in self._roster.observers(subject):
             return False
-        if alert.join and (subject, True) not in self.alerts and self._joiners() >= JOINERS_MOST:
-            self._out.count("joins_refused")  # guards the table: anybody may name anybody
-            return False
+        if alert.join and (subject, True) not in self.alerts:
+            if self._joiners >= JOINERS_MOST:
+                self._out.count("joins_refused")  # guards the table: anybody may name anybody
+                return False
+            self._joiners += 1
+        self._removing = self._removing or not alert.join
         those = self.alerts.setdefault((subject, alert.join), {})
         if alert.by in those and those[alert.by].incarnation >= alert.member.incarnation:
             return False
@@ -74,6 +89,7 @@
         for name in watch:
             those[name] = member.silent
         self._leaving.add(member.name)
+        self._removing = True
         self._fresh = True
         return True
 
@@ -92,6 +108,7 @@
         """Of an epoch that is over."""
         self.alerts.clear()
         self._leaving.clear()
+        self._joiners, self._removing = 0, False
         self._held_since = self._gather_until = None
 
     def waits(self, now: float) -> tuple[bool, tuple[float, ...]]:
@@ -114,6 +131,8 @@
         self._fresh = False
         if self._gather_until is not None and now >= self._gather_until:
             self._gather_until = None
+        if self._only_gathers(facts):
+            return None
         gone = self._suspicions.gone()
         stable = self._stable(gone)
         going = {one.member.name for one in stable if one.kind is Kind.REMOVE}
@@ -132,6 +151,14 @@
         self._held_since = None
         return proposal(changes)
 
+    def _only_gathers(self, facts: list[Change]) -> bool:
+        """Whether there are but joins, which wait for more: whatever is stable, no cut would come of it.
+
+        Guards a fleet into which many come at once: each of their reports would be judged with all others.
+        """
+        calm = not (facts or self._few or self._removing or self._suspicions.held)
+        return calm and self._gather_until is not None
+
     def _waits(self, now: float, stable: list[Change], going: set[str]) -> bool:
         """Rapid: a cut waits while another subject stands between the marks; ours also while another member
         is suspected at all, so that those who go together go in one view. For `settle`, and as long again at
@@ -203,16 +230,18 @@
         high = min(self._settings.high, len(self._roster.observers(subject)))
         return high, min(self._settings.low, high)
 
-    def _joiners(self) -> int:
-        return sum(join for _, join in self.alerts)
-
 
 def _fitting(changes: list[Change]) -> list[Change]:
-    """Those that a proposal has room for. Guards votes against growing past a datagram when many join who
-    say much of themselves: the rest ask again and come with a later view."""
-    room, kept = SAYS_CUT_MOST, []
-    for one in sorted(changes, key=lambda one: one.order):
-        room -= one.member.says_bytes
-        if room >= 0 or not one.member.says:
-            kept.append(one)
+    """Those that a proposal has room for, who go before who join. Guards votes against growing past a
+    datagram when many join, or say much of themselves: the rest come with a later view, since they ask again
+    or are reported again."""
+    says, joins, room, kept = SAYS_CUT_MOST, JOINS_CUT_MOST, CUT_MOST, list[Change]()
+    for one in sorted(changes, key=lambda one: (one.kind is Kind.JOIN, one.order)):
+        size = one.member.bytes_most
+        joining = size if one.kind is Kind.JOIN else 0
+        says -= one.member.says_bytes
+        if (says < 0 and one.member.says) or joining > joins or size > room:
+            continue
+        joins, room = joins - joining, room - size
+        kept.append(one)
     return kept
--- a/sablewheel/membership/roster.py
+++ b/sablewheel/membership/roster.py
@@ -11,7 +11,7 @@
 from .plan import Mode, Settings
 from .view import Member, View, rings
 
-JOINERS_MOST = 256  # names that are not in the view and wait for their observers
+JOINERS_MOST = 2048  # names that are not in the view and wait for their observers: a whole fleet at its start
 
 
 class Roster:
@@ -105,7 +105,7 @@
 
     def remember(self, name: str, address: str) -> None:
         """Where one is reached that is not in the view; bounded."""
-        if len(self.addresses) < JOINERS_MOST:
+        if name in self.addresses or len(self.addresses) < JOINERS_MOST:
             self.addresses[name] = address
 
     # -- who watches whom
--- a/sablewheel/membership/view.py
+++ b/sablewheel/membership/view.py
@@ -17,6 +17,10 @@
 SAYS_VALUE_MOST = 200  # bytes of a value
 SAYS_LONG_MOST = {"class": 600}  # keys whose values may be longer: a hardware class is a small document
 SAYS_CUT_MOST = 12_000  # bytes said by all who join in one proposal: four proposals must fit a datagram
+JOINS_CUT_MOST = 24_000  # bytes of all who join in one proposal, about 300; the rest come by the next views
+CUT_MOST = 48_000  # bytes of a proposal's members: alone it must fit a datagram
+MEMBER_BYTES = 48  # in a packet, beside its texts
+SAID_BYTES = 12
 
 Says = tuple[tuple[str, str], ...]
 
@@ -58,6 +62,13 @@
         """The same without what it says: a removal need not carry it."""
         return replace(self, says=()) if self.says else self
 
+    @property
+    def bytes_most(self) -> int:
+        """What it takes in a packet, at most."""
+        texts = (self.name, self.address, self.zone, self.region)
+        said = self.says_bytes + SAID_BYTES * len(self.says)
+        return MEMBER_BYTES + sum(len(one.encode()) for one in texts) + said
+
     @property
     def says_bytes(self) -> int:
         return sum(len(key.encode()) + len(value.encode()) for key, value in self.says)
--- a/sablewheel/membership/voting.py
+++ b/sablewheel/membership/voting.py
@@ -14,6 +14,7 @@
 
 VOTES_FANOUT, VOTES_EVERY = 4, 5  # whom votes are passed on to, and how often in a period, in a large view
 TALLIES_MOST = 4  # proposals in one message of votes
+TALLIES_BYTES_MOST = 52_000  # of their members: past it the most voted for goes with fewer others
 
 
 class Voting:
@@ -99,7 +100,7 @@
             return
         if now >= self._next_votes:
             self._next_votes = now + self._settings.period / VOTES_EVERY
-            tallies = sorted(self.agreement.votes.items(), key=lambda one: -one[1].bit_count())[:TALLIES_MOST]
+            tallies = _fitting(sorted(self.agreement.votes.items(), key=lambda one: -one[1].bit_count()))
             for name in self._roster.some(self._chance, VOTES_FANOUT):
                 self._out.send(name, Votes(tuple(tallies)))
 
@@ -142,3 +143,15 @@
             decision = Votes(((agreement.decided, agreement.votes[agreement.decided]),))
             self._last = (view.epoch, decision)
         self._decide(now, agreement.decided)
+
+
+def _fitting(tallies: list[tuple[Proposal, int]]) -> list[tuple[Proposal, int]]:
+    """The first ones, as many as fit a datagram; the first in any case. Guards a vote against proposals of
+    many members that differ: a message that is too large would not be sent at all, and nothing decided."""
+    room, kept = TALLIES_BYTES_MOST, list[tuple[Proposal, int]]()
+    for cut, bits in tallies[:TALLIES_MOST]:
+        room -= sum(one.member.bytes_most for one in cut) + bits.bit_length() // 8
+        if kept and room < 0:
+            break
+        kept.append((cut, bits))
+    return kept
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -292,13 +292,13 @@
     node = net.nodes["m0"]
     view = node.view
     assert view is not None
-    for place in range(1000):
+    for place in range(max(JOINERS_MOST, NEWS_KEPT, RELAYED_MOST) + 500):
         member = Member(f"x{place}", "127.0.0.1:9", incarnation=1)
         news = (Alert(view.epoch, "m1", True, member), Alive(f"y{place}", 1), Suspect(f"z{place}", 1, "m1"))
         for body in (Join(member, True), Ping(0, news), PingReq(place, "m2", "?")):
             node.step(net.now, Got(Message(Envelope("m1", view.epoch), body)))
-    assert len(node.reports.alerts) <= JOINERS_MOST and len(node.gossip.news) <= NEWS_KEPT
-    assert len(node.detector.relayed) <= RELAYED_MOST
+    assert len(node.reports.alerts) == JOINERS_MOST and len(node.gossip.news) == NEWS_KEPT
+    assert len(node.detector.relayed) == RELAYED_MOST
     assert set(node.roster.raised) <= set(view.names) and not node.suspicions.held
 
 
