Membership: full states wait their turn, none is dropped for want of one

Cause: a frame beyond eight at once was dropped (shell.py, FRAMES_OUT_MOST), and whoever founds a fleet has one for each member in one step: of 229, all but 8 went lost and came by the members' asking again. They wait now, one to each address, 2,048 at most, up to the 2 s that a frame has; still eight at once, since each takes a descriptor. Frames that are alike are encoded once, while others wait.

Ruled out: more at once, which would take descriptors that `limits.sockets` gives to routers.

--- a/sablewheel/membership/shell.py
+++ b/sablewheel/membership/shell.py
@@ -21,11 +21,12 @@
 from .events import Event, Got, Judge, Note, Part, Send, Tick, Viewed
 from .messages import Ask, Envelope, Message, Sync
 from .node import Node
-from .plan import MembershipPlan, address_of
+from .plan import Address, MembershipPlan, address_of
 from .view import Fact, Member, Says, View, fingerprint
 
-FRAMES_OUT_MOST = 8  # full states on their way at once; one more is dropped, the next exchange heals it
-FRAMES_IN_MOST = 32
+FRAMES_OUT_MOST = 8  # full states on their way at once, each with a descriptor; more wait their turn
+FRAMES_WAITING_MOST = 2048  # one to each member, and each who joins; past it the next exchange heals the loss
+FRAMES_IN_MOST = 32  # at once; more wait in the kernel's line
 FRAME_WITHIN = 2.0  # from connecting to the last byte, each way
 LOUD = ("view", "left out", "removed", "added", "leaving", "paused", "classic round")
 
@@ -56,6 +57,8 @@
         self.node = Node(me, plan.seeds, plan.settings, chance, clock())
         self._wake = Wake(scheduler, clock, self._ring)
         self._frames_out = self._frames_in = 0
+        self._waiting: dict[tuple[Address, bool], tuple[Message, float]] = {}  # frames, and until when
+        self._framed: tuple[Message, bytes] | None = None  # the last frame's bytes, while others wait
         self._open = True
         self._listeners: list[Callable[[View], None]] = []
         self._views: deque[View] = deque()  # installed, and not told yet; what is told may install more
@@ -197,11 +200,7 @@
         if address is None:
             return self._count("unsent")
         if isinstance(effect.message.body, Sync):
-            if self._frames_out >= FRAMES_OUT_MOST:
-                return self._count("frames_dropped")
-            self._frames_out += 1
-            self._scheduler.spawn(self._send_frame, effect.message, address)
-            return
+            return self._queue_frame(effect.message, effect.message.body.reply, address)
         try:
             data = codec.encode(effect.message)
         except codec.BadPacketError:
@@ -212,22 +211,50 @@
         else:
             self._count("unsent")
 
-    def _send_frame(self, message: Message, address: tuple[str, int]) -> None:
+    def _queue_frame(self, message: Message, reply: bool, address: Address) -> None:
+        """Whoever founds a fleet, or lets many in, has a frame for each of them at once."""
+        place = address, reply  # a later one takes the place of one that waits
+        if place not in self._waiting and len(self._waiting) >= FRAMES_WAITING_MOST:
+            return self._count("frames_dropped")
+        self._waiting[place] = message, self._clock() + FRAME_WITHIN
+        if self._frames_out < FRAMES_OUT_MOST:
+            self._frames_out += 1
+            self._scheduler.spawn(self._send_frames)
+
+    def _send_frames(self) -> None:
+        """One after the other, while any wait; who was not reached in time asks again anyway."""
+        try:
+            while self._open and self._waiting:
+                place = next(iter(self._waiting))
+                message, due = self._waiting.pop(place)
+                if self._clock() > due:
+                    self._count("frames_aged")
+                else:
+                    self._send_frame(message, place[0])
+        finally:
+            self._frames_out -= 1
+            if not self._frames_out:
+                self._framed = None
+
+    def _send_frame(self, message: Message, address: Address) -> None:
         stream = None
         try:
             stream = connect(self._scheduler, address, FRAME_WITHIN, self._plan.listen[0])
             if stream is None:
                 return self._count("frames_failed")
             limit = self._scheduler.after(FRAME_WITHIN, stream.close)
-            data = codec.frame(message)
+            if self._framed is None or self._framed[0] != message:
+                self._framed = message, codec.frame(message)  # a large view is dear, and many get the same
+            data = self._framed[1]
             self._count("out_sync")
             self._count("bytes_out", len(data))
             stream.write(data)
             stream.flush()
             stream.read()  # the other side closes once it has it all
             limit.cancel()
+        except codec.BadPacketError:
+            self._count("unsent")  # a view of absurd size: not worth a fall
         finally:
-            self._frames_out -= 1
             if stream is not None:
                 stream.close()
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,10 +4,11 @@
 
 import random
 from pathlib import Path
+from typing import ClassVar
 
 import pytest
 
-from sablewheel.membership import codec
+from sablewheel.membership import codec, shell
 from sablewheel.membership import membership_pb2 as pb
 from sablewheel.membership.agree import Agreement
 from sablewheel.membership.detector import RELAYED_MOST
@@ -606,3 +607,70 @@
     draw(figures, tmp_path / "two.svg")
     assert (tmp_path / "one.svg").stat().st_size > 5000
     assert (tmp_path / "one.svg").read_bytes() == (tmp_path / "two.svg").read_bytes()
+
+
+MANY = 1024  # servers, in a large fleet
+
+
+class Taken:
+    """A connection that takes all it is given, after a moment."""
+
+    open_now = most = 0
+    got: ClassVar[list[bytes]] = []
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+        Taken.open_now += 1
+        Taken.most = max(Taken.most, Taken.open_now)
+
+    def write(self, data: bytes) -> None:
+        self.got.append(data)
+
+    def flush(self) -> None: ...
+    def read(self) -> bytes:
+        self._scheduler.sleep(0.0)
+        return b""
+
+    def close(self) -> None:
+        Taken.open_now -= 1
+
+
+def test_a_full_state_goes_to_1024_at_once_few_at_a_time_and_is_encoded_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scheduler, block, encoded, now = Scheduler(Clock()), Block(), list[Message](), [100.0]
+    frame = codec.frame
+
+    def encodes(message: Message) -> bytes:
+        encoded.append(message)
+        return frame(message)
+
+    monkeypatch.setattr(shell, "connect", lambda *_: Taken(scheduler))
+    monkeypatch.setattr(codec, "frame", encodes)
+    host = f"127.{block.second}.0.1"
+    plan = MembershipPlan((host, PORT), f"{host}:{PORT}", "z", "r", (f"{host}:{PORT}",))
+    fleet = Fleet(scheduler, plan, "m0", 1, lambda: now[0])
+    view = View(1, tuple(Member(f"m{place:04}", "127.0.0.1:9", incarnation=1) for place in range(MANY)))
+
+    def ask(first: int, past: int, reply: bool = True) -> None:
+        for place in range(first, past):
+            body = Sync(View(1, view.members), (("m0", 1),), reply)
+            fleet._send(Send(f"203.0.113.1:{place + 1}", Message(Envelope("m0", 1), body)))
+
+    def rounds() -> None:
+        scheduler.after(0.3, scheduler.stop)
+        scheduler.run()
+        scheduler._stopped = False
+
+    ask(0, MANY)
+    ask(0, 9)  # as soon again: a later one takes the place of one that waits
+    rounds()
+    assert len(Taken.got) == MANY and len(encoded) == 1 and fleet._framed is None
+    assert 1 < Taken.most <= shell.FRAMES_OUT_MOST and Taken.open_now == 0
+    ask(0, shell.FRAMES_WAITING_MOST + 7)
+    assert shell.FRAMES_WAITING_MOST >= MANY and fleet.gauges()["members_frames_dropped"] == 7
+    now[0] += shell.FRAME_WITHIN + 0.1  # whoever asked has asked again since
+    rounds()
+    assert len(Taken.got) == MANY and fleet.gauges()["members_frames_aged"] == shell.FRAMES_WAITING_MOST
+    fleet.close()
+    block.close()
