Ledger: the collector takes 2,048 servers by default, not 512

Cause: `connections-most` of the collector (ledger/plan.py, program/features.py) was 512, one connection a server: of a larger fleet the rest would have waited in the kernel's line for good, and their entries in the servers' memory until they are folded to totals. It is twice 1,024, since a server that is restarted may come before its predecessor's connection is seen to be over. Nothing is reserved: a connection is made when a server comes, and where there is no descriptor for it the listener waits as before (transport/stream.py). Ruled out: more than 10,000, which the key does not take.

--- a/sablewheel/ledger/plan.py
+++ b/sablewheel/ledger/plan.py
@@ -78,7 +78,7 @@
     calendar: Calendar = Calendar()
     customers: frozenset[str] = frozenset()
     frame_most: int = 1 << 22
-    connections_most: int = 512
+    connections_most: int = 2048  # one a server, and for a while one of its predecessor
     silent_most: float = 600.0
     skew_most: float = 300.0
     close_every: float = 5.0
--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -544,7 +544,7 @@
     period: PeriodSection = PeriodSection()
     customers: list[str] = []
     frame_most_kb: Annotated[int, Field(ge=64, le=65536)] = 4096
-    connections_most: Annotated[int, Field(ge=1, le=10_000)] = 512
+    connections_most: Annotated[int, Field(ge=1, le=10_000)] = 2048
     silent_most_s: Some = 600.0
     skew_most_s: Seconds = 300.0
     close_every_s: Some = 5.0
