Links to peers and their descriptors go by the view, up to 2,048, not 64

Cause: a server had room for 64 links, both ways (forwarding/plan.py, `links_most`), the same in any fleet: in one of 230 most peers could not be linked with, so tickets, copies and bundles for them were refused (`refused_links`) or their connections waited in the kernel's line. And all 64 were taken from routers' connections at the start, needed or not (program/parts.py, `sockets`); 2,048 taken so would have left routers half of their connections in a fleet of three. Now there is room for twice the members of the view, 64 at least and `links-most` (2,048) at most, but never more than half of the connections there may be; once a second routers are given what that leaves (Application, Server.allow). With `limits.sockets` 1024: routers have 940 in fleets up to 32, as before, 544 in one of 230, 502 from 251 on; more need more descriptors in `limits.sockets`. The policy's `peers` of `forward-near` took 64 at most (capability/ability.py): 1,024. Ruled out: links taken out of what routers hold at that moment: a table full of routers would leave peers none. Tests: tests/test_caps.py: room in views of 0 to 1,024 members, 120 of 121 guests let in over loopback in a view of 60 (64 before), routers' share as the need changes.

--- a/sablewheel/capability/ability.py
+++ b/sablewheel/capability/ability.py
@@ -85,7 +85,7 @@
         for one in (
             Feature("forward-near", 0, "tickets passed on within the zone", (LINKS,),
                     memory=2 * MB, millicores=20, descriptors=8,
-                    parameters=(Parameter("peers", 1, 64, memory=64 << 10, descriptors=1),)),
+                    parameters=(Parameter("peers", 1, 1024, memory=64 << 10, descriptors=1),)),
             Feature("forward-far", 1, "tickets passed on to other zones", (LINKS,), ("forward-near",),
                     memory=2 * MB, millicores=20, descriptors=8),
             Feature("replicated-labels", 2, "one run a label over the whole fleet", (LINKS, LABELS),
--- a/sablewheel/forwarding/links.py
+++ b/sablewheel/forwarding/links.py
@@ -22,6 +22,8 @@
 from .plan import Address, LinkSettings
 
 WINDOW = 65_536  # bytes handed to a connection beyond what it has sent; past it one accepted reads no more
+LINKS_LEAST = 64  # connections there is room for in any view, small or not there yet
+LINKS_EACH = 2  # a member: two that reach for each other at once have both for a moment
 LOOK = 0.005  # while a connection takes no more
 SAYS = "link"  # under which a member says where its links are reached
 
@@ -138,7 +140,7 @@
         peer.bytes += len(data)
         self._dirty[peer] = None
         if peer.wire is None and not peer.connecting:
-            if len(self._wires) + self._guests >= settings.links_most:
+            if not self._room():
                 self._drop_queue(peer, "refused_links")
                 return True  # told by `unsent`, as it is with any connection that is not made
             peer.connecting = True
@@ -172,6 +174,11 @@
         peer = self._peers.get(name)
         return peer is not None and peer.wire is not None
 
+    @property
+    def room_for(self) -> int:
+        """Connections there may be by now: as many as the members of the view need, within the bound."""
+        return min(self._settings.links_most, max(LINKS_LEAST, LINKS_EACH * len(self._addresses)))
+
     @property
     def quiet(self) -> bool:
         """Whether all that was sent has left this machine."""
@@ -296,7 +303,7 @@
     # -- in
 
     def _room(self) -> bool:
-        return len(self._wires) + self._guests < self._settings.links_most
+        return len(self._wires) + self._guests < self.room_for
 
     def _accepted(self, stream: Stream) -> None:
         self._guests += 1
--- a/sablewheel/forwarding/plan.py
+++ b/sablewheel/forwarding/plan.py
@@ -14,7 +14,7 @@
     frame_most: int = 1 << 20  # bytes of one frame
     queue_frames: int = 1024  # a peer, not yet handed to its connection
     queue_bytes: int = 4 << 20
-    links_most: int = 64  # connections, both ways
+    links_most: int = 2048  # connections, both ways; below it as many as the view needs
     connect_within: float = 0.5  # to the end of the hello
     ping_every: float = 0.2
     silent_most: float = 0.8  # without a word, while pinged: the link counts as broken
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from .features import Features
 
+SHARE_EVERY = 1.0  # how often it is looked how many connections features leave to routers
 REPORT_EVERY = 0.25  # a server silent for 3 s is off the list, and one report in a few may be lost
 CONNECT_MOST = 1.0  # one try to reach the interpreter
 LAST_INSTANT = 0.03  # before the stop: whoever still has a connection open then is left behind
@@ -104,10 +105,12 @@
             self._standing,
             self._feature.desk(self._dispatch),
             count,
-            max(posting.connections_most - self._feature.sockets, posting.connections_most // 2),
+            self._for_routers(),
             self._feature.witness,
             posting.machine.routers,
         )
+        if features is not None and features.any:
+            scheduler.every(SHARE_EVERY, lambda: self._server.allow(self._for_routers()))
         self._listener = Listener(
             scheduler,
             posting.listen,
@@ -297,6 +300,11 @@
 
     # -- small duties
 
+    def _for_routers(self) -> int:
+        """How many connections routers may have beside what features need by now."""
+        most = self._posting.connections_most
+        return max(most - self._feature.sockets, most // 2)
+
     def _report(self) -> None:
         """To the name service, well within the time after which it takes a silent server off its list.
 
--- a/sablewheel/program/feature.py
+++ b/sablewheel/program/feature.py
@@ -26,7 +26,7 @@
 
     @property
     def sockets(self) -> int:
-        """Descriptors that routers' connections don't get."""
+        """Descriptors that routers' connections don't get by now; some need more in a larger view."""
 
     @property
     def last_notice(self) -> int:
@@ -98,7 +98,7 @@
     gate: Callable[[Desk], Desk] | None = None  # a desk within all others: what peers pass here meets it too
     machine: Callable[[Machine], Machine] | None = None
     hangup: Callable[[], None] | None = None
-    sockets: int = 0  # descriptors it may hold, which routers' connections then don't get
+    sockets: Callable[[], int] | None = None  # descriptors it may hold, which routers' connections don't get
     up_at: Callable[[], float] | None = None
     last_notice: Callable[[], int] | None = None
     end_round: Callable[[], None] | None = None
--- a/sablewheel/program/features.py
+++ b/sablewheel/program/features.py
@@ -337,7 +337,7 @@
 
     listen: Address
     advertise: Address | None = None
-    links_most: Annotated[int, Field(ge=2, le=4096)] = 64
+    links_most: Annotated[int, Field(ge=2, le=4096)] = 2048
     frame_most_kb: Annotated[int, Field(ge=16, le=65536)] = 1024
     queue_frames: Annotated[int, Field(ge=16, le=1 << 20)] = 1024
     queue_kb: Annotated[int, Field(ge=16, le=1 << 20)] = 4096
--- a/sablewheel/program/parts.py
+++ b/sablewheel/program/parts.py
@@ -183,8 +183,10 @@
     fleet, posting = ground.fleet, ground.posting
     assert fleet is not None  # the section needs membership's
     born = fleet.node.me.incarnation
+    # At least half of the connections there may be stays for routers.
+    settings = replace(plan.links, links_most=min(plan.links.links_most, posting.connections_most // 2))
     with _listening("forwarding", plan.listen):
-        links = ground.links = Links(ground.scheduler, plan.listen, plan.links, fleet.me, born)
+        links = ground.links = Links(ground.scheduler, plan.listen, settings, fleet.me, born)
     forward = ground.forward = Forward(
         ground.scheduler,
         links,
@@ -198,7 +200,7 @@
     fleet.on_view(forward.view)
     return Part(
         desk=forward.desk,
-        sockets=plan.links.links_most,
+        sockets=lambda: links.room_for,
         leaving=lambda: forward.leaving() if ground.leave is not None else None,
         end_round=links.end_round,
         settled=lambda: forward.settled and links.quiet,
@@ -382,7 +384,7 @@
             made.append(part)
         self.witness, self.memory = ground.witness, ground.memory
         self._made = made
-        self.sockets = sum(part.sockets for part in made)
+        self._sockets = [part.sockets for part in made if part.sockets is not None]
         made = made[::-1]  # the last made comes first
         self._end_round = [part.end_round for part in made if part.end_round is not None]
         self._leaving = [part.leaving for part in made if part.leaving is not None]
@@ -391,6 +393,10 @@
         self._close = [part.close for part in made if part.close is not None]
         self._up_at = [part.up_at for part in made if part.up_at is not None]
 
+    @property
+    def sockets(self) -> int:
+        return sum(sockets() for sockets in self._sockets)
+
     @property
     def up_at(self) -> float:
         return max((up_at() for up_at in self._up_at), default=0.0)
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -275,6 +275,10 @@
         """
         self._routers_most = max(ROUTERS_LEAST, ROUTERS_TIMES * routers, self._connections_most)
 
+    def allow(self, connections_most: int) -> None:
+        """So many connections from now on; what is unused beyond them goes as in any crowd."""
+        self._connections_most = connections_most
+
     def accepted(self, stream: Stream) -> None:
         self.count("connections_in")
         connection = Connection(self, stream)
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -2,29 +2,40 @@
 
 from __future__ import annotations
 
-import random
+import json
+import socket
 import tracemalloc
+from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from test_routing import MACHINE
 from world import Town
 
+from sablewheel.capability.ability import CATALOGUE
+from sablewheel.forwarding.links import Links
+from sablewheel.forwarding.plan import LinkSettings
+from sablewheel.ledger.collector import Collector
+from sablewheel.ledger.plan import CollectorPlan
 from sablewheel.membership import codec
 from sablewheel.membership.detector import RELAYED_MOST
 from sablewheel.membership.events import Got, Send, Tick
 from sablewheel.membership.gossip import NEWS_KEPT
-from sablewheel.membership.messages import Alive, Envelope, Join, Message, Nack, PingReq, Vote, Votes
-from sablewheel.membership.node import Node
+from sablewheel.membership.messages import Alive, Envelope, Message, Nack, PingReq, Vote, Votes
 from sablewheel.membership.plan import Settings
 from sablewheel.membership.reports import Reports
 from sablewheel.membership.reports import _fitting as fitting
-from sablewheel.membership.roster import JOINERS_MOST
-from sablewheel.membership.view import Change, Kind, Member, proposal
+from sablewheel.membership.view import Change, Kind, Member, View, proposal
 from sablewheel.membership.voting import _fitting as votes_fitting
+from sablewheel.program import application, configuration, features
+from sablewheel.program.parts import Parts
 from sablewheel.protocol import resp
 from sablewheel.routing.server import ROUTERS_TIMES
 from sablewheel.terms import Router
+from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.trials.fleet import Block
 from sablewheel.trials.made_net import Net
+from sablewheel.trials.rig import free_port
 
 LEAST = 1024  # the operators' own bound
 ENTRY_BYTES = 256  # a router remembered: its object, its number and its place in the table
@@ -119,26 +130,6 @@
     assert 0 < sum(name in there for name in judged) <= 10 * standing
 
 
-def asks(node: Node, now: float, name: str, address: str) -> None:
-    member = Member(name, address, incarnation=1)
-    node.step(now, Got(Message(Envelope(name, 0), Join(member)), "x"))
-
-
-def test_a_seed_is_heard_behind_more_askers_than_there_is_room_for_and_the_silent_make_room() -> None:
-    seeds = ("127.0.0.1:7000", "127.0.0.1:7001", "127.0.0.1:7002")
-    node = Node(Member("s0", seeds[0], incarnation=1), seeds, Settings(), random.Random(1), 0.0)
-    for place in range(JOINERS_MOST + 10):
-        asks(node, 0.5, f"x{place}", "127.0.0.1:9")
-    held = node.joining._viewless
-    assert JOINERS_MOST >= LEAST and len(held) == JOINERS_MOST and node.counts["joins_refused"] == 10
-    asks(node, 1.0, "s1", seeds[1])
-    assert "s1" in held and len(held) == JOINERS_MOST and "x0" not in held
-    asks(node, 1.0, "late", "127.0.0.1:9")
-    assert "late" not in held  # all others asked just now
-    asks(node, 4.0, "late", "127.0.0.1:9")  # but the seed, all were silent for long
-    assert node.view is not None and node.members == ("late", "s0", "s1")
-
-
 def test_votes_fit_a_datagram_whoever_joins_or_goes_at_once() -> None:
     def members(what: str, many: int, size: int) -> list[Member]:
         return [Member(f"{what}{n:05}".ljust(size, "x"), "203.0.113.100:65535", "zone", "region", 10**12)
@@ -178,3 +169,78 @@
     bodies = [one.message.body for one in sent if isinstance(one, Send)]
     nacks = [body.seq for body in bodies if isinstance(body, Nack)]
     assert nacks == list(range(RELAYED_MOST)) and not node.detector.relayed
+
+
+# -- links, the descriptors that they take, and the ledger's collector
+
+
+def test_links_have_room_for_1024_members_both_ways_and_keep_no_more_than_the_view_needs() -> None:
+    scheduler, port = Scheduler(Clock()), free_port()
+    links = Links(scheduler, ("127.0.0.1", port), LinkSettings(), "m0000", 1)
+
+    def fleet(many: int) -> View:
+        says = (("link", "127.0.0.1:9"),)
+        return View(1, tuple(Member(f"m{place:04}", "", incarnation=1, says=says) for place in range(many)))
+
+    for many, room in ((0, 64), (3, 64), (32, 64), (60, 120), (230, 460), (LEAST, 2 * LEAST)):
+        links.view(fleet(many))
+        assert links.room_for == room
+    links._guests = 2 * LEAST - 1
+    assert links._room()
+    links._guests = 2 * LEAST
+    assert not links._room()
+    links._guests = 0
+    links.view(fleet(60))
+    peers = [socket.create_connection(("127.0.0.1", port)) for _ in range(121)]
+    scheduler.after(0.2, scheduler.stop)
+    scheduler.run()
+    assert links._guests == 120  # one past them waits in the kernel's line
+    for peer in peers:
+        peer.close()
+    links.close()
+
+
+def test_routers_have_the_connections_that_links_do_not_need_and_half_of_them_in_any_case(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    block = Block()
+    host, told = f"127.{block.second}.0.1", tmp_path / "configuration.json"
+    track = {"name": "lookup", "on-time-s": 1.0, "deadline-s": 4.0, "repeat": "safe"}
+    settings = {"classes": [track], "extra": {"cores": 2, "memory-kb": 20000}, "safety": {"fall-multiple": 5}}
+    places = {key: f"{host}:{port}" for key, port in (("listen", 7001), ("vm", 6100), ("naming", 2379))}
+    told.write_text(json.dumps({"name": "n1", "seed": "2a", **places, "settings": settings}))
+    on = tmp_path / "features.yaml"
+    on.write_text(
+        f"version: 1\nmembership:\n  listen: {host}:7700\n  zone: a\n  region: b\n  seeds: [{host}:7700]\n"
+        f"forwarding:\n  listen: {host}:7702\n"
+    )
+    monkeypatch.setattr(application, "SHARE_EVERY", 0.01)
+    one = application.Application(configuration.posting({"RELAY_CONFIG": str(told)}), features.read(on))
+    assert one._server._connections_most == 1004 - 64
+    parts = one._feature
+    assert isinstance(parts, Parts)
+    for needs, left in ((460, 544), (2048, 502), (64, 940)):
+        parts._sockets[:] = [lambda needs=needs: needs]  # type: ignore[misc]
+        one._scheduler.after(0.05, one._scheduler.stop)
+        one._scheduler.run()
+        one._scheduler._stopped = False
+        assert one._server._connections_most == left
+    one._listener.close()
+    parts.close(0.0)
+    block.close()
+
+
+def test_the_collector_takes_1024_servers_and_as_many_more_that_are_new_in_their_place() -> None:
+    plan = CollectorPlan(Path("book"), ("127.0.0.1", 1))
+    assert features.CollectorSection(book="book", listen="127.0.0.1:1").plan().connections_most == (
+        plan.connections_most
+    )
+    crowd = SimpleNamespace(connections=dict.fromkeys(range(2 * LEAST - 1)), _plan=plan)
+    assert Collector._room(crowd)  # type: ignore[arg-type]
+    crowd.connections[-1] = None
+    assert not Collector._room(crowd)  # type: ignore[arg-type]
+
+
+def test_a_policy_may_ask_for_links_to_1024_peers() -> None:
+    [peers] = CATALOGUE["forward-near"].parameters
+    assert peers.least == 1 and peers.most >= LEAST
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -674,3 +674,23 @@
     assert len(Taken.got) == MANY and fleet.gauges()["members_frames_aged"] == shell.FRAMES_WAITING_MOST
     fleet.close()
     block.close()
+
+
+def asks(node: Node, now: float, name: str, address: str) -> None:
+    member = Member(name, address, incarnation=1)
+    node.step(now, Got(Message(Envelope(name, 0), Join(member)), "x"))
+
+
+def test_a_seed_is_heard_behind_more_askers_than_there_is_room_for_and_the_silent_make_room() -> None:
+    seeds = ("127.0.0.1:7000", "127.0.0.1:7001", "127.0.0.1:7002")
+    node = Node(Member("s0", seeds[0], incarnation=1), seeds, Settings(), random.Random(1), 0.0)
+    for place in range(JOINERS_MOST + 10):
+        asks(node, 0.5, f"x{place}", "127.0.0.1:9")
+    held = node.joining._viewless
+    assert JOINERS_MOST >= MANY and len(held) == JOINERS_MOST and node.counts["joins_refused"] == 10
+    asks(node, 1.0, "s1", seeds[1])
+    assert "s1" in held and len(held) == JOINERS_MOST and "x0" not in held
+    asks(node, 1.0, "late", "127.0.0.1:9")
+    assert "late" not in held  # all others asked just now
+    asks(node, 4.0, "late", "127.0.0.1:9")  # but the seed, all were silent for long
+    assert node.view is not None and node.members == ("late", "s0", "s1")
