Membership: joins that gather are not judged one by one when somebody is suspected either

Cause: with any suspicion held, Reports.cut judged all reports at each that came, also while there were but joins that wait for more. The suspected matter there in one way only, whether the side is a small one (_is_few), and that is asked first now; the outcome was None either way. Met where 227 that say 210 bytes of themselves join 3 (made network): they come in by five views and some are suspected meanwhile.

--- a/sablewheel/membership/reports.py
+++ b/sablewheel/membership/reports.py
@@ -131,9 +131,9 @@
         self._fresh = False
         if self._gather_until is not None and now >= self._gather_until:
             self._gather_until = None
-        if self._only_gathers(facts):
-            return None
         gone = self._suspicions.gone()
+        if self._only_gathers(gone, facts):
+            return None
         stable = self._stable(gone)
         going = {one.member.name for one in stable if one.kind is Kind.REMOVE}
         changes = _fitting(stable) + facts
@@ -151,13 +151,14 @@
         self._held_since = None
         return proposal(changes)
 
-    def _only_gathers(self, facts: list[Change]) -> bool:
+    def _only_gathers(self, gone: set[str], facts: list[Change]) -> bool:
         """Whether there are but joins, which wait for more: whatever is stable, no cut would come of it.
 
         Guards a fleet into which many come at once: each of their reports would be judged with all others.
         """
-        calm = not (facts or self._few or self._removing or self._suspicions.held)
-        return calm and self._gather_until is not None
+        if self._gather_until is None or facts or gone or self._removing:
+            return False
+        return not (self._few or self._is_few(set(self._suspicions.held)))
 
     def _waits(self, now: float, stable: list[Change], going: set[str]) -> bool:
         """Rapid: a cut waits while another subject stands between the marks; ours also while another member
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -40,6 +40,7 @@
 )
 from sablewheel.membership.node import Node
 from sablewheel.membership.plan import BROKEN, MembershipPlan, Mode, Settings
+from sablewheel.membership.reports import Reports
 from sablewheel.membership.roster import JOINERS_MOST
 from sablewheel.membership.shell import Fleet
 from sablewheel.membership.view import Change, Fact, Kind, Member, View, fingerprint, proposal, rings
@@ -694,3 +695,30 @@
     assert "late" not in held  # all others asked just now
     asks(node, 4.0, "late", "127.0.0.1:9")  # but the seed, all were silent for long
     assert node.view is not None and node.members == ("late", "s0", "s1")
+
+
+def test_while_joins_gather_reports_are_not_judged_one_by_one_though_another_is_suspected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    judged: list[str] = []
+    stable = Reports._stable
+
+    def counted(reports: Reports, gone: set[str]) -> list[Change]:
+        judged.append(reports._roster.me.name)
+        return stable(reports, gone)
+
+    monkeypatch.setattr(Reports, "_stable", counted)
+    net = started(20)
+    net.kill("m3")
+    net.run(net.now + 1.5)
+    doubting = [name for name, node in net.nodes.items() if name != "m3" and node.suspicions.held]
+    assert len(doubting) > 10
+    judged.clear()
+    for place in range(40):
+        net.add(f"x{place}")
+    net.run(net.now + 0.4)  # less than a period: they gather
+    reported = [len(net.nodes[name].reports.alerts) for name in doubting]
+    assert min(reported) >= 40 and judged == []
+    net.run(net.now + 20.0)
+    views = set(net.views().values())
+    assert len(views) == 1 and len(views.pop()) == 59
