Datagrams of a large fleet wait in a receive buffer sized for it

Cause: what a whole fleet says at once was lost in the socket's default receive buffer (transport/datagram.py, Mailbox): 256 datagrams of 104 bytes fit. 227 that join 3 at once are reported thrice each; of some only two reports came, so these stood between the marks and held the others' joins back for `settle`, twice at most. 2 MB are asked for now; the kernel gives as much as net.core.rmem_max allows (4 MB here), and holds memory only for what waits: 5,041 such datagrams. Nothing is raised past what the machine allows.

--- a/sablewheel/transport/datagram.py
+++ b/sablewheel/transport/datagram.py
@@ -9,6 +9,7 @@
 from .stream import Address
 
 BURST = 64  # datagrams taken in one round: a flood of them must not keep tickets waiting
+WAITING_BYTES = 1 << 21  # for those that wait: the kernel gives what it allows, and holds what there is
 
 
 class Post:
@@ -42,6 +43,8 @@
         self._scheduler, self._most, self._took = scheduler, most, took
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
+        # Guards against the loss of what a large fleet says at once: by default some 250 small ones fit.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WAITING_BYTES)
         self._socket.bind(address)
         self._open = True
         scheduler.spawn(self._receive)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -8,9 +8,11 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator
+from pathlib import Path
 
 import pytest
 
+from sablewheel.transport.datagram import WAITING_BYTES, Mailbox
 from sablewheel.transport.scheduler import READABLE, WRITABLE, Clock, Scheduler
 from sablewheel.transport.stream import Listener, Stream, connect
 
@@ -185,3 +187,17 @@
         address = free.getsockname()
     play(scheduler, lambda: seen.append(connect(scheduler, address, 0.2)))
     assert seen == [None]
+
+
+def test_a_mailbox_holds_what_1024_say_at_once_as_far_as_the_kernel_allows() -> None:
+    allowed = int(Path("/proc/sys/net/core/rmem_max").read_text())
+    scheduler, got = Scheduler(Clock()), list[bytes]()
+    box = Mailbox(scheduler, ("127.0.0.1", 0), 1000, lambda data, _: got.append(data))
+    room = box._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    assert room == 2 * min(WAITING_BYTES, allowed)  # the kernel counts its own part
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for number in range(1024):  # all before the first round, as while the process is busy
+            sender.sendto(b"%d" % number + bytes(100), box._socket.getsockname())
+    play(scheduler)
+    assert len(got) >= min(1024, room // 1280)
+    box.close()
