--- /dev/null
+++ b/tests/test_caps.py
@@ -0,0 +1,246 @@
+"""No bound below 1,024 on any list of servers or clients, each tried at its border."""
+
+from __future__ import annotations
+
+import json
+import socket
+import tracemalloc
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+from test_routing import MACHINE
+from world import Town
+
+from sablewheel.capability.ability import CATALOGUE
+from sablewheel.forwarding.links import Links
+from sablewheel.forwarding.plan import LinkSettings
+from sablewheel.ledger.collector import Collector
+from sablewheel.ledger.plan import CollectorPlan
+from sablewheel.membership import codec
+from sablewheel.membership.detector import RELAYED_MOST
+from sablewheel.membership.events import Got, Send, Tick
+from sablewheel.membership.gossip import NEWS_KEPT
+from sablewheel.membership.messages import Alive, Envelope, Message, Nack, PingReq, Vote, Votes
+from sablewheel.membership.plan import Settings
+from sablewheel.membership.reports import Reports
+from sablewheel.membership.reports import _fitting as fitting
+from sablewheel.membership.view import Change, Kind, Member, View, proposal
+from sablewheel.membership.voting import _fitting as votes_fitting
+from sablewheel.program import application, configuration, features
+from sablewheel.program.parts import Parts
+from sablewheel.protocol import resp
+from sablewheel.routing.server import ROUTERS_TIMES
+from sablewheel.terms import Router
+from sablewheel.transport.scheduler import Clock, Scheduler
+from sablewheel.trials.fleet import Block
+from sablewheel.trials.made_net import Net
+from sablewheel.trials.rig import free_port
+
+LEAST = 1024  # the operators' own bound
+ENTRY_BYTES = 256  # a router remembered: its object, its number and its place in the table
+
+
+def heard(town: Town, number: int) -> Router:
+    asked = resp.Asked(
+        tag=1, name=b"a", track=b"lookup", router=b"%d" % number, customer=b"acme", since=town.now, kb=10.0,
+        label=None, subject=None, body=b"", until=None, again=False, estimate=None,
+    )  # fmt: skip
+    return town.server.ticket(asked).router
+
+
+def test_1024_routers_are_remembered_whatever_the_settings_tell_and_an_entry_is_small() -> None:
+    town = Town(MACHINE)
+    empty = len(town.server._routers)
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        first = [heard(town, 10**18 + place) for place in range(LEAST - empty)]
+        took = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert took < LEAST * ENTRY_BYTES, took
+    assert heard(town, 10**18) is first[0]  # the table is full to the border and nobody had to go
+    assert heard(town, 7) is not first[0] and heard(town, 10**18) is first[0]
+    assert heard(town, 10**18 + 1) is not first[1]  # one past the border: who was heard longest ago went
+    assert len(town.server._routers) == LEAST
+
+
+def test_more_routers_are_remembered_where_the_settings_or_the_descriptors_allow_more() -> None:
+    town = Town(MACHINE)
+    town.server.expect(3000)
+    first = heard(town, 1)
+    for number in range(2, ROUTERS_TIMES * 3000 + 1):
+        heard(town, number)
+    assert heard(town, 1) is first and len(town.server._routers) == ROUTERS_TIMES * 3000
+    town.server.expect(1)  # a new configuration tells of one
+    heard(town, 1)
+    assert len(town.server._routers) == LEAST
+    town.server._connections_most = 1500
+    town.server.expect(1)
+    for number in range(2, 2000):
+        heard(town, number)
+    assert len(town.server._routers) == 1500
+
+
+# -- membership: who starts at once, who joins at once, who is heard of at once
+
+
+def settled(net: Net, within: float) -> float:
+    """Seconds until all hold one view of all; fails past `within`."""
+    begun = net.now
+    while net.now < begun + within:
+        net.run(net.now + 0.5)
+        views = {node.view for node in net.nodes.values()}
+        if len(views) == 1 and None not in views and len(views.pop().members) == len(net.nodes):  # type: ignore[union-attr]
+            return net.now - begun
+    raise AssertionError(sorted(len(view) for view in net.views().values()))
+
+
+@pytest.mark.parametrize("many", [230, 256, 1024])
+def test_a_fleet_that_starts_all_at_once_founds_one_view_of_all(many: int) -> None:
+    net = Net(Settings(), 3)
+    for place in range(many):
+        net.add(f"m{place:04}")
+    assert settled(net, 10.0) <= 4.0 and len(net.nodes["m0001"].members) == many
+
+
+@pytest.mark.parametrize("standing, many", [(3, 256), (40, 120)])
+def test_who_joins_at_once_comes_in_by_a_view_and_reports_are_not_judged_one_by_one(
+    standing: int, many: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    judged: list[str] = []
+    stable = Reports._stable
+
+    def counted(reports: Reports, gone: set[str]) -> list[Change]:
+        judged.append(reports._roster.me.name)
+        return stable(reports, gone)
+
+    monkeypatch.setattr(Reports, "_stable", counted)
+    net = Net(Settings(), 3)
+    for place in range(standing):
+        net.add(f"m{place:04}")
+    net.run(8.0)
+    judged.clear()
+    there = set(net.nodes)
+    for place in range(standing, many):
+        net.add(f"m{place:04}")
+    assert settled(net, 10.0) <= 3.0
+    # Not once for each of the reports, which are some hundreds on each member that stood.
+    assert 0 < sum(name in there for name in judged) <= 10 * standing
+
+
+def test_votes_fit_a_datagram_whoever_joins_or_goes_at_once() -> None:
+    def members(what: str, many: int, size: int) -> list[Member]:
+        return [Member(f"{what}{n:05}".ljust(size, "x"), "203.0.113.100:65535", "zone", "region", 10**12)
+                for n in range(many)]  # fmt: skip
+
+    for size in (12, 128):
+        joins = [Change(Kind.JOIN, one) for one in members("j", LEAST, size)]
+        goes = [Change(Kind.REMOVE, one) for one in members("r", LEAST // 2 - 1, size)]
+        some, cut = fitting(joins), fitting(joins + goes)
+        assert 0 < len(some) < LEAST and {one.kind for one in some} == {Kind.JOIN}
+        assert sum(one.kind is Kind.REMOVE for one in cut) == min(len(goes), len(fitting(goes)))
+        assert len(goes) == len(fitting(goes)) or size == 128
+        codec.encode(Message(Envelope("m", 1), Vote(proposal(cut))))
+        bits = (1 << LEAST) - 1
+        tallies = votes_fitting([(proposal(part), bits) for part in (cut, goes[1:] + joins, some, joins[:9])])
+        assert tallies and tallies[0][0] == proposal(cut)
+        codec.encode(Message(Envelope("m", 1), Votes(tuple(tallies))))
+    few = [(proposal(joins[place : place + 2]), 1) for place in range(6)]
+    assert votes_fitting(few) == few[:4]
+
+
+def test_1024_rumours_and_1024_probes_for_others_are_kept_at_once_and_more_in_a_larger_fleet() -> None:
+    assert min(NEWS_KEPT, RELAYED_MOST) >= LEAST
+    net = Net(Settings(), 1)
+    net.stand(2 * LEAST)
+    node = net.nodes["m00000"]
+    for place in range(1, 2 * LEAST):
+        node.gossip.spread(Alive(f"m{place:05}", 2))
+    assert len(node.gossip.news) == 2 * LEAST - 1  # one of each other, none pushed out
+    node.gossip.spread(Alive("m00001", 3))
+    assert len(node.gossip.news) == 2 * LEAST - 1  # the newer took the older's place
+    for seq in range(RELAYED_MOST + 1):
+        body = PingReq(seq, "m00007", "")
+        node.step(net.now, Got(Message(Envelope(f"m{seq % LEAST + 1:05}", 1), body), "x"))
+    assert len(node.detector.relayed) == RELAYED_MOST and node.counts["relays_refused"] == 1
+    sent = node.step(net.now + 1.0, Tick())
+    bodies = [one.message.body for one in sent if isinstance(one, Send)]
+    nacks = [body.seq for body in bodies if isinstance(body, Nack)]
+    assert nacks == list(range(RELAYED_MOST)) and not node.detector.relayed
+
+
+# -- links, the descriptors that they take, and the ledger's collector
+
+
+def test_links_have_room_for_1024_members_both_ways_and_keep_no_more_than_the_view_needs() -> None:
+    scheduler, port = Scheduler(Clock()), free_port()
+    links = Links(scheduler, ("127.0.0.1", port), LinkSettings(), "m0000", 1)
+
+    def fleet(many: int) -> View:
+        says = (("link", "127.0.0.1:9"),)
+        return View(1, tuple(Member(f"m{place:04}", "", incarnation=1, says=says) for place in range(many)))
+
+    for many, room in ((0, 64), (3, 64), (32, 64), (60, 120), (230, 460), (LEAST, 2 * LEAST)):
+        links.view(fleet(many))
+        assert links.room_for == room
+    links._guests = 2 * LEAST - 1
+    assert links._room()
+    links._guests = 2 * LEAST
+    assert not links._room()
+    links._guests = 0
+    links.view(fleet(60))
+    peers = [socket.create_connection(("127.0.0.1", port)) for _ in range(121)]
+    scheduler.after(0.2, scheduler.stop)
+    scheduler.run()
+    assert links._guests == 120  # one past them waits in the kernel's line
+    for peer in peers:
+        peer.close()
+    links.close()
+
+
+def test_routers_have_the_connections_that_links_do_not_need_and_half_of_them_in_any_case(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    block = Block()
+    host, told = f"127.{block.second}.0.1", tmp_path / "configuration.json"
+    track = {"name": "lookup", "on-time-s": 1.0, "deadline-s": 4.0, "repeat": "safe"}
+    settings = {"classes": [track], "extra": {"cores": 2, "memory-kb": 20000}, "safety": {"fall-multiple": 5}}
+    places = {key: f"{host}:{port}" for key, port in (("listen", 7001), ("vm", 6100), ("naming", 2379))}
+    told.write_text(json.dumps({"name": "n1", "seed": "2a", **places, "settings": settings}))
+    on = tmp_path / "features.yaml"
+    on.write_text(
+        f"version: 1\nmembership:\n  listen: {host}:7700\n  zone: a\n  region: b\n  seeds: [{host}:7700]\n"
+        f"forwarding:\n  listen: {host}:7702\n"
+    )
+    monkeypatch.setattr(application, "SHARE_EVERY", 0.01)
+    one = application.Application(configuration.posting({"RELAY_CONFIG": str(told)}), features.read(on))
+    assert one._server._connections_most == 1004 - 64
+    parts = one._feature
+    assert isinstance(parts, Parts)
+    for needs, left in ((460, 544), (2048, 502), (64, 940)):
+        parts._sockets[:] = [lambda needs=needs: needs]  # type: ignore[misc]
+        one._scheduler.after(0.05, one._scheduler.stop)
+        one._scheduler.run()
+        one._scheduler._stopped = False
+        assert one._server._connections_most == left
+    one._listener.close()
+    parts.close(0.0)
+    block.close()
+
+
+def test_the_collector_takes_1024_servers_and_as_many_more_that_are_new_in_their_place() -> None:
+    plan = CollectorPlan(Path("book"), ("127.0.0.1", 1))
+    assert features.CollectorSection(book="book", listen="127.0.0.1:1").plan().connections_most == (
+        plan.connections_most
+    )
+    crowd = SimpleNamespace(connections=dict.fromkeys(range(2 * LEAST - 1)), _plan=plan)
+    assert Collector._room(crowd)  # type: ignore[arg-type]
+    crowd.connections[-1] = None
+    assert not Collector._room(crowd)  # type: ignore[arg-type]
+
+
+def test_a_policy_may_ask_for_links_to_1024_peers() -> None:
+    [peers] = CATALOGUE["forward-near"].parameters
+    assert peers.least == 1 and peers.most >= LEAST
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,10 +4,11 @@
 
 import random
 from pathlib import Path
+from typing import ClassVar
 
 import pytest
 
-from sablewheel.membership import codec
+from sablewheel.membership import codec, shell
 from sablewheel.membership import membership_pb2 as pb
 from sablewheel.membership.agree import Agreement
 from sablewheel.membership.detector import RELAYED_MOST
@@ -39,6 +40,7 @@
 )
 from sablewheel.membership.node import Node
 from sablewheel.membership.plan import BROKEN, MembershipPlan, Mode, Settings
+from sablewheel.membership.reports import Reports
 from sablewheel.membership.roster import JOINERS_MOST
 from sablewheel.membership.shell import Fleet
 from sablewheel.membership.view import Change, Fact, Kind, Member, View, fingerprint, proposal, rings
@@ -292,13 +294,13 @@
     node = net.nodes["m0"]
     view = node.view
     assert view is not None
-    for place in range(1000):
+    for place in range(max(JOINERS_MOST, NEWS_KEPT, RELAYED_MOST) + 500):
         member = Member(f"x{place}", "127.0.0.1:9", incarnation=1)
         news = (Alert(view.epoch, "m1", True, member), Alive(f"y{place}", 1), Suspect(f"z{place}", 1, "m1"))
         for body in (Join(member, True), Ping(0, news), PingReq(place, "m2", "?")):
             node.step(net.now, Got(Message(Envelope("m1", view.epoch), body)))
-    assert len(node.reports.alerts) <= JOINERS_MOST and len(node.gossip.news) <= NEWS_KEPT
-    assert len(node.detector.relayed) <= RELAYED_MOST
+    assert len(node.reports.alerts) == JOINERS_MOST and len(node.gossip.news) == NEWS_KEPT
+    assert len(node.detector.relayed) == RELAYED_MOST
     assert set(node.roster.raised) <= set(view.names) and not node.suspicions.held
 
 
@@ -606,3 +608,117 @@
     draw(figures, tmp_path / "two.svg")
     assert (tmp_path / "one.svg").stat().st_size > 5000
     assert (tmp_path / "one.svg").read_bytes() == (tmp_path / "two.svg").read_bytes()
+
+
+MANY = 1024  # servers, in a large fleet
+
+
+class Taken:
+    """A connection that takes all it is given, after a moment."""
+
+    open_now = most = 0
+    got: ClassVar[list[bytes]] = []
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+        Taken.open_now += 1
+        Taken.most = max(Taken.most, Taken.open_now)
+
+    def write(self, data: bytes) -> None:
+        self.got.append(data)
+
+    def flush(self) -> None: ...
+    def read(self) -> bytes:
+        self._scheduler.sleep(0.0)
+        return b""
+
+    def close(self) -> None:
+        Taken.open_now -= 1
+
+
+def test_a_full_state_goes_to_1024_at_once_few_at_a_time_and_is_encoded_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    scheduler, block, encoded, now = Scheduler(Clock()), Block(), list[Message](), [100.0]
+    frame = codec.frame
+
+    def encodes(message: Message) -> bytes:
+        encoded.append(message)
+        return frame(message)
+
+    monkeypatch.setattr(shell, "connect", lambda *_: Taken(scheduler))
+    monkeypatch.setattr(codec, "frame", encodes)
+    host = f"127.{block.second}.0.1"
+    plan = MembershipPlan((host, PORT), f"{host}:{PORT}", "z", "r", (f"{host}:{PORT}",))
+    fleet = Fleet(scheduler, plan, "m0", 1, lambda: now[0])
+    view = View(1, tuple(Member(f"m{place:04}", "127.0.0.1:9", incarnation=1) for place in range(MANY)))
+
+    def ask(first: int, past: int, reply: bool = True) -> None:
+        for place in range(first, past):
+            body = Sync(View(1, view.members), (("m0", 1),), reply)
+            fleet._send(Send(f"203.0.113.1:{place + 1}", Message(Envelope("m0", 1), body)))
+
+    def rounds() -> None:
+        scheduler.after(0.3, scheduler.stop)
+        scheduler.run()
+        scheduler._stopped = False
+
+    ask(0, MANY)
+    ask(0, 9)  # as soon again: a later one takes the place of one that waits
+    rounds()
+    assert len(Taken.got) == MANY and len(encoded) == 1 and fleet._framed is None
+    assert 1 < Taken.most <= shell.FRAMES_OUT_MOST and Taken.open_now == 0
+    ask(0, shell.FRAMES_WAITING_MOST + 7)
+    assert shell.FRAMES_WAITING_MOST >= MANY and fleet.gauges()["members_frames_dropped"] == 7
+    now[0] += shell.FRAME_WITHIN + 0.1  # whoever asked has asked again since
+    rounds()
+    assert len(Taken.got) == MANY and fleet.gauges()["members_frames_aged"] == shell.FRAMES_WAITING_MOST
+    fleet.close()
+    block.close()
+
+
+def asks(node: Node, now: float, name: str, address: str) -> None:
+    member = Member(name, address, incarnation=1)
+    node.step(now, Got(Message(Envelope(name, 0), Join(member)), "x"))
+
+
+def test_a_seed_is_heard_behind_more_askers_than_there_is_room_for_and_the_silent_make_room() -> None:
+    seeds = ("127.0.0.1:7000", "127.0.0.1:7001", "127.0.0.1:7002")
+    node = Node(Member("s0", seeds[0], incarnation=1), seeds, Settings(), random.Random(1), 0.0)
+    for place in range(JOINERS_MOST + 10):
+        asks(node, 0.5, f"x{place}", "127.0.0.1:9")
+    held = node.joining._viewless
+    assert JOINERS_MOST >= MANY and len(held) == JOINERS_MOST and node.counts["joins_refused"] == 10
+    asks(node, 1.0, "s1", seeds[1])
+    assert "s1" in held and len(held) == JOINERS_MOST and "x0" not in held
+    asks(node, 1.0, "late", "127.0.0.1:9")
+    assert "late" not in held  # all others asked just now
+    asks(node, 4.0, "late", "127.0.0.1:9")  # but the seed, all were silent for long
+    assert node.view is not None and node.members == ("late", "s0", "s1")
+
+
+def test_while_joins_gather_reports_are_not_judged_one_by_one_though_another_is_suspected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    judged: list[str] = []
+    stable = Reports._stable
+
+    def counted(reports: Reports, gone: set[str]) -> list[Change]:
+        judged.append(reports._roster.me.name)
+        return stable(reports, gone)
+
+    monkeypatch.setattr(Reports, "_stable", counted)
+    net = started(20)
+    net.kill("m3")
+    net.run(net.now + 1.5)
+    doubting = [name for name, node in net.nodes.items() if name != "m3" and node.suspicions.held]
+    assert len(doubting) > 10
+    judged.clear()
+    for place in range(40):
+        net.add(f"x{place}")
+    net.run(net.now + 0.4)  # less than a period: they gather
+    reported = [len(net.nodes[name].reports.alerts) for name in doubting]
+    assert min(reported) >= 40 and judged == []
+    net.run(net.now + 20.0)
+    views = set(net.views().values())
+    assert len(views) == 1 and len(views.pop()) == 59
