A try is held and run only while its run can end before its caller stops waiting

At fault: `_budgets` (choice.py), whose second figure looked at the goal only; the page's budget has half of the wait in it, but half of the goal's wait stands in where that is less.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -265,9 +265,10 @@
     def _budgets(self, ticket: Ticket, left: float) -> tuple[float, float]:
         """The page's budget, half the remaining wait less the learned p99, and the wait that the goal allows.
 
-        Departure, acts in the hold: what can only be late earns little or nothing, so it is denied once its
-        goal is out of reach. Guards against any queue that is short for the callers' patience and long for
-        the goal; it may deny what a sudden calm would still have saved.
+        Departure, acts in the hold: what can only be late, or only after its caller has left, earns little or
+        nothing, so it is denied once its goal or its caller's end of waiting is out of reach. Guards against
+        any queue that is short for the callers' patience and long for the goal, and against callers that wait
+        less than the goal; it may deny what a sudden calm would still have saved.
         """
         row, track = self.table[ticket.track], ticket.track
         waited = self.now - ticket.arrived + ticket.overhead
@@ -286,7 +287,8 @@
             else:
                 age = max(age, row.first_wait - left)  # under way for at least what its wait is short
         goal = min(track.goal + track.goal_stretch * (ticket.estimate or 0.0), wait)
-        return budget - row.takes(ticket.estimate, 0.99), goal - age - row.takes(ticket.estimate, 0.75)
+        in_time = min(goal - age, left) - row.takes(ticket.estimate, 0.75)
+        return budget - row.takes(ticket.estimate, 0.99), in_time
 
     def _wait_to_start(self, beyond: bool) -> float:
         """How long those ahead will keep the places of those that run, by their hints or their tracks.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -329,6 +329,15 @@
     assert (new.place, old.place) == (HELD, OVER)
 
 
+def test_a_try_is_held_only_while_its_run_can_end_before_its_caller_leaves() -> None:
+    """Half of the tries came with a wait shorter than the goal, and ran or were held past the end of it."""
+    world = taught(replace(PLAIN, told_wait=True))
+    for _ in range(2):
+        taken(world, 1, estimate=0.5, wait_left=3.0)
+    patient, hasty = (taken(world, 1, estimate=0.3, wait_left=left) for left in (3.0, 0.35))
+    assert (patient.place, hasty.place) == (HELD, OVER)
+
+
 def test_a_measure_keeps_enough_samples_for_a_99th_percentile() -> None:
     """Half of them were kept by a slip, which no figure showed."""
     samples = Samples()
