The hold starts what earns most first, and leaves each class half of its even part

The settings tell what each class earns (`classes[].worth`, `value-by`); nothing read it. At fault: one line for all classes (`hold`, `_start_held` in choice.py), first come, first served.

Now a line a class: what earns most for a second of its run starts first, the oldest first within a class, and waits are reckoned from the lines that start before it. A class of which less began, lately, than half of its even part goes first.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -21,6 +21,7 @@
 STEP = 0.01  # a, for each core: the pool grows only where gains outnumber losses well
 TRIPS = 4  # round trips in an iteration
 SAMPLES = 100  # raw samples kept of each measure: enough for a 99th percentile
+LEFT_TO_EACH = 0.5  # of a track's even part of the starts, whatever its work earns
 RECENT = 10  # samples that tell how things are now
 BUSY_MOST = 0.75  # of the cores, up to which the pool's floor fills them; past it runs slow each other
 WALKS_MOST = 0.2  # further tries among the tickets read, past which denied tickets are asked to stay
@@ -54,7 +55,9 @@
 class Row:
     """What differs by track: one row a track."""
 
-    def __init__(self) -> None:
+    def __init__(self, place: int) -> None:
+        self.place = place  # among the tracks, in the settings' order
+        self.read = self.begun = 0.0  # of its tickets, lately
         self.service = Samples()
         self.stretch = Samples()  # how much longer than foretold from their hints runs took
         self.hinted: deque[tuple[float, float]] = deque(maxlen=SAMPLES)  # hints, and what the runs took
@@ -97,11 +100,13 @@
         self.now = 0.0
         self.opened = -1.0
         self.deeds: list[Deed] = []
-        self.table = {track: Row() for track in machine.tracks}
+        self.table = {track: Row(place) for place, track in enumerate(machine.tracks)}
+        self.rank = list(self.table.values())  # whose work earns most comes first
         self.longest = max(track.abandon for track in machine.tracks)
         self.customers: dict[terms.Customer, deque[float]] = {one: deque() for one in machine.customers}
-        self.hold: tuple[deque[Ticket], deque[Ticket]] = (deque(), deque())  # within, beyond their share
-        self.came = [0.0, 0.0]  # how long all that ever came into each line should run
+        # A line a track, by its place, for what is within its customer's share; then one for what is beyond.
+        self.hold: tuple[deque[Ticket], ...] = tuple(deque() for _ in 2 * machine.tracks)
+        self.came = [0.0] * len(self.hold)  # how long all that ever came into each line should run
         self.running: dict[Ticket, None] = {}  # in order of their starts: a set's order is chance
         self.at_call: deque[Ticket] = deque()
         self.joining: list[tuple[Ticket, Ticket]] = []  # repeats, and what they repeat, that wait for room
@@ -113,17 +118,15 @@
         # When tickets were read, how long after their routers' last ones, and how many had begun by then.
         self.reads: deque[tuple[float, float, int]] = deque(maxlen=SAMPLES)
         self.tend_at = inf
-        self.begun = 0
+        self.begun = self.on_cores = 0
         self.unread = 0.0  # how long the last ticket read had waited for that
-        self.on_cores = 0
         self.kb = 0.0
         self.labels: list[tuple[float, int, Ticket]] = []  # a heap: windows differ by track
         self.calls: dict[Ticket, float] = {}
         self.past_calls: deque[tuple[float, float]] = deque()
         self.call_times = Samples()
         self.trips = Samples()
-        self.credit = float(machine.cores)
-        self.turn_at = 0.0
+        self.credit, self.turn_at = float(machine.cores), 0.0
         self.taken = self.taken_last = self.put = self.put_last = self.drops = 0
         self.leave_at = self.notice_at = inf
         self.said: float | None = None
@@ -131,14 +134,15 @@
         self.had_connections = -inf  # open ones at the last iteration
         self.idle = machine.idle  # how long an unused connection is kept
         self.armed = inf
+        self._rank()
         self.demand = Samples()  # of the running tickets, the part that demands a core, as gauged
         self.core_share = Samples(RECENT)  # of a core, the part that a running ticket takes, as gauged
 
     def retune(self, machine: Machine) -> None:
         """New settings in a running server: tickets taken in keep their track; new ones share its row.
 
-        The rows and customers of earlier settings stay, one for each track and customer at each switch, since
-        a ticket taken in before may still end under them; switches are an operator's steps, not traffic.
+        The rows and customers of earlier settings stay, since a ticket taken in before may still end under
+        them; switches are an operator's steps, not traffic.
         """
         for old, new in zip(self.machine.tracks, machine.tracks, strict=True):
             self.table.setdefault(new, self.table[old])
@@ -215,11 +219,11 @@
             if not oldest_heard.out:
                 del self.patience[oldest_heard]
         self.read += 1
+        self.table[track].read += 1
         self.unread = now - ticket.arrived
         heappush(self.dues, (ticket.due, self.read, ticket))
         # A repeat of what ran, or may still run here, gets that one's result.
-        first = ticket.repeats
-        ticket.repeats = None
+        first, ticket.repeats = ticket.repeats, None
         if first is not None and (first.begun or not first.answered):
             return self._join(ticket, first)
         # Guards: what came too late for a server that leaves, and what memory has no room for.
@@ -234,32 +238,31 @@
             self._remember(ticket, max(ticket.arrived + track.window - now, machine.tick))
         elif self._may_share(ticket):
             self._remember(ticket, left)
-        # The budget for waiting. Departure, acts where the p99 takes nearly all of the page's budget, as with
-        # few samples and a bad spell among them: half of the wait that the goal allows is always budget. In
-        # the hold it is no more than that either: under a lasting excess all that start have waited as long
-        # as may be, and what starts at the last moment is late as often as not. Guards against any standing
+        # The budget for waiting. Departure, acts where the p99 takes nearly all of the page's budget, as in a
+        # bad spell of few samples: half of the wait that the goal allows is always budget, and in the hold
+        # all of it, since what starts at the last moment is late as often as not. Guards against any standing
         # queue; it may deny what a short burst's end would have saved.
         ticket.budget, patience = self._budgets(ticket, left)
         ticket.budget = max(ticket.budget, patience / 2)
         # Departure, acts when reading is behind by more than a run takes: what waited unread beyond its goal
-        # is denied even by idle cores, so that the reading catches up with tickets that can still be in time.
-        # Guards against any backlog before the door (stalls, slow cores, deaf routers); it may deny late work
-        # that would have earned its late share.
+        # is denied even by idle cores, so that the reading catches up. Guards against any backlog before the
+        # door (stalls, slow cores, deaf routers); it may deny what would have earned its late share.
         stale = patience < 0 and now - ticket.arrived > self.table[track].service.at(0.5)
         waits = [self._oldest(line, Stage.HELD) for line in self.hold]
         if not any(self.hold) and not stale and self._may_start(ticket):
             return self._run(ticket)
-        # Its own line only: an in-share ticket starts before any that wait beyond their share.
-        ticket.beyond = over = self._over_share(ticket)
-        oldest = max(waits) if over else waits[0]
-        oldest = max(oldest, self._wait_to_start(over))
+        # Its own line and those that start before it: an in-share ticket before any beyond their share.
+        ticket.beyond = self._over_share(ticket)
+        before = self._before(self.table[track], ticket.beyond)
+        oldest = max(self._wait_to_start(before), *(waits[one] for one in before))
         if track.calls:  # the queue before the ledger is ahead of it as well
             oldest = max(oldest, self._oldest(self.at_call, Stage.AT_CALL), self._wait_to_call(track))
         if oldest > patience / 2:
             return self._deny(ticket, Denial.WAIT)
-        ticket.since, ticket.ahead = now, self.came[over]
-        self.came[over] += self.table[track].takes(ticket.estimate, 0.5)
-        self.hold[over].append(ticket)
+        line, ticket.since = before[-1], now
+        ticket.ahead = self.came[line]
+        self.came[line] += self.table[track].takes(ticket.estimate, 0.5)
+        self.hold[line].append(ticket)
         heappush(self.dues, (now + patience, -self.read, ticket))
 
     def _budgets(self, ticket: Ticket, left: float) -> tuple[float, float]:
@@ -290,16 +293,35 @@
         in_time = min(goal - age, left) - row.takes(ticket.estimate, 0.75)
         return budget - row.takes(ticket.estimate, 0.99), in_time
 
-    def _wait_to_start(self, beyond: bool) -> float:
+    def _before(self, row: Row, beyond: bool) -> list[int]:
+        """The lines that start before a track's own, which comes last; that alone while the track lags."""
+        own = [one.place for one in self.rank[: self.rank.index(row) + 1]]
+        if beyond:
+            own = [*range(len(self.rank)), *(len(self.rank) + place for place in own)]
+        return own[-1:] if self._lags(row) else own
+
+    def _lags(self, row: Row) -> bool:
+        """Whether less began of a track, lately, than what is left to each of its even part."""
+        read, begun = sum(one.read for one in self.rank), sum(one.begun for one in self.rank)
+        return row.begun * read < LEFT_TO_EACH * row.read * begun
+
+    def _rank(self) -> None:
+        """Whose work earns most, by what the settings tell of worth and how long runs take here."""
+        worth = {self.table[track].place: max(track.worth, 1e-9) for track in self.machine.tracks}
+        if self.machine.worth_by_work:
+            self.rank.sort(key=lambda row: -worth[row.place])
+        elif all(row.service.raw for row in self.rank):
+            self.rank.sort(key=lambda row: row.service.at(0.5) / worth[row.place])
+        for row in self.rank:
+            row.read, row.begun = row.read / 2, row.begun / 2
+
+    def _wait_to_start(self, before: list[int]) -> float:
         """How long those ahead will keep the places of those that run, by their hints or their tracks.
 
         Departure, acts while tickets are held: the oldest one's age tells the wait of those that came before,
         not of the next. Guards against bursts, which would fill the hold before any of them had grown old.
         """
-        ahead = 0.0
-        for line, came in zip(self.hold[: 1 + beyond], self.came, strict=False):
-            if line:
-                ahead += came - line[0].ahead
+        ahead = sum(self.came[one] - self.hold[one][0].ahead for one in before if self.hold[one])
         return ahead / max(len(self.running), self.machine.cores)
 
     def _over_share(self, ticket: Ticket) -> bool:
@@ -321,8 +343,13 @@
         return len(seen) > part + sqrt(part)
 
     def _start_held(self) -> None:
-        """Held tickets start oldest first, those within their customer's share before others."""
-        for line in self.hold:
+        """Held tickets start those within their customer's share first, whose work earns most, then oldest.
+
+        Departure, acts while several tracks are held: one line would give each an even part, whatever it
+        earns. Guards against any lasting excess; it denies what earns little, down to half of its even part.
+        """
+        first = sorted(self.rank, key=self._lags, reverse=True)  # who lags behind, then by rank
+        for line in [self.hold[row.place + beyond] for beyond in (0, len(first)) for row in first]:
             while line and (line[0].stage is not Stage.HELD or self._may_start(line[0])):
                 ticket = line.popleft()
                 if ticket.stage is Stage.HELD:
@@ -333,9 +360,8 @@
         """While pressed the credit pool bounds what runs or is at calls; the guards bound it always.
 
         Departure, acts while a core is free, after drops or with tickets at calls: the pool's floor of one a
-        core counts those on the cores only, each by the part of a core that it takes. Guards against a slow
-        ledger that idles the cores of all tracks, or any long wait beside them; it may run more tickets up to
-        calls than the ledger takes.
+        core counts those on the cores, by the part of one that each takes. Guards against a slow ledger or
+        any long wait that idles the cores; it may run more tickets up to calls than the ledger takes.
         """
         if not self._survives_run(ticket):
             return False
@@ -347,13 +373,11 @@
     def _learn_core_share(self, busy: float, runnable: float) -> None:
         """What part of a core a running ticket takes, by how much demands one and by how busy they are.
 
-        Departure, acts where runs wait beside the cores (disk, services below) without an event: with the
-        floor of one run a core the cores would idle while tickets are held and denied, and the denials would
-        keep the pool at its floor. Medians, not running means: a gauge rung between an end and the next start
-        reads low where runs do hold their cores. What demands a core counts what is just read as well, and
-        tells too much; the cores' business is a mean, so that a server learns from a few samples, within a
-        burst, but it is of a while ago: a sample lets the runs double at the most. May crowd the
-        cores for a moment after a lull. The guards still count every running ticket.
+        Departure, acts where runs wait beside the cores (disk, services below) without an event: one run a
+        core would idle the cores while tickets are denied, and the denials would keep the pool at its floor.
+        Medians: a gauge rung between an end and the next start reads low. What demands a core counts what is
+        just read as well; how busy the cores are tells it within a burst, but of a while ago: a sample lets
+        the runs double at the most. May crowd the cores for a moment; the guards still count every run.
         """
         cores = self.machine.cores
         if self.on_cores < cores:
@@ -367,6 +391,7 @@
     def _run(self, ticket: Ticket) -> None:
         ticket.stage, ticket.begun, ticket.since = Stage.RUNNING, True, self.now
         self.running[ticket] = None
+        self.table[ticket.track].begun += 1
         self.on_cores += 1
         self.kb += self._more_kb(ticket)
         self.taken += 1
@@ -379,8 +404,8 @@
     def _join(self, ticket: Ticket, first: Ticket) -> None:
         """A repeat waits for the result of the first; if there can be none, it ends in an error.
 
-        One that the cores or memory don't bear right now waits till they do: the first ran, so it can't be
-        denied, and an error for a result that lies here would be a loss.
+        One that the cores or memory don't bear now waits till they do: an error for a result that lies here
+        would be a loss.
         """
         if first.ended not in (None, Outcome.WORKED) or (first.answered and not first.begun):
             return self._terminate(ticket)
@@ -417,8 +442,8 @@
     def _undo(self, ticket: Ticket) -> None:
         """It never began: it leaves no trace in the pool, in its customer's share or in the table.
 
-        Departure, acts when the machine does not know what it was to run. Guards against clients that make
-        up tickets, whose labels would end true ones in errors; any run that was lost counts as never taken.
+        Departure, acts when the machine does not know what it was to run. Guards against clients that make up
+        tickets, whose labels would end true ones in errors; a run that was lost counts as never taken.
         """
         self.taken = max(self.taken - 1, 0)
         self._release(ticket)
@@ -549,12 +574,12 @@
     def _deny(self, ticket: Ticket, why: Denial) -> None:
         """Final answer to a ticket that never ran, with when to come back.
 
-        Departure, acts while further tries are more than a fifth of what is read: denied tickets are asked
-        to stay, as a further try always is. Guards against any fleet that is full all over, where each walk
-        costs a reading; it may keep a ticket from a sibling that had room. Unmarked tries count as further.
+        Departure, acts while over a fifth of what is read are further tries, as unmarked ones may be: denied
+        tickets are asked to stay, as a further try always is. Guards against any fleet that is full all over;
+        it may keep a ticket from a sibling that had room.
         """
-        # The goal stands in while nothing is held and no trip took time, as just after a start: guards
-        # against a denial with no advice, which a caller takes as leave to come back at once.
+        # The goal stands in just after a start: guards against a denial with no advice, which a caller takes
+        # as leave to come back at once.
         oldest = max(self._oldest(line, Stage.HELD) for line in self.hold)
         oldest = oldest or self.trips.at(0.5) or ticket.track.goal
         full = not self.machine.marks_again or sum(self.marks) > WALKS_MOST * len(self.marks)
@@ -666,8 +691,7 @@
 
         Departure, acts when the last few calls took several times what they used to: a crowded ledger gets
         slower with each call more, so the queue is kept here, where the budgets see it. Guards against any
-        slow, crowded or stalled ledger, whoever crowds it; a ledger that is slow but not crowded is used less
-        than it could be.
+        slow or crowded ledger, whoever crowds it; one that is slow but not crowded is used less.
         """
         usual, lately = self.call_times.at(0.25), self._call_lately()
         return max(1.0, share * min(1.0, SLOW_CALLS * usual / lately) if lately else share)
@@ -691,18 +715,18 @@
         self.credit = min(max(self.credit, self.machine.cores), self._credit_most())
         self.taken_last, self.put_last = self.taken, self.put
         self.taken = self.put = self.drops = 0
+        self._rank()
         self.turn_at = self.now + max(TRIPS * self.trips.at(0.5, self.machine.said_for), self.machine.tick)
 
     def _tend_connections(self) -> None:
         """How long unused connections stay open.
 
         Departure, acts where routers come back, on average, later than they keep a connection. Then most may
-        be used once, and a table of used-up ones taxes the cores and keeps out tickets that they could run:
-        once no more come (the table is full, or few send) and few of the tickets read are from routers that
-        were heard within that time, each goes as soon as an answer's slack has passed. Where many come again,
-        or soon again in numbers near those that run (retries), a full table is the cheapest denial there is,
-        and they stay. Guards against any crowd of routers that each see each server seldom; the few that
-        come often pay a handshake for each of their tickets.
+        be used once, and a table of used-up ones taxes the cores and keeps out tickets: once no more come
+        (the table is full, or few send) and few of the tickets read are from routers that were heard within
+        that time, each goes as soon as an answer's slack has passed. Where many come again, or soon again in
+        numbers near those that run (retries), a full table is the cheapest denial. Guards against any
+        crowd of routers that see each server seldom; the few that come often pay a handshake for each ticket.
         """
         machine, before, reads = self.machine, self.idle, self.reads
         no_more, self.had_connections = self.connections <= self.had_connections, self.connections
@@ -746,7 +770,7 @@
             most = pool if binds else min(self._memory_most(), 2**31)
             amount = self._cold_share(most, callers) if self._warms() else max(most / max(callers, 1), 1.0)
         else:
-            share = pool / max(len(self.running) + len(self.hold[0]) + len(self.hold[1]), 1) if binds else 1.0
+            share = pool / max(len(self.running) + sum(map(len, self.hold)), 1) if binds else 1.0
             amount = min(share, 1.0) if machine.speech is Speech.CHANCE else max(1 - share, 0.0)
         amount = round(amount, 2)
         if amount != self.said:
@@ -757,14 +781,13 @@
         """Each caller's share while this server warms up.
 
         Departure, acts during a warm-up: what the cores survive then is shared by all callers there are, also
-        those with nothing out here, and a share may be under one, which a caller takes as a chance. What came
-        in the guard's span counts still, though it has its answer: else quick ones, denials above all, would
-        make room at once. Guards against callers that each take an endless credit, or one, in the same
-        moment; it may keep away some that had found room, where there are more callers than tickets that the
-        cores survive, or where a run takes much less than the span.
+        those with nothing out here; one under one is taken as a chance. What came in the guard's span counts
+        still, though it has its answer: else quick ones, denials above all, would make room at once. Guards
+        against callers that each take an endless credit, or one, in the same moment; it may keep away some
+        that had found room, with more callers than the cores survive tickets, or runs much under the span.
         """
         callers = max(callers, self.machine.routers)
-        out = len(self.running) + len(self.hold[0]) + len(self.hold[1])
+        out = len(self.running) + sum(map(len, self.hold))
         room = max(self._crowd_most() - self._came_lately(), 0.0)
         share = min(room / max(callers - self.senders, 1), (room + out) / callers)  # none out, or some each
         return min(share, min(most, self._credit_most()) / callers)
--- a/sablewheel/program/configuration.py
+++ b/sablewheel/program/configuration.py
@@ -18,6 +18,7 @@
 
 NATURES = {"safe": Nature.REDOABLE, "keyed": Nature.LABELLED, "unsafe": Nature.IRREVERSIBLE}
 HALTINGS = {"off": Halting.NEVER, "drop": Halting.DROPS, "pause": Halting.PAUSES}
+VALUES = {"request": False, "work": True}
 SPEECHES = {"off": Speech.SILENT, "tokens": Speech.CREDIT, "min_rank": Speech.LEVEL, "bias": Speech.CHANCE}
 LEVELS = {"debug": "DEBUG", "info": "INFO", "warning": "WARNING", "error": "ERROR"}
 RESERVED = 12  # descriptors that routers' connections don't get: standard ones, links, some in hand
@@ -26,7 +27,6 @@
 
 Choice = TypeVar("Choice")
 
-
 class FaultyKeyError(ValueError):
     """A key that is missing, of the wrong kind or out of range; the message starts with its name."""
 
@@ -215,6 +215,7 @@
                 abandon=one.number("deadline-s"),
                 window=one.number("window-s", 0.0),
                 goal_stretch=one.number("aim-stretch", 0.0),
+                worth=one.number("worth", 1.0),
                 calls=calls.flag(str(place), False) and calls_below,
                 skip_share=skips.number(str(place), 0.0) * calls_below,
             )
@@ -237,6 +238,7 @@
         told_wait=extra.flag("passes-deadline", False),
         marks_again=habits.flag("marks-retry", False),
         over_share_worth=settings.number("over-share-worth", 1.0),
+        worth_by_work=settings.choice("value-by", VALUES, "request"),
         fresh_start=extra.flag("fresh-start", False),
         idle=extra.number("idle-s", 0.0),
         tick=settings.number("tick-s", 0.0),
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, eq=False)
 class Track:
-    """A class of tickets."""
+    """A class of tickets; `worth` is what one completed in time earns, or a second of its work."""
 
     nature: Nature
     goal: float
@@ -72,6 +72,7 @@
     goal_stretch: float = 0.0
     calls: bool = False
     skip_share: float = 0.0
+    worth: float = 1.0
 
 
 @dataclass(frozen=True, eq=False)
@@ -119,6 +120,7 @@
     told_wait: bool = False
     marks_again: bool = False
     over_share_worth: float = 1.0
+    worth_by_work: bool = False
     fresh_start: bool = False
     idle: float = 0.0
     tick: float = 0.0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -475,6 +475,11 @@
         ("naming", {"naming": "localhost:2379"}),
         ("seed", {"seed": "xyz"}),
         ("settings.extra.cores", {"settings": {**SETTINGS, "extra": {"memory-kb": 1}}}),
+        ("settings.value-by", {"settings": {**SETTINGS, "value-by": "weight"}}),
+        (
+            "settings.classes[0].worth",
+            {"settings": {**SETTINGS, "classes": [{**SETTINGS["classes"][0], "worth": "much"}]}},
+        ),
         (
             "settings.classes[0].repeat",
             {"settings": {**SETTINGS, "classes": [{"name": "a", "repeat": "odd"}]}},
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -504,6 +504,59 @@
     assert burst(1.0) <= cores + 1
 
 
+def of_worth(*worths: float, by_work: bool = True) -> World:
+    """A track for each worth, alike but for that."""
+    tracks = tuple(Track(Nature.REDOABLE, 3.0, 6.0, worth=worth) for worth in worths)
+    return World(replace(PLAIN, tracks=tracks, memory_kb=4000.0, worth_by_work=by_work))
+
+
+def test_what_earns_most_starts_first_and_each_track_oldest_first() -> None:
+    """One line for all gave each track an even part, whatever its work earned."""
+    world = of_worth(1.0, 3.0)
+    running = [taken(world, 0) for _ in range(2)]
+    cheap, dear, later = taken(world, 0), taken(world, 1), taken(world, 1)
+    started = []
+    for fact in (*running, dear):
+        world.finish(fact, Outcome.WORKED)
+        deeds(world)
+        started += [one for one in (cheap, dear, later) if one.place == RUNNING and one not in started]
+    assert started == [dear, later, cheap]
+
+
+def test_worth_a_ticket_counts_by_how_long_its_runs_take() -> None:
+    world = of_worth(3.0, 1.0, by_work=False)
+    for track, took in [(0, 1.0), (1, 0.05)] * 10:
+        fact = taken(world, track)
+        fact.place, fact.answered = OVER, True
+        world.later.append(terms.Ended(fact.ticket, took, Outcome.WORKED))
+        deeds(world)
+    world.wait(1.1)
+    running = [taken(world, 0) for _ in range(2)]
+    long, short = taken(world, 0), taken(world, 1)
+    world.finish(running[0], Outcome.WORKED)
+    deeds(world)
+    assert (long.place, short.place) == (HELD, RUNNING)
+
+
+@pytest.mark.parametrize("worths", [(1.0, 100.0), (100.0, 1.0), (1.0, 1.0), (0.0, 0.0)])
+def test_a_track_that_earns_little_is_left_half_of_its_even_part(worths: tuple[float, float]) -> None:
+    world, begun = of_worth(*worths), [0, 0]
+    for _ in range(300):  # four come while one ends
+        for track in (0, 1, 0, 1):
+            world.arrive(track)
+        deeds(world)
+        before = set(world.at(RUNNING))
+        world.finish(world.at(RUNNING)[0], Outcome.WORKED)
+        deeds(world)
+        world.wait(0.05)
+        for fact in set(world.at(RUNNING)) - before:
+            begun[world.machine.tracks.index(fact.ticket.track)] += 1
+    cheap, dear = sorted(begun) if worths[0] != worths[1] else begun
+    assert cheap + dear >= 290 and cheap >= 0.2 * (cheap + dear)
+    if worths[0] != worths[1]:
+        assert begun[worths.index(100.0)] == dear > 0.6 * (cheap + dear)
+
+
 def test_new_settings_keep_what_was_taken_in_and_the_way_back_is_the_same() -> None:
     """A move of settings in a running server: a track turns irreversible and back, runs can't be stopped."""
     world = World(PLAIN)
