Counts of each class fade by the longest deadline, not by the turn of the pool

Cause: the counts from which a class's lag is told were halved at each turn of the pool, whose length follows the round trips: with runs of some milliseconds they were gone within a tenth of a second, and each ticket by itself could make its class lag. Found by a mutation that the test of worth a ticket did not catch, since both tracks' counts had faded to nothing there. The test asks now that no track lags, and fails with the mutation; so does the one of the reserve with none.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -134,7 +134,7 @@
         self.had_connections = -inf  # open ones at the last iteration
         self.idle = machine.idle  # how long an unused connection is kept
         self.armed = inf
-        self._rank()
+        self._rank(1.0)
         self.demand = Samples()  # of the running tickets, the part that demands a core, as gauged
         self.core_share = Samples(RECENT)  # of a core, the part that a running ticket takes, as gauged
 
@@ -305,15 +305,15 @@
         read, begun = sum(one.read for one in self.rank), sum(one.begun for one in self.rank)
         return row.begun * read < LEFT_TO_EACH * row.read * begun
 
-    def _rank(self) -> None:
-        """Whose work earns most, by what the settings tell of worth and how long runs take here."""
+    def _rank(self, fade: float) -> None:
+        """Whose work earns most, by the settings and how long runs take here; old counts fade."""
         worth = {self.table[track].place: max(track.worth, 1e-9) for track in self.machine.tracks}
         if self.machine.worth_by_work:
             self.rank.sort(key=lambda row: -worth[row.place])
         elif all(row.service.raw for row in self.rank):
             self.rank.sort(key=lambda row: row.service.at(0.5) / worth[row.place])
         for row in self.rank:
-            row.read, row.begun = row.read / 2, row.begun / 2
+            row.read, row.begun = row.read * fade, row.begun * fade
 
     def _wait_to_start(self, before: list[int]) -> float:
         """How long those ahead will keep the places of those that run, by their hints or their tracks.
@@ -715,8 +715,9 @@
         self.credit = min(max(self.credit, self.machine.cores), self._credit_most())
         self.taken_last, self.put_last = self.taken, self.put
         self.taken = self.put = self.drops = 0
-        self._rank()
-        self.turn_at = self.now + max(TRIPS * self.trips.at(0.5, self.machine.said_for), self.machine.tick)
+        rest = max(TRIPS * self.trips.at(0.5, self.machine.said_for), self.machine.tick)
+        self.turn_at = self.now + rest
+        self._rank(0.5 ** (rest / self.longest))
 
     def _tend_connections(self) -> None:
         """How long unused connections stay open.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -531,7 +531,8 @@
         world.later.append(terms.Ended(fact.ticket, took, Outcome.WORKED))
         deeds(world)
     world.wait(1.1)
-    running = [taken(world, 0) for _ in range(2)]
+    running = [taken(world, track) for track in (0, 1)]
+    assert not any(world.controller._lags(row) for row in world.controller.rank)
     long, short = taken(world, 0), taken(world, 1)
     world.finish(running[0], Outcome.WORKED)
     deeds(world)
