The waits of 1,024 routers are kept, not of 32

The operators want no cap below 1,024 on lists of clients. Where the settings tell of few callers, the patience of 32 routers was kept (choice.py, ROUTERS_KNOWN), so a client behind many others was always a stranger.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -28,7 +28,7 @@
 FEW_KNOWN, MANY_KNOWN = 0.4, 0.5  # shares of the tickets that are from routers heard not long before
 SLOW_CALLS = 3.0  # median of the recent over lower quartile of all: about 2 for times that scatter evenly
 DONT_RUN_AGAIN = (Nature.LABELLED, Nature.IRREVERSIBLE)
-ROUTERS_KNOWN = 32  # whose patience is kept, or four times those there are: numbers may never come again
+ROUTERS_KNOWN = 1024  # whose patience is kept, or four times those there are: numbers may never come again
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHED, Outcome.MOOT)
 
 
