Red: a server whose interpreter is gone for good still says that it serves

The operators' term is that a process that reports `yes` to the name service serves. A story of two servers: the first one's interpreter is gone and does not come back, a request was there for its whole deadline (3 s), and still it reports `yes` and tells health checks UP; the next request fails too, 3 s later. Its log has one line, `event="link to the interpreter lost"`, and stays in phase=serving: `Application._send_report` looks at the phase only, and so does `Standing.good` after the first greeting.

How long a lost link may last before the word changes is for the product to say; the story asks after a whole deadline.

--- a/tests/stories/servers.feature
+++ b/tests/stories/servers.feature
@@ -43,6 +43,11 @@
     And every request has just one answer, by its deadline
     And all that were told to leave did so with code 0 before their stop
 
+  Scenario: Who says that it serves does: an interpreter that is gone for good
+    Given a fleet of 2 servers
+    When the interpreter of the first is gone and a request was there for its whole deadline
+    Then who says from then on that it serves does
+
   Scenario Outline: Requests in parts across the shutdown
     Given a fleet of 2 servers
     When requests come <how> on both, the one leaving and the other reloading between the parts
--- a/tests/stories/test_server_stories.py
+++ b/tests/stories/test_server_stories.py
@@ -451,6 +451,29 @@
             left[told[1]] = max(left[told[1]] - 1, 0)
 
 
+@when("the interpreter of the first is gone and a request was there for its whole deadline")
+def interpreter_gone(story: Story) -> None:
+    gone = story.places[0]
+    gone.engine.door.close()
+    gone.engine.cut()
+    caller = story.ask(gone, b"")
+    wait_until(lambda: caller.done)
+
+
+@then("who says from then on that it serves does")
+def who_says_serves(story: Story) -> None:
+    """Whoever says no, or nothing, is off the list and asked by nobody."""
+    story.names.waiting()
+    said: list[tuple[int, str, bytes]] = []
+    while said.count((0, "n1", SERVES)) < 4:
+        told = story.names.told()
+        assert told is not None and len(said) < 100, said
+        said.append(told)
+    for place in story.places:
+        if (0, place.told["name"], SERVES) in said:
+            assert story.serves(place), (place.told["name"], story.callers[-1].came)
+
+
 # -- requests in parts
 
 
