A server long without its interpreter says no to the name service and to health checks

At fault: `Application._send_report` looked at the phase only, and `Standing.good` at the controller's word of the start.

Now both say no once no link has stood, greeted and caught up, for longer than the longest deadline: before that a request may wait for the link's return and be served, as it is at every break of some 20 ms. Ruled out: saying no at each break, which would take servers off lists that come seconds late.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -316,7 +316,15 @@
         self._send_report()
 
     def _send_report(self) -> None:
-        word = naming.report(self._posting.name, self.phase is Phase.SERVING)
+        """Says yes while it serves, also without its interpreter for as long as any request may wait for it.
+
+        Past that it says no, to health checks as well: guards against a server that is up and serves nobody,
+        whose every request fails at its deadline elsewhere than where it would be served. May keep away, for
+        as long as a report takes, what comes as the interpreter returns.
+        """
+        longest = max(track.abandon for track in self._posting.machine.tracks)
+        self._standing.able = self._client.away <= longest
+        word = naming.report(self._posting.name, self.phase is Phase.SERVING and self._standing.able)
         self._counters.count("reports_sent" if self._post.send(word) else "reports_failed")
 
     def _print(self, occasion: str) -> None:
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -68,6 +68,7 @@
         self._stream: Stream | None = None
         self._ready = False  # behind the fence
         self._last = last
+        self._away_since: float | None = scheduler.clock.now  # since when there is no link that stands
         self._unreadable = 0  # the number of the last notice that broke a link, if it was the next
         self._fence = 0  # the last question for gauges that went out
         self._asking = False  # one goes out at the end of this round
@@ -93,6 +94,11 @@
     def gauges(self) -> tuple[float | None, ...]:
         return self._gauges if self._scheduler.clock.now <= self._told + GAUGES_HOLD else ()
 
+    @property
+    def away(self) -> float:
+        """For how many seconds no link has stood: nothing that came since then has begun."""
+        return 0.0 if self._away_since is None else self._scheduler.clock.now - self._away_since
+
     def run(self, exchange: Exchange) -> None:
         """The name is that of no other run: the desk takes no two tickets of one name."""
         run = self._runs[exchange.name] = Run(exchange)
@@ -188,6 +194,8 @@
         """No link from here on; commands that never went out wait for the next."""
         log.warning("link to the interpreter lost", extra={"pairs": {"reason": reason}})
         self._stream, self._ready = None, False
+        if self._away_since is None:
+            self._away_since = self._scheduler.clock.now
         self._commands.clear()
         self._asked.clear()
         self._answered.clear()
@@ -276,7 +284,7 @@
         not begun again, since its ticket is over there; its own end comes first and counts. Guards against
         every loss of commands with a link; needs an interpreter that keeps to both.
         """
-        self._ready = True
+        self._ready, self._away_since = True, None
         for run in self._runs.values():
             if run.fence > safe or not run.fence:
                 if run.fence:
--- a/sablewheel/routing/exchange.py
+++ b/sablewheel/routing/exchange.py
@@ -64,6 +64,7 @@
 
     said: float | None = None
     good: bool = False
+    able: bool = True  # not for long without its interpreter
 
 
 class Place(Enum):
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -160,7 +160,7 @@
                         self._withdraw(self.open[tag])
                 case resp.Checked(tag):
                     self._server.count("checks_in")
-                    good = self._server.standing.good
+                    good = self._server.standing.good and self._server.standing.able
                     self._queue(lambda said: resp.checked(tag, said, good))
         except resp.FaultyError as trouble:
             self._server.count("frames_faulty")
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -340,6 +340,21 @@
     assert town.counts.count("links") == 3 and one.name in town.interpreter.running
 
 
+def test_for_how_long_no_link_has_stood_is_known_also_while_links_are_made_and_not_greeted() -> None:
+    town = Town(MACHINE)
+    assert town.client.away == 0.0
+    town.linked = False
+    broken(town, lost=False)
+    town.wait(1.0)
+    town.linked, town.interpreter.up = True, False
+    town.wait(1.0)
+    assert 2.0 < town.client.away < 2.2
+    town.interpreter.up = True
+    town.cut(lost=False)
+    town.wait(0.6)
+    assert town.client.away == 0.0
+
+
 def test_an_interpreter_that_has_not_come_up_yet_is_waited_for_on_one_link() -> None:
     town = Town(MACHINE)
     counts: list[str] = []
