The times of a customer's runs are no longer kept where shares are worth nothing less

Found by the whole suite: `test_nothing_grows...` failed in a fresh clone by 104 KB of 100 KB between 4,000 and 6,000 requests. Since 1,024 routers are kept, two things came together. What only seemed to: tracing began at 2,000 requests, so whatever replaced something older counted as growth.

The test traces from the start, is shorter (4,000 requests, 75 KB for 1,500 of them: as strict by request as 100 KB for 2,000), and asks besides that no times are kept; that fails without the change.

--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -396,7 +396,7 @@
         self.kb += self._more_kb(ticket)
         self.taken += 1
         self.begun += 1
-        if ticket.customer is not None:
+        if ticket.customer is not None and self.machine.over_share_worth < 1:  # else nobody looks
             ticket.beyond = self._over_share(ticket)
             self.customers[ticket.customer].append(self.now)
         self.deeds.append(terms.Run(ticket))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -552,10 +552,11 @@
 
 
 def test_nothing_grows_with_new_names_labels_routers_and_connections() -> None:
+    tracemalloc.start()  # first: what replaces something older would look like growth
     town, sizes = Town(MACHINE), []
     town.server.close_unused(1.0)
     try:
-        for place in range(6000):
+        for place in range(4000):
             track, label = ((b"lookup", b""), (b"record", b"label%d" % place))[place % 2]
             stream = MadeStream(town.scheduler)
             town.server.accepted(stream)
@@ -569,9 +570,7 @@
             for book in (town.interpreter.applied, town.interpreter.over, town.counts):
                 book.clear()
             town.interpreter.notices[:] = [b""] * len(town.interpreter.notices)
-            if place == 2000:
-                tracemalloc.start()
-            if place in (4000, 5999):
+            if place in (2500, 3999):
                 gc.collect()
                 ours = [tracemalloc.Filter(True, "*/sablewheel/*"), tracemalloc.Filter(False, "*/tests/*")]
                 kept = tracemalloc.take_snapshot().filter_traces(ours).statistics("lineno")
@@ -579,7 +578,8 @@
     finally:
         tracemalloc.stop()
     controller = town.dispatch._controller
-    assert sizes[1] < sizes[0] + 100_000 and controller is not None, sizes
+    assert sizes[1] < sizes[0] + 75_000 and controller is not None, sizes
+    assert not any(controller.customers.values())  # whose runs nobody counts, as shares are worth nothing less
     assert len(controller.patience) == ROUTERS_KNOWN == 1024
 
 
