--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -579,7 +579,7 @@
         tracemalloc.stop()
     controller = town.dispatch._controller
     assert sizes[1] < sizes[0] + 75_000 and controller is not None, sizes
-    assert not any(controller.customers.values())  # whose runs nobody counts, as shares are worth nothing less
+    assert not any(controller.customers.values())  # no shares, so no counts
     assert len(controller.patience) == ROUTERS_KNOWN == 1024
 
 
