Log what is sent again on a new link, and the reason of each close, refusal and error

What the incident's logs could not tell: which runs were given again on a new link, how long after their first command, and whether the end of one came just after. The client logs each of these with request and notice number, and how many runs were open, unproven, sent again and sent first at each loss and return of the link. Closes, refusals and errors have their reason at level debug (one enumeration each, routing/reasons.py), errors a counter by reason.

--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -335,6 +335,7 @@
             open_connections=len(self._server.connections),
             said=self._standing.said,
             **self._dispatch.denials,
+            **self._dispatch.failures,
             **self._feature.gauges(),
         )
 
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -43,10 +43,11 @@
 class Run:
     """A run without an end so far: under which fence its command was written, if it was."""
 
-    __slots__ = ("again", "exchange", "fence", "halted")
+    __slots__ = ("again", "exchange", "fence", "halted", "sent_at")
 
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
+        self.sent_at = 0.0  # when its command was last given
         self.fence = 0  # 0: not written; else the question behind it, whose answer proves that it was read
         self.halted = False
         self.again = False  # its command was written a second time: the first may have been carried out
@@ -192,7 +193,9 @@
 
     def _lose(self, stream: Stream, reason: object) -> None:
         """No link from here on; commands that never went out wait for the next."""
-        log.warning("link to the interpreter lost", extra={"pairs": {"reason": reason}})
+        unproven = sum(run.fence > self._proven for run in self._runs.values())
+        pairs = {"reason": reason, "open_runs": len(self._runs), "unproven": unproven}
+        log.warning("link to the interpreter lost", extra={"pairs": pairs})
         self._stream, self._ready = None, False
         if self._away_since is None:
             self._away_since = self._scheduler.clock.now
@@ -284,18 +287,40 @@
         not begun again, since its ticket is over there; its own end comes first and counts. Guards against
         every loss of commands with a link; needs an interpreter that keeps to both.
         """
+        away = self.away
         self._ready, self._away_since = True, None
+        again = waiting = 0
         for run in self._runs.values():
             if run.fence > safe or not run.fence:
                 if run.fence:
                     run.again = True
+                    again += 1
+                    self._log_sent_again(run)
                     self._count("runs_sent_again")
+                else:
+                    waiting += 1
                 self._apply(run)
             if run.halted:
                 self._commands += interpreter.halt(run.exchange.name)
+        pairs = {
+            "away": round(away, 3), "open_runs": len(self._runs), "sent_again": again, "sent_first": waiting,
+        }  # fmt: skip
+        log.info("link to the interpreter ready", extra={"pairs": pairs})
+
+    def _log_sent_again(self, run: Run) -> None:
+        pairs = {**self._told_of(run), "written_before": self._since_sent(run)}
+        log.info("run sent again", extra={"pairs": pairs})
+
+    def _told_of(self, run: Run) -> dict[str, object]:
+        """What a log line tells of a run: its request and class."""
+        exchange = run.exchange
+        return {"request": exchange.name.decode("ascii", "replace"), "class": exchange.track.decode()}
+
+    def _since_sent(self, run: Run) -> float:
+        return round(self._scheduler.clock.now - run.sent_at, 3)
 
     def _apply(self, run: Run) -> None:
-        run.fence = self._fence + 1
+        run.fence, run.sent_at = self._fence + 1, self._scheduler.clock.now
         exchange = run.exchange
         self._commands += interpreter.apply(exchange.name, exchange.track, exchange.body)
 
@@ -315,11 +340,24 @@
     # -- what it tells
 
     def _over(self, notice: interpreter.RunOver) -> None:
-        if notice.name in self._runs:
-            self._runs[notice.name].exchange.notice = notice.number
-            self._end(notice.name, notice.outcome, notice.took, notice.result)
-        else:
+        run = self._runs.get(notice.name)
+        if run is None:
             self._count("ends_unknown")
+            self._log_unknown_end(notice)
+            return
+        if run.again:
+            pairs = {**self._told_of(run), "notice": notice.number, "after": self._since_sent(run)}
+            log.info("end of a run that was sent again", extra={"pairs": pairs})
+        run.exchange.notice = notice.number
+        self._end(notice.name, notice.outcome, notice.took, notice.result)
+
+    def _log_unknown_end(self, notice: interpreter.RunOver) -> None:
+        pairs = {
+            "request": notice.name.decode("ascii", "replace"),
+            "notice": notice.number,
+            "outcome": notice.outcome.name.lower(),
+        }
+        log.info("end of a run that is not open here", extra={"pairs": pairs})
 
     def _rejected(self, command: interpreter.Command, name: bytes) -> None:
         """The command was not carried out: so its run never started, unless one before it was.
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -14,6 +14,7 @@
 from .client import Client
 from .exchange import Exchange, Place, Standing
 from .labels import Labels
+from .reasons import FailureReason, log_reason
 from .seam import UNREMEMBERED, Memory
 from .server import Server
 
@@ -48,6 +49,7 @@
         self._early: dict[Exchange, None] = {}  # read before there was a controller
         self._exchanges: dict[Ticket, Exchange] = {}  # until answered and off the interpreter
         self.denials: dict[str, int] = {}  # by reason, and those told no time to come back
+        self.failures: dict[str, int] = {}  # by reason
         self._names: set[bytes] = set()  # theirs
         self._server: Server
         self._client: Client
@@ -108,19 +110,19 @@
         if self._controller is None or (not self._memory.ready and ticket.track.nature is Nature.LABELLED):
             return self._wait_for_start(exchange)
         if exchange.name in self._names:
-            return exchange.terminate()
+            return self._fail_request(exchange, FailureReason.REPEATED_ID)
         if label is not None and ticket.track.nature is Nature.LABELLED:
             # Another try in this very batch: its fate first, or this one could not be told what it repeats.
             if label in self._undecided:
                 self.decide()
             exchange.first = self._labels.find(label, ticket.arrived)
             if exchange.first is not None and not exchange.first.asks_same(exchange):
-                return exchange.terminate()
+                return self._fail_request(exchange, FailureReason.OTHER_CONTENT)
             # What it repeats may be forgotten, on either side of a restart: neither run nor denied.
             if exchange.first is None and (
                 self._labels.forgets(ticket.arrived, self._clock.now) or self._memory.may_not_run(exchange)
             ):
-                return exchange.terminate()
+                return self._fail_request(exchange, FailureReason.TOO_OLD)
             if ticket.arrived >= self._clock.now:
                 # The round's clock stands while it reads: this one may have come since, and by its own
                 # `since` the window ends later than counted from the time that is known here.
@@ -152,7 +154,7 @@
         def give_up() -> None:
             if exchange in self._early:
                 del self._early[exchange]
-                exchange.terminate()
+                self._fail_request(exchange, FailureReason.NOT_STARTED)
 
         self._scheduler.after(max(left, 0.0), give_up)
 
@@ -182,7 +184,7 @@
             if self._labels.holds(exchange):
                 self._labels.keep(exchange, result)
         elif outcome is Outcome.ERROR:
-            exchange.terminate()
+            self._fail_request(exchange, FailureReason.RUN_FAILED)
         elif not exchange.closed:
             exchange.place = Place.HELD  # stopped: still owed an answer, which is the controller's to choose
             return
@@ -261,10 +263,20 @@
             self._happenings.append(terms.Ended(exchange.ticket, 0.0, Outcome.ERROR))
         elif not exchange.closed:
             self._happenings.append(terms.CallerGone(exchange.ticket))
-        exchange.terminate()
+        self._fail_request(exchange, FailureReason.FAULT)
         self._over(exchange)
 
-    def _count_denial(self, why: terms.Denial, come_back: float) -> None:
+    def _fail_request(self, exchange: Exchange, reason: FailureReason) -> None:
+        """Answer with an error, if anybody still waits."""
+        if not exchange.closed:
+            name = f"failed_{reason.value}"
+            self.failures[name] = self.failures.get(name, 0) + 1
+            log_reason(log, "request failed", reason, request=exchange.name.decode("ascii", "replace"))
+        exchange.terminate()
+
+    def _count_denial(self, exchange: Exchange, why: terms.Denial, come_back: float) -> None:
+        request = exchange.name.decode("ascii", "replace")
+        log_reason(log, "request refused", why, request=request, come_back=come_back)
         names = [f"denied_{why.value}"] + ([] if come_back > 0 else ["denied_without_advice"])
         for name in names:
             self.denials[name] = self.denials.get(name, 0) + 1
@@ -281,11 +293,11 @@
                     self._client.halt(exchange)
             case terms.Deny(_, come_back, nowhere, why):
                 exchange.deny(come_back, nowhere)
-                self._count_denial(why, come_back)
+                self._count_denial(exchange, why, come_back)
                 self._labels.release(exchange)  # the controller releases none whose life is over
                 self._answered(exchange)
             case terms.Terminate():
-                exchange.terminate()
+                self._fail_request(exchange, FailureReason.GIVEN_UP)
                 self._answered(exchange)
             case terms.Remember(_, life):
                 self._labels.remember(exchange, self._clock.now, life + exchange.ahead)
@@ -319,7 +331,7 @@
         if exchange.place is not Place.JOINED:
             return
         if result is None:
-            exchange.terminate()
+            self._fail_request(exchange, FailureReason.NO_RESULT)
         else:
             exchange.complete(result)
         outcome = Outcome.ERROR if result is None else Outcome.WORKED
@@ -345,13 +357,13 @@
         """
         ticket = exchange.ticket
         if ticket not in self._exchanges and exchange.name in self._names:  # the name of one that is open
-            return exchange.terminate()
+            return self._fail_request(exchange, FailureReason.REPEATED_ID)
         if ticket.track.nature is Nature.LABELLED and exchange.label is not None:
             first = self._labels.find(exchange.label, ticket.arrived)
             if first not in (None, exchange) or not self._memory.ready or self._memory.may_not_run(exchange):
-                return exchange.terminate()
+                return self._fail_request(exchange, FailureReason.STOPPING)
         exchange.deny(self._machine.advice_limit, False)
-        self._count_denial(terms.Denial.DRAINING, self._machine.advice_limit)
+        self._count_denial(exchange, terms.Denial.DRAINING, self._machine.advice_limit)
 
     def refuse_early(self) -> None:
         """Those that wait for the start, which the server leaves without."""
@@ -370,5 +382,5 @@
             if exchange.place is Place.HELD and not exchange.ticket.begun:
                 self.refuse(exchange)
             else:
-                exchange.terminate()
+                self._fail_request(exchange, FailureReason.STOPPING)
             self.gone(exchange)
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -13,6 +13,7 @@
 from ..transport.scheduler import Scheduler
 from ..transport.stream import Stream
 from .exchange import UNWITNESSED, Exchange, Standing, Witness
+from .reasons import CloseReason, log_reason
 
 OPEN_MOST = 32  # tries that the protocol allows on one connection at a time
 SWEEP = 0.25  # how often unused connections are looked for
@@ -80,10 +81,10 @@
             # A fault of ours: what is still to be read here would be lost unread on an open connection.
             log.exception("connection closed by a fault")
             self._server.count("faults")
-            return self.close()
+            return self.close(CloseReason.FAULT)
         self._reading, self.due = False, inf
         if not self.stream.open or self.idle:
-            return self.close()
+            return self.close(CloseReason.PEER_ENDED)
         if not self.finished:
             self._server.count("connections_half_closed")
         self.leaving = self.finished = True
@@ -103,7 +104,7 @@
         if garbled is not None:
             self._server.count("frames_garbled")
             log.warning("connection ended for what it sent", extra={"pairs": {"reason": garbled}})
-            return self.finish()
+            return self.finish(CloseReason.GARBLED)
         self.heard = self.heard or bool(frames)
         if not self._parser.partial:
             self.due = inf
@@ -117,33 +118,36 @@
         self._discarded += size
         return self._discarded > DISCARD_MOST
 
-    def finish(self) -> None:
+    def finish(self, reason: CloseReason) -> None:
         """Take nothing more from it; once all that was taken has its answer, it ends.
 
         Guards the requests that came whole before bad bytes or half a frame: those are owed their answers.
         """
+        self._log("nothing more taken from connection", reason)
         self.leaving = self.finished = True
         self.due = inf
         if self.idle:
-            self.end()
+            self.end(reason)
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason) -> None:
         """Nothing is open on it: shut it, and read on until the router closes its side or its time is up.
 
         What crosses the shutdown is discarded: whoever sent it sees the end of the stream, no answer and no
         reset that would take along what it has not read yet, and asks again elsewhere.
         """
         if not self._reading:
-            return self.close()
+            return self.close(reason)
         if self.shut_at is None:
+            self._log("connection shut", reason)
             self.leaving = self.finished = True
             self.shut_at = self._server.scheduler.clock.now
             self.stream.shut()
             if not self.stream.open:
-                self.close()
+                self.close(CloseReason.BROKEN)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Nothing comes or goes any more: who still waited on it is gone."""
+        self._log("connection closed", reason)
         self.stream.close()
         self._server.connections.pop(self, None)
         for exchange in list(self.open.values()):
@@ -213,8 +217,9 @@
         tag = exchange.tag
         self._final(exchange, "terminated", lambda said: resp.terminated(tag, said))
 
-    def farewell(self) -> None:
+    def farewell(self, reason: CloseReason) -> None:
         if not self.leaving:
+            self._log("connection asked to go", reason)
             self.leaving = True
             self._queue(lambda _: resp.farewell())
 
@@ -227,9 +232,12 @@
         self.used = self._server.scheduler.clock.now
         self.stream.flush()
         if not self.stream.open:
-            self.close()
+            self.close(CloseReason.BROKEN)
         elif self.finished and self.idle:
-            self.end()
+            self.end(CloseReason.ANSWERED)
+
+    def _log(self, event: str, reason: CloseReason) -> None:
+        log_reason(log, event, reason, open_requests=len(self.open), unsent=not self.stream.all_sent)
 
     def _final(self, exchange: Exchange, kind: str, answer: Callable[[float | None], bytes]) -> None:
         self.open.pop(exchange.tag, None)
@@ -327,7 +335,7 @@
                     # Its own answers may be lost by a fault of ours; those of all others go out.
                     log.exception("connection closed by a fault")
                     self.count("faults")
-                    connection.close()
+                    connection.close(CloseReason.FAULT)
 
     def close_unused(self, after: float) -> None:
         """Say farewell on connections that carry nothing for so long."""
@@ -350,7 +358,7 @@
             if connection.shut_at is not None:
                 most -= 1
                 if connection.shut_at <= before:
-                    connection.close()
+                    connection.close(CloseReason.LINGERED)
         idle = [
             one for one in self.connections if one.idle and one.used <= before and one.shut_at is None
         ]
@@ -360,9 +368,9 @@
         for connection in islice(going, max(most, 0)):
             self.count("connections_crowded_out")
             if connection.heard:
-                connection.end()
-            else:
-                connection.close()  # nothing was ever answered that a reset could take along
+                connection.end(CloseReason.CROWDED_OUT)
+            else:  # nothing was ever answered that a reset could take along
+                connection.close(CloseReason.CROWDED_OUT)
 
     def _thin(self) -> None:
         """Ask connections to go that are unused, the longest first, until they are no crowd any more."""
@@ -372,12 +380,12 @@
             before = self.scheduler.clock.now - UNUSED_LEAST
             unused = [one for one in staying if one.used <= before and not one.open]
             for connection in sorted(unused, key=lambda one: one.used)[:over]:
-                connection.farewell()
+                connection.farewell(CloseReason.TOO_MANY_UNUSED)
 
     def farewell(self) -> None:
         """Nothing new is to come on any connection."""
         for connection in list(self.connections):
-            connection.farewell()
+            connection.farewell(CloseReason.DRAINING)
 
     def finish(self) -> None:
         """The process is about to end: nothing more is taken, and each connection ends once it is answered.
@@ -386,7 +394,7 @@
         """
         for connection in list(self.connections):
             if not connection.stream.unread:  # else what has come is owed its answer first
-                connection.finish()
+                connection.finish(CloseReason.STOPPING)
 
     def _sweep(self) -> None:
         now = self.scheduler.clock.now
@@ -395,22 +403,22 @@
             stream, stuck = connection.stream, connection.stream.stuck_since
             if connection.shut_at is not None:
                 if now > connection.shut_at + LINGER:
-                    connection.close()
+                    connection.close(CloseReason.LINGERED)
             elif stuck is not None and now > stuck + longest + PARTING:
                 # Whatever it was owed is past its time; it would keep its place in the table for good.
                 self.count("connections_stuck")
-                connection.close()
+                connection.close(CloseReason.STUCK)
             elif now > connection.due and stream.all_sent:
                 if not stream.unread:  # else the rest has just come
                     self.count("connections_unfinished" if connection.heard else "connections_silent")
-                    connection.finish()
+                    connection.finish(CloseReason.UNFINISHED)
             elif not connection.idle:
                 continue
             elif connection.finished:
-                connection.end()
+                connection.end(CloseReason.ANSWERED)
             elif connection.leaving:
                 if now > connection.used + PARTING and not stream.unread:
-                    connection.end()
+                    connection.end(CloseReason.LEFT_OPEN)
             elif self._unused_most is not None and now > connection.used + self._unused_most:
-                connection.farewell()
+                connection.farewell(CloseReason.UNUSED)
         self._thin()
--- a/tests/test_crossing_close.py
+++ b/tests/test_crossing_close.py
@@ -25,6 +25,7 @@
 from sablewheel.protocol.resp import Parser
 from sablewheel.routing import server as routers
 from sablewheel.routing.exchange import Exchange, Standing
+from sablewheel.routing.reasons import CloseReason
 from sablewheel.routing.server import Connection, Server
 from sablewheel.transport import stream as transport
 from sablewheel.transport.scheduler import Clock, Scheduler, Timer
@@ -136,7 +137,7 @@
         sock.close()
     made.listener.close()
     for connection in list(made.server.connections):
-        connection.close()
+        connection.close(CloseReason.STOPPING)
 
 
 def words(sock: socket.socket) -> tuple[list[list[bytes]], bool]:
