Red: a keyed request is run twice when the interpreter's link breaks and comes back

It begins such a run again now, and leaves one that is still queued alone, which it used to queue twice.

--- a/sablewheel/trials/interpreter.py
+++ b/sablewheel/trials/interpreter.py
@@ -33,9 +33,8 @@
         self.born = time.monotonic()
         self.outlives = bool(told.get("outlives"))  # runs and notices go on through a restart of the server
         self.age = 1000 * float(told.get("age", 60.0))  # it says that it is so much older than it is
-        self.line: deque[tuple[bytes, bytes, bytes]] = deque()
+        self.line: deque[tuple[bytes, bytes, bytes]] = deque()  # queued for a core
         self.running: dict[bytes, asyncio.Task[None]] = {}
-        self.over: set[bytes] = set()
         self.notices: deque[bytes] = deque(maxlen=KEPT)
         self.number = 0
         self.link: asyncio.StreamWriter | None = None
@@ -74,9 +73,8 @@
                 missed = self.number - int(last)
                 writer.write(b"".join(list(self.notices)[-missed:] if missed > 0 else []))
             case [b"APPLY", name, track, _]:
-                if name in self.over:
-                    self.tell(name, b"nothing", 0.0, b"")
-                elif name not in self.running:
+                # One whose run has ended begins again: the request is not over before its answer is written.
+                if name not in self.running and all(name != queued for queued, *_ in self.line):
                     if len(self.running) < self.cores:
                         self.begin(name, track, body)
                     else:
@@ -110,7 +108,6 @@
         self.end(name, b"failure" if failed else b"success", work, result)
 
     def end(self, name: bytes, how: bytes, took: float, result: bytes) -> None:
-        self.over.add(name)
         self.tell(name, how, took, result)
         while self.line and len(self.running) < self.cores:
             self.begin(*self.line.popleft())
