What may have run is not sent to the interpreter again when its link comes back

Cause: Client._catch_up (routing/client.py) applied every run again that it could not prove to have been read, of any class. Its premise, 'one that ended just now is not begun again, since its ticket is over there', is false: a request is over when it is answered, and until the notice of the end is read here, it is not. The question asked before it proves only what had ended by then (check, then act).

Now only safe classes are sent again, and stopped once answered, where stops end a run; what was never handed to the system is sent for the first time; any other run is unconfirmed: it waits for its end, fails in time, counts in the guards, takes no place in the pool, and is presumed lost a longest deadline past its own (overload/unconfirmed.py). Without that last part, commands lost for as many keyed runs as cores stopped all starts (test).

Tests changed, none eased: the stand-in interpreter begins an ended run again unless its request was answered (it had the same false premise); what expected a keyed run to be sent again expects that of a safe one, and of the keyed one that it never is and has its answer in time; reruns of safe ones are checked to be no more than were sent again.

--- a/sablewheel/benchlink/host.py
+++ b/sablewheel/benchlink/host.py
@@ -117,6 +117,8 @@
                 return f"close_idle {i} {seconds(after)}"
             case terms.Alarm(after):
                 return f"set_alarm {i} {seconds(after)} 0"
+            case terms.PresumeLost():
+                raise AssertionError("starts are never unconfirmed on the simulator's wire")
             case terms.Log(words):
                 return f"say_log {i} {words}"
 
--- a/sablewheel/choice.py
+++ b/sablewheel/choice.py
@@ -13,6 +13,7 @@
 from math import inf, sqrt
 
 from . import terms
+from .overload.unconfirmed import UnconfirmedStarts
 from .terms import Deed, Denial, Happening, Machine, Nature, Outcome, Router, Speech, Stage, Ticket
 
 SLOPE_LEAST = 0.1  # t_e: the least extra output per extra intake that still counts as a gain
@@ -108,6 +109,7 @@
         self.hold: tuple[deque[Ticket], ...] = tuple(deque() for _ in 2 * machine.tracks)
         self.came = [0.0] * len(self.hold)  # how long all that ever came into each line should run
         self.running: dict[Ticket, None] = {}  # in order of their starts: a set's order is chance
+        self.unconfirmed = UnconfirmedStarts()  # among the running
         self.at_call: deque[Ticket] = deque()
         self.joining: list[tuple[Ticket, Ticket]] = []  # repeats, and what they repeat, that wait for room
         self.dues: list[tuple[float, int, Ticket]] = []
@@ -173,6 +175,9 @@
                     self._stand(ticket)
                 case terms.CallEnded(ticket, took, outcome):
                     self._returned(ticket, took, outcome)
+                case terms.StartUnconfirmed(ticket):
+                    if ticket.stage is Stage.RUNNING:
+                        self.unconfirmed.add(ticket, now, self.longest)
                 case terms.CallerGone(ticket):
                     self._gone(ticket)
                 case terms.Recalled(ticket, life):
@@ -186,6 +191,7 @@
         self._make_calls()
         while self.dues and (self.dues[0][0] <= now or self.dues[0][2].answered):
             self._give_up(heappop(self.dues)[2])
+        self.deeds.extend(terms.PresumeLost(ticket) for ticket in self.unconfirmed.take_overdue(now))
         joining, self.joining = self.joining, []
         for ticket, first in joining:
             if ticket.stage is Stage.HELD:
@@ -362,13 +368,18 @@
         Departure, acts while a core is free, after drops or with tickets at calls: the pool's floor of one a
         core counts those on the cores, by the part of one that each takes. Guards against a slow ledger or
         any long wait that idles the cores; it may run more tickets up to calls than the ledger takes.
+
+        Departure, acts after a break of the interpreter's link: runs whose start is unconfirmed take no place
+        in the pool or its floor. Guards against a server that starts nothing for the sake of commands that
+        were lost with the link; those that do run crowd the cores for a while, within the guards.
         """
         if not self._survives_run(ticket):
             return False
-        on_cores, cores = self.on_cores, self.machine.cores
+        unconfirmed = len(self.unconfirmed)
+        on_cores, cores = self.on_cores - unconfirmed, self.machine.cores
         each = min(self.demand.at(0.5, 1.0), self.core_share.at(0.5, 1.0) / BUSY_MOST)
         floor = on_cores < cores or on_cores * each < cores
-        return floor or len(self.running) + 1 <= self.credit
+        return floor or len(self.running) - unconfirmed + 1 <= self.credit
 
     def _learn_core_share(self, busy: float, runnable: float) -> None:
         """What part of a core a running ticket takes, by how much demands one and by how busy they are.
@@ -454,6 +465,7 @@
         if ticket.stage is not Stage.RUNNING:
             return
         ticket.stage, ticket.since = Stage.AT_CALL, self.now
+        self.unconfirmed.discard(ticket)
         self.on_cores -= 1
         if ticket.answered:
             return  # answered work ends by itself where it stands
@@ -612,6 +624,7 @@
             self.on_cores -= 1
         self.kb -= ticket.kb * (1 if ticket.stage is Stage.HELD else self.machine.run_factor)
         self.running.pop(ticket, None)
+        self.unconfirmed.discard(ticket)
         ticket.stage = Stage.OVER
 
     def _remember(self, ticket: Ticket, life: float) -> None:
@@ -803,7 +816,7 @@
 
     def _set_clock(self) -> None:
         """One alarm for the earliest need; an older, later one may still ring."""
-        need = min(self.turn_at, self.tend_at)
+        need = min(self.turn_at, self.tend_at, self.unconfirmed.next_due)
         if self.dues:
             need = min(need, self.dues[0][0])
         if self.at_call and self.past_calls:
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -2,7 +2,9 @@
 
 The link may break and come back. What ended meanwhile is told again by number. The fence, a question for
 gauges asked once the greeting has come, has its answer when all of that is in. Commands given while there is
-no link wait for it. The interpreter may also move to another address: the old link serves until the new one
+no link wait for it. A command that was written to a link that broke may have been carried out or not. It is
+written again only where a second run does no harm; for any other the desk is told that its start is
+unconfirmed. The interpreter may also move to another address: the old link serves until the new one
 stands, and is then left behind a fence, so that no command is under way between the two.
 """
 
@@ -15,7 +17,7 @@
 from typing import Protocol
 
 from ..protocol import interpreter
-from ..terms import Outcome
+from ..terms import Nature, Outcome
 from ..transport.scheduler import Scheduler
 from ..transport.stream import Stream
 from .exchange import Exchange
@@ -38,15 +40,18 @@
     def greeted(self, cold: bool, age: float) -> None: ...
     def ended(self, exchange: Exchange, outcome: Outcome, took: float, result: bytes) -> None: ...
     def call_needed(self, exchange: Exchange) -> None: ...
+    def start_unconfirmed(self, exchange: Exchange) -> None: ...
 
 
 class Run:
     """A run without an end so far: under which fence its command was written, if it was."""
 
-    __slots__ = ("again", "exchange", "fence", "halted", "sent_at")
+    __slots__ = ("again", "command_end", "exchange", "fence", "halted", "sent_at", "unconfirmed")
 
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
+        self.command_end = 0  # where its command ends among the bytes of this link, 0 if it is not there
+        self.unconfirmed = False  # the desk was told so
         self.sent_at = 0.0  # when its command was last given
         self.fence = 0  # 0: not written; else the question behind it, whose answer proves that it was read
         self.halted = False
@@ -84,6 +89,7 @@
         self._greeted = False  # on any link so far
         self._unheard = 0  # times asked, or waited for a greeting, since the last word on this link
         self._moves = 0
+        self.can_stop = False  # whether the interpreter ends a run for good when told to stop it
         self.move(connect)
         scheduler.every(GAUGES_EVERY, self._ask_gauges)
 
@@ -117,6 +123,11 @@
             run = self._runs[exchange.name] = Run(exchange)
             run.fence = ADOPTED
 
+    def give_up(self, exchange: Exchange) -> None:
+        """The end of this run is waited for no longer; one that comes all the same is nobody's."""
+        if exchange.name in self._runs:
+            self._end(exchange.name, Outcome.LOST, 0.0, b"")
+
     def halt(self, exchange: Exchange) -> None:
         run = self._runs.get(exchange.name)
         if run is not None and not run.halted:
@@ -203,8 +214,9 @@
         self._asked.clear()
         self._answered.clear()
         for run in self._runs.values():
-            if run.fence > self._fence:
-                run.fence = 0
+            if run.fence > self._fence or run.command_end > stream.sent:
+                run.fence = 0  # not all of its command was handed to the system, so nobody has read it
+            run.command_end = 0
         stream.close()
 
     def _follow(self, stream: Stream) -> None:
@@ -281,35 +293,46 @@
                 self._catch_up(safe)
 
     def _catch_up(self, safe: int) -> None:
-        """All that was missed is in: what has no end yet and may not have been read is applied (again).
+        """All that was missed is in: what has no end yet and was never written is applied, and what may not
+        have been read is applied again if its class may run twice.
 
-        That is safe for any track: a run that still runs goes on as it was, and one that ended just now is
-        not begun again, since its ticket is over there; its own end comes first and counts. Guards against
-        every loss of commands with a link; needs an interpreter that keeps to both.
+        A run that still runs goes on as it was, but one that ends while the command is on its way is begun
+        anew: no question asked before can rule that out. So a keyed or unsafe run is never applied twice.
         """
         away = self.away
         self._ready, self._away_since = True, None
-        again = waiting = 0
+        first = [run for run in self._runs.values() if not run.fence]
+        unproven = [run for run in self._runs.values() if run.fence > safe]
+        again = [run for run in unproven if run.exchange.ticket.track.nature is Nature.REDOABLE]
+        unconfirmed = [run for run in unproven if run not in again and not run.unconfirmed]
+        for run in first:
+            self._apply(run)
+        for run in again:
+            self._send_again(run)
+        for run in unconfirmed:
+            self._leave_unconfirmed(run)
         for run in self._runs.values():
-            if run.fence > safe or not run.fence:
-                if run.fence:
-                    run.again = True
-                    again += 1
-                    self._log_sent_again(run)
-                    self._count("runs_sent_again")
-                else:
-                    waiting += 1
-                self._apply(run)
             if run.halted:
                 self._commands += interpreter.halt(run.exchange.name)
         pairs = {
-            "away": round(away, 3), "open_runs": len(self._runs), "sent_again": again, "sent_first": waiting,
+            "away": round(away, 3), "open_runs": len(self._runs), "sent_first": len(first),
+            "sent_again": len(again), "unconfirmed": len(unconfirmed),
         }  # fmt: skip
         log.info("link to the interpreter ready", extra={"pairs": pairs})
 
-    def _log_sent_again(self, run: Run) -> None:
+    def _send_again(self, run: Run) -> None:
+        run.again = True
+        self._count("runs_sent_again")
         pairs = {**self._told_of(run), "written_before": self._since_sent(run)}
         log.info("run sent again", extra={"pairs": pairs})
+        self._apply(run)
+
+    def _leave_unconfirmed(self, run: Run) -> None:
+        run.unconfirmed = True
+        self._count("runs_unconfirmed")
+        pairs = {**self._told_of(run), "written_before": self._since_sent(run)}
+        log.info("start of a run unconfirmed", extra={"pairs": pairs})
+        self._desk.start_unconfirmed(run.exchange)
 
     def _told_of(self, run: Run) -> dict[str, object]:
         """What a log line tells of a run: its request and class."""
@@ -323,6 +346,8 @@
         run.fence, run.sent_at = self._fence + 1, self._scheduler.clock.now
         exchange = run.exchange
         self._commands += interpreter.apply(exchange.name, exchange.track, exchange.body)
+        if self._stream is not None:
+            run.command_end = self._stream.queued + len(self._commands)
 
     def _ask_gauges(self) -> None:
         """Also finds a link that is open but dead: it is made anew, which harms nothing if it only stalls.
@@ -348,6 +373,8 @@
         if run.again:
             pairs = {**self._told_of(run), "notice": notice.number, "after": self._since_sent(run)}
             log.info("end of a run that was sent again", extra={"pairs": pairs})
+            if self.can_stop:  # it may have been begun once more, and nobody counts that run
+                self._commands += interpreter.halt(notice.name)
         run.exchange.notice = notice.number
         self._end(notice.name, notice.outcome, notice.took, notice.result)
 
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -57,6 +57,7 @@
     def attach(self, server: Server, client: Client) -> None:
         """The two sides, which were given this as their desk."""
         self._server, self._client = server, client
+        client.can_stop = self._machine.halting is terms.Halting.DROPS
 
     @property
     def open_count(self) -> int:
@@ -69,6 +70,7 @@
             machine = replace(machine, fresh_start=self._controller.machine.fresh_start)
             self._controller.retune(machine)
         self._machine = machine
+        self._client.can_stop = machine.halting is terms.Halting.DROPS
         self._labels.lag = max(self._labels.lag, *(track.abandon for track in machine.tracks))
 
     def greeted(self, cold: bool, age: float) -> None:
@@ -185,6 +187,8 @@
                 self._labels.keep(exchange, result)
         elif outcome is Outcome.ERROR:
             self._fail_request(exchange, FailureReason.RUN_FAILED)
+        elif outcome is Outcome.LOST:
+            self._fail_request(exchange, FailureReason.NO_RESULT)
         elif not exchange.closed:
             exchange.place = Place.HELD  # stopped: still owed an answer, which is the controller's to choose
             return
@@ -194,6 +198,10 @@
         """Its run stands at a call of a service below."""
         self._happenings.append(terms.CallNeeded(exchange.ticket))
 
+    def start_unconfirmed(self, exchange: Exchange) -> None:
+        """Its command was written to a link that broke: its run may never have begun."""
+        self._happenings.append(terms.StartUnconfirmed(exchange.ticket))
+
     def notice(self, left: float) -> None:
         self._happenings.append(terms.Notice(left))
 
@@ -291,6 +299,8 @@
             case terms.Stop():
                 if exchange.place is Place.RUNNING:
                     self._client.halt(exchange)
+            case terms.PresumeLost():
+                self._client.give_up(exchange)
             case terms.Deny(_, come_back, nowhere, why):
                 exchange.deny(come_back, nowhere)
                 self._count_denial(exchange, why, come_back)
--- a/sablewheel/routing/reasons.py
+++ b/sablewheel/routing/reasons.py
@@ -17,7 +17,7 @@
     TOO_OLD = "too_old"  # a run of the same key may be forgotten by now
     NOT_STARTED = "not_started"  # the interpreter was not up in its time
     RUN_FAILED = "run_failed"  # the interpreter said so
-    NO_RESULT = "no_result"  # the run that it repeats gave none
+    NO_RESULT = "no_result"  # its run, or that which it repeats, gave none
     GIVEN_UP = "given_up"  # its time was up, or its run was stopped
     STOPPING = "stopping"  # the process ends while its run goes on
     FAULT = "fault"  # a fault of ours
--- a/sablewheel/terms.py
+++ b/sablewheel/terms.py
@@ -48,6 +48,7 @@
     CUT_OFF = auto()
     STOPPED = auto()
     MOOT = auto()
+    LOST = auto()  # no end was told in all the time that it was waited for: it may have run
 
 
 class Stage(Enum):
@@ -197,6 +198,13 @@
     outcome: Outcome
 
 
+@dataclass(slots=True)
+class StartUnconfirmed:
+    """The command that starts a run was written to a link that broke: it may run, or never have begun."""
+
+    ticket: Ticket
+
+
 @dataclass(slots=True)
 class CallerGone:
     """No one waits for this ticket any more."""
@@ -229,7 +237,9 @@
     runnable: float = inf
 
 
-Happening: TypeAlias = Arrived | Ended | CallNeeded | CallEnded | CallerGone | Recalled | Notice | Bell
+Happening: TypeAlias = (
+    Arrived | Ended | CallNeeded | CallEnded | StartUnconfirmed | CallerGone | Recalled | Notice | Bell
+)
 
 
 @dataclass(slots=True)
@@ -246,6 +256,13 @@
     ticket: Ticket
 
 
+@dataclass(slots=True)
+class PresumeLost:
+    """Wait no longer for the end of a run whose start is unconfirmed."""
+
+    ticket: Ticket
+
+
 class Denial(Enum):
     """Why a ticket was denied; each is counted apart."""
 
@@ -349,6 +366,7 @@
 Deed: TypeAlias = (
     Run
     | Stop
+    | PresumeLost
     | Deny
     | Terminate
     | Call
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -34,6 +34,7 @@
         self._socket = sock
         self._unsent = bytearray()
         self._unsent_most, self._chunk = unsent_most, chunk
+        self.queued = self.sent = 0  # bytes ever written here, and ever handed to the system
         self._paused: greenlet | None = None  # the reader, while too much is unsent
         self._sending = False
         self.open = True
@@ -68,6 +69,7 @@
     def write(self, data: bytes) -> None:
         if self.open:
             self._unsent += data
+            self.queued += len(data)
 
     def flush(self) -> None:
         """Send what can be sent now; the rest goes out as the peer takes it."""
@@ -125,6 +127,7 @@
             except OSError:
                 return self.close()
             del self._unsent[:sent]
+            self.sent += sent
 
     def _send_rest(self) -> None:
         while self.open and self._unsent:
