Deadlines, windows and graces go by the monotonic clock, however the wall clock is set

The server's clock was the Unix clock: stepped forward by an hour every timer rang at once, stepped back it ran at half pace for two hours.

The clock runs with the monotonic one (transport/clock.py). Callers' stamps are converted as they come in: one made before a step and read after it is read by the setting under which it was made. The ledger's records leave with the wall clock's time; recall keeps its windows by the server's clock, whose distance from the machine's uptime no step changes within a life. The test that the clock goes on at half pace when set back is replaced by one as strict: it runs with real time over any step.

--- a/sablewheel/ledger/keeper.py
+++ b/sablewheel/ledger/keeper.py
@@ -174,8 +174,8 @@
             customer=self._names.get(ticket.customer, "") if ticket.customer is not None else "",
             track=track,
             outcome=outcome,
-            ended_us=round(now * 1e6),
-            arrived_us=round(ticket.arrived * 1e6),
+            ended_us=round(self._scheduler.clock.to_unix(now) * 1e6),
+            arrived_us=round(self._scheduler.clock.to_unix(ticket.arrived) * 1e6),
             run_us=round(billed.took * 1e6) if billed is not None else 0,
             asked_bytes=len(exchange.body),
             answer_bytes=answer_bytes,
@@ -213,7 +213,7 @@
                 self._marked = self._answered()
                 while mark or not self._pool.empty:
                     mark = False
-                    block = self._pool.cut(now, self._marked, BLOCK_ENTRIES)
+                    block = self._cut(now, self._marked, BLOCK_ENTRIES)
                     number = store.append(block.data)
                     assert number is not None  # the store was idle, and one pool is within its bound
                     self._fences.append((number, block.last_sequence))
@@ -230,7 +230,11 @@
         if not self._ripe():
             return None
         self._cut_at = self._scheduler.clock.now
-        return self._pool.cut(self._cut_at, self._pool.last, BLOCK_ENTRIES)
+        return self._cut(self._cut_at, self._pool.last, BLOCK_ENTRIES)
+
+    def _cut(self, now: float, answered: int, entries_most: int) -> Sealed:
+        """The next block, stamped by the wall clock as its readers know it."""
+        return self._pool.cut(self._scheduler.clock.to_unix(now), answered, entries_most)
 
     def _schedule(self) -> None:
         """Rounds come with tickets; without any, what lies in the pool still has its time."""
@@ -286,7 +290,7 @@
 
     def _tell_left(self) -> None:
         """Nothing is lost silently: totals that can be put right by hand, as corrections."""
-        left = pb.Block.FromString(self._pool.cut(self._scheduler.clock.now, 0, 1 << 30).data)
+        left = pb.Block.FromString(self._cut(self._scheduler.clock.now, 0, 1 << 30).data)
         sums: dict[str, list[int]] = {}
         for entry in left.entries:
             row = sums.setdefault(entry.customer, [0, 0, 0])
--- a/sablewheel/recall/recorder.py
+++ b/sablewheel/recall/recorder.py
@@ -25,6 +25,7 @@
 from ..terms import Nature, Outcome, Router, Stage, Ticket, Track
 from ..transport.background import Background
 from ..transport.bridge import Bridge
+from ..transport.clock import Clock
 from ..transport.scheduler import Scheduler
 from . import recall_pb2 as pb
 from . import written
@@ -45,14 +46,19 @@
 Run = Callable[[Exchange], None]
 
 
-def read_moment() -> Moment:
-    """Both clocks of the machine."""
+def read_moment(clock: Clock | None = None) -> Moment:
+    """The server's clock, by which windows are kept (without a server one that begins now), and the machine's
+    time since its start.
+
+    Not the wall clock, which may be set while the server runs: within a life the two run alike, so that only
+    what happened between two lives tells them apart.
+    """
     try:
         boot = bytes.fromhex(Path("/proc/sys/kernel/random/boot_id").read_text().strip().replace("-", ""))
     except (OSError, ValueError):
         boot = b""
     since = time.clock_gettime(time.CLOCK_BOOTTIME)
-    return Moment(time.time(), since, boot)
+    return Moment((clock or Clock()).read(), since, boot)
 
 
 class Waiting:
@@ -80,11 +86,12 @@
         remembered: Callable[[], None],
         fail: Callable[[str], None],
         count: Callable[[str], None],
-        moment: Callable[[], Moment] = read_moment,
+        moment: Callable[[], Moment] | None = None,
     ) -> None:
         self._scheduler, self._plan, self._count, self._inner = scheduler, plan, count, inner
         self._never_begun, self._remembered, self._fail = never_begun, remembered, fail
-        self._tracks, self._read_moment, self._bridge = tracks, moment, bridge
+        self._tracks, self._bridge = tracks, bridge
+        self._read_moment = moment or (lambda: read_moment(scheduler.clock))
         labelled = [one for one in tracks.values() if one.nature is Nature.LABELLED]
         self._longest = max((one.window for one in labelled), default=0.0)
         self.started = scheduler.clock.now
--- a/sablewheel/routing/server.py
+++ b/sablewheel/routing/server.py
@@ -187,7 +187,8 @@
         exchange = Exchange(
             asked.name, asked.track, asked.body, tag, asked.label, ticket, self, server.witness
         )
-        exchange.until = asked.until
+        if asked.until is not None:
+            exchange.until = ticket.arrived + (asked.until - asked.since)
         self.open[tag] = exchange
         try:
             server.desk.arrived(exchange)
@@ -303,12 +304,11 @@
             raise resp.FaultyError(f"no such customer: {asked.customer[:40]!r}", asked.tag)
         if track.nature is Nature.LABELLED and not asked.label:
             raise resp.FaultyError("no label on a track that needs one", asked.tag)
+        arrived = self.scheduler.clock.from_unix(asked.since)
         now = self.scheduler.clock.now
-        if asked.since > now:  # the round's clock stands while it reads, and a round may be long
-            now = self.scheduler.clock.read()
-        if not now - AGE_MOST < asked.since < now + AHEAD_MOST:
+        if not now - AGE_MOST < arrived < now + AHEAD_MOST:
             raise resp.FaultyError(f"a figure out of range: since={asked.since:.3f}", asked.tag)
-        arrived = min(asked.since, now)  # whole milliseconds of another's reading may lie ahead of ours
+        arrived = min(arrived, now)  # whole milliseconds of another's reading may lie ahead of ours
         router = self._routers.pop(asked.router, None) or Router(name=asked.router)
         self._routers[asked.router] = router
         while len(self._routers) > self._routers_most:  # a new configuration may tell of fewer
--- a/sablewheel/transport/scheduler.py
+++ b/sablewheel/transport/scheduler.py
@@ -12,34 +12,20 @@
 import os
 import select
 import signal
-import time
 from collections import deque
 from collections.abc import Callable
 from math import ceil, inf
 
 from greenlet import getcurrent, greenlet
 
+from .clock import Clock as Clock
+
 READABLE, WRITABLE = select.POLLIN, select.POLLOUT
 TROUBLE = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 log = logging.getLogger(__name__)
 
 
-class Clock:
-    """The system's Unix clock, except that it never goes back."""
-
-    def __init__(self) -> None:
-        self.now = time.time()
-        self._steady = time.monotonic()
-
-    def read(self) -> float:
-        """Read it anew. Set back, it goes on at half its pace until the system's clock has caught up."""
-        unix, steady = time.time(), time.monotonic()
-        self.now = unix if unix >= self.now else self.now + (steady - self._steady) / 2
-        self._steady = steady
-        return self.now
-
-
 class Timer:
     """Something to do at a time; `cancel` takes it back."""
 
--- /dev/null
+++ b/tests/installation.py
@@ -0,0 +1,148 @@
+"""A server and its interpreter as processes on loopback, a proxy on the link between them, and a client."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from sablewheel.protocol.resp import Parser
+from sablewheel.trials import wire
+from sablewheel.trials.rig import Rig, free_port
+
+PATIENCE = 15.0
+KEYED, SAFE = b"record", b"lookup"
+
+
+class LinkProxy:
+    """Stands between a server and its interpreter, and passes bytes on through `pass_on(link, upward, data)`.
+
+    `pass_on` returns whether the link goes on; links are numbered from 1.
+    """
+
+    def __init__(self, interpreter_port: int, pass_on: Callable[[Pair, bool, bytes], bool]) -> None:
+        self._interpreter_port, self._pass_on = interpreter_port, pass_on
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = int(self._listener.getsockname()[1])
+        self.pairs: list[Pair] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                server, _ = self._listener.accept()
+                interpreter = socket.create_connection(("127.0.0.1", self._interpreter_port))
+                pair = Pair(len(self.pairs) + 1, server, interpreter)
+                self.pairs.append(pair)
+                for upward in (True, False):
+                    threading.Thread(target=self._pump, args=(pair, upward), daemon=True).start()
+
+    def _pump(self, pair: Pair, upward: bool) -> None:
+        source = pair.server if upward else pair.interpreter
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                if not self._pass_on(pair, upward, data):
+                    break
+        pair.cut()
+
+    def close(self) -> None:
+        self._listener.close()
+        for pair in self.pairs:
+            pair.cut()
+
+
+class Pair:
+    """One link: the server's end and the interpreter's."""
+
+    def __init__(self, number: int, server: socket.socket, interpreter: socket.socket) -> None:
+        self.number, self.server, self.interpreter = number, server, interpreter
+
+    def send(self, upward: bool, data: bytes) -> None:
+        (self.interpreter if upward else self.server).sendall(data)
+
+    def cut(self) -> None:
+        for end in (self.server, self.interpreter):
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+
+
+def pass_unchanged(pair: Pair, upward: bool, data: bytes) -> bool:
+    pair.send(upward, data)
+    return True
+
+
+class Client:
+    """A router's connection to the server; answers by tag."""
+
+    def __init__(self, port: int) -> None:
+        self._socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE)
+        self.wall_clock: Callable[[], float] = time.time
+        self._parser = Parser()
+        self.sent: dict[int, bytes] = {}
+        self.answers: dict[int, list[bytes]] = {}
+
+    def ask(self, tag: int, request_class: bytes, key: int | None = None) -> bytes:
+        """Send a request, a keyed one with a key of its own unless `key` is given; its id."""
+        request = b"%016x" % (0xA0000 + tag)
+        label = b"%032x" % (tag if key is None else key) if request_class == KEYED else b""
+        frame = wire.call(tag, request, request_class, self.wall_clock(), b"body", b"regina", label=label)
+        self._socket.sendall(frame)
+        self.sent[tag] = request
+        return request
+
+    def read(self, seconds: float) -> None:
+        """Take answers until all are here or the time is up."""
+        until = time.monotonic() + seconds
+        while len(self.answers) < len(self.sent) and (left := until - time.monotonic()) > 0:
+            self._socket.settimeout(left)
+            try:
+                data = self._socket.recv(65536)
+            except TimeoutError:
+                return
+            for words in self._parser.feed(data):
+                if int(words[0]):
+                    assert int(words[0]) not in self.answers, "answered twice"
+                    self.answers[int(words[0])] = words
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class Installation:
+    """A server and its interpreter, each a process, with the proxy between them."""
+
+    def __init__(
+        self,
+        rig: Rig,
+        keyed_work: float,
+        pass_on: Callable[[Pair, bool, bytes], bool] | None = None,
+        shifted: bool = False,
+        module: tuple[str, ...] = ("sablewheel",),
+        **changes: Any,
+    ) -> None:
+        """`keyed_work`: seconds of a keyed run; `shifted`: its wall clock goes by `rig.shift`."""
+        interpreter_port, port = free_port(), free_port()
+        work = {SAFE.decode(): 0.02, KEYED.decode(): keyed_work}
+        rig.interpreter("vm", interpreter_port, work=work, cores=64)
+        self.proxy = LinkProxy(interpreter_port, pass_on or pass_unchanged)
+        configuration = rig.configuration("n1", port, self.proxy.port, **changes)
+        self.server = rig.start("n1", *module, shifted=shifted, RELAY_CONFIG=str(configuration))
+        rig.wait_until_up(port, self.server)
+        self.port = port
+        self.client = Client(port)
+        self._rig = rig
+        # A notice is read before anything else: a link that has read none looks like that of a new server.
+        self.client.ask(1, SAFE)
+        self.client.read(PATIENCE)
+
+    def starts(self) -> Counter[str]:
+        """How often the interpreter began each request."""
+        return Counter(request for word, request, _ in self._rig.runs("vm") if word == "begin")
+
+    def close(self) -> None:
+        self.client.close()
+        self.proxy.close()
--- a/tests/test_incident_duplicate_run.py
+++ b/tests/test_incident_duplicate_run.py
@@ -17,137 +17,17 @@
 
 from __future__ import annotations
 
-import contextlib
 import random
-import socket
 import threading
 import time
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import pytest
+from installation import KEYED, PATIENCE, Installation, Pair
 
-from sablewheel.protocol.resp import Parser
-from sablewheel.trials import wire
-from sablewheel.trials.rig import Rig, free_port
+from sablewheel.trials.rig import Rig
 
-PATIENCE = 15.0
 CROSSING_MOST = 1.0  # seconds for which a notice is held so that a command may cross it
-KEYED, SAFE = b"record", b"lookup"
-
-
-class LinkProxy:
-    """Stands between a server and its interpreter, and passes bytes on through `pass_on(link, upward, data)`.
-
-    `pass_on` returns whether the link goes on; links are numbered from 1.
-    """
-
-    def __init__(self, interpreter_port: int, pass_on: Callable[[Pair, bool, bytes], bool]) -> None:
-        self._interpreter_port, self._pass_on = interpreter_port, pass_on
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = int(self._listener.getsockname()[1])
-        self.pairs: list[Pair] = []
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                server, _ = self._listener.accept()
-                interpreter = socket.create_connection(("127.0.0.1", self._interpreter_port))
-                pair = Pair(len(self.pairs) + 1, server, interpreter)
-                self.pairs.append(pair)
-                for upward in (True, False):
-                    threading.Thread(target=self._pump, args=(pair, upward), daemon=True).start()
-
-    def _pump(self, pair: Pair, upward: bool) -> None:
-        source = pair.server if upward else pair.interpreter
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                if not self._pass_on(pair, upward, data):
-                    break
-        pair.cut()
-
-    def close(self) -> None:
-        self._listener.close()
-        for pair in self.pairs:
-            pair.cut()
-
-
-class Pair:
-    """One link: the server's end and the interpreter's."""
-
-    def __init__(self, number: int, server: socket.socket, interpreter: socket.socket) -> None:
-        self.number, self.server, self.interpreter = number, server, interpreter
-
-    def send(self, upward: bool, data: bytes) -> None:
-        (self.interpreter if upward else self.server).sendall(data)
-
-    def cut(self) -> None:
-        for end in (self.server, self.interpreter):
-            with contextlib.suppress(OSError):
-                end.shutdown(socket.SHUT_RDWR)
-
-
-class Client:
-    """A router's connection to the server; answers by tag."""
-
-    def __init__(self, port: int) -> None:
-        self._socket = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE)
-        self._parser = Parser()
-        self.sent: dict[int, bytes] = {}
-        self.answers: dict[int, list[bytes]] = {}
-
-    def ask(self, tag: int, request_class: bytes) -> bytes:
-        """Send a request; its id."""
-        request = b"%016x" % (0xA0000 + tag)
-        key = b"%032x" % tag if request_class == KEYED else b""
-        frame = wire.call(tag, request, request_class, time.time(), b"body", b"regina", label=key)
-        self._socket.sendall(frame)
-        self.sent[tag] = request
-        return request
-
-    def read(self, seconds: float) -> None:
-        """Take answers until all are here or the time is up."""
-        until = time.monotonic() + seconds
-        while len(self.answers) < len(self.sent) and (left := until - time.monotonic()) > 0:
-            self._socket.settimeout(left)
-            try:
-                data = self._socket.recv(65536)
-            except TimeoutError:
-                return
-            for words in self._parser.feed(data):
-                if int(words[0]):
-                    assert int(words[0]) not in self.answers, "answered twice"
-                    self.answers[int(words[0])] = words
-
-    def close(self) -> None:
-        self._socket.close()
-
-
-class Installation:
-    """A server and its interpreter, each a process, with the proxy between them."""
-
-    def __init__(self, rig: Rig, pass_on: Callable[[Pair, bool, bytes], bool], keyed_work: float) -> None:
-        interpreter_port, port = free_port(), free_port()
-        work = {SAFE.decode(): 0.02, KEYED.decode(): keyed_work}
-        rig.interpreter("vm", interpreter_port, work=work, cores=64)
-        self.proxy = LinkProxy(interpreter_port, pass_on)
-        configuration = rig.configuration("n1", port, self.proxy.port)
-        self.server = rig.start("n1", "sablewheel", shifted=False, RELAY_CONFIG=str(configuration))
-        rig.wait_until_up(port, self.server)
-        self.client = Client(port)
-        self._rig = rig
-        # A notice is read before anything else: a link that has read none looks like that of a new server.
-        self.client.ask(1, SAFE)
-        self.client.read(PATIENCE)
-
-    def starts(self) -> Counter[str]:
-        """How often the interpreter began each request."""
-        return Counter(request for word, request, _ in self._rig.runs("vm") if word == "begin")
-
-    def close(self) -> None:
-        self.client.close()
-        self.proxy.close()
 
 
 @pytest.fixture
@@ -175,7 +55,7 @@
         pair.send(upward, data)
         return True
 
-    installation = Installation(rig, pass_on, keyed_work=0.4)
+    installation = Installation(rig, 0.4, pass_on)
     request = installation.client.ask(2, KEYED)
     installation.client.read(4.0)
     time.sleep(0.1)  # for a second start, which is noted as it happens
@@ -201,7 +81,7 @@
         return time.monotonic() < ends.setdefault(pair.number, time.monotonic() + chance.uniform(0.3, 0.8))
 
     began = threading.Event()
-    installation = Installation(rig, pass_on, keyed_work=0.35)
+    installation = Installation(rig, 0.35, pass_on)
     began.set()
     client = installation.client
     for tag in range(2, 162):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -38,15 +38,70 @@
     return len(rounds)
 
 
-def test_the_clock_never_goes_back_and_never_stands(monkeypatch: pytest.MonkeyPatch) -> None:
-    unix, steady = (
-        iter([1000.0, 1001.0, 991.0, 992.0, 1000.0, 1030.0]),
-        iter([50.0, 51.0, 52.0, 53.0, 54.0, 55.0]),
-    )
-    monkeypatch.setattr(time, "time", lambda: next(unix))
-    monkeypatch.setattr(time, "monotonic", lambda: next(steady))
+class MadeTime:
+    """The system's two clocks, as a test sets them."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.unix, self.monotonic = 1000.0, 50.0
+        monkeypatch.setattr(time, "time", lambda: self.unix)
+        monkeypatch.setattr(time, "monotonic", lambda: self.monotonic)
+
+    def wait(self, span: float, step: float = 0.0) -> None:
+        self.unix += span + step
+        self.monotonic += span
+
+
+STEPS = [0.5, 5.0, 3600.0, -0.5, -5.0, -3600.0]
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_the_clock_runs_with_real_time_however_the_wall_clock_is_set(
+    monkeypatch: pytest.MonkeyPatch, step: float
+) -> None:
+    made = MadeTime(monkeypatch)
+    clock = Clock()
+    readings = [clock.now]
+    for span, by in [(1.0, 0.0), (0.25, step), (1.0, 0.0), (0.25, -step), (2.0, step)]:
+        made.wait(span, by)
+        readings.append(clock.read())
+    assert readings == [1000.0, 1001.0, 1001.25, 1002.25, 1002.5, 1004.5]
+    assert clock.to_unix(clock.now) == made.unix
+
+
+@pytest.mark.parametrize("read_between", [False, True])
+@pytest.mark.parametrize("step", [5.0, 3600.0, -5.0, -3600.0])
+def test_a_stamp_is_read_by_the_setting_under_which_it_was_made(
+    monkeypatch: pytest.MonkeyPatch, step: float, read_between: bool
+) -> None:
+    made = MadeTime(monkeypatch)
+    clock = Clock()
+    made.wait(10.0)
+    clock.read()
+    before, true_before = made.unix, made.monotonic
+    made.wait(0.1, step)
+    if read_between:
+        clock.read()
+    made.wait(0.1)
+    after, true_after = made.unix, made.monotonic
+    made.wait(0.2)
+    apart = 950.0  # between the clock and the monotonic one, as it was made
+    assert clock.from_unix(before) == pytest.approx(true_before + apart)
+    assert clock.from_unix(after) == pytest.approx(true_after + apart)
+    made.wait(100.0)
+    clock.read()
+    assert clock.from_unix(made.unix) == pytest.approx(made.monotonic + apart)
+
+
+def test_a_clock_that_is_slewed_is_followed_and_counts_as_one_setting(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    made = MadeTime(monkeypatch)
     clock = Clock()
-    assert [clock.read() for _ in range(5)] == [1001.0, 1001.5, 1002.0, 1002.5, 1030.0]
+    for _ in range(100):
+        made.wait(1.0, 0.0005)
+        clock.read()
+    assert clock.from_unix(made.unix) == pytest.approx(clock.now) and not clock._earlier
+    assert clock.to_unix(clock.now) == pytest.approx(made.unix)
 
 
 def test_timers_ring_in_order_never_early_and_not_once_cancelled() -> None:
