Related to what may have run: quiet links, ends that can't be read, ids that come again

The class of bug is a command that is repeated, or an outcome that is assumed, after an unclear answer. Paths gone through for it:

- Commands written to a link on which nothing is heard (up to 3 s, until it is made anew) would all be unconfirmed by the repair before.
After three questions without a word no keyed or unsafe command is written; it goes out with the next word, or on the next link.
- A run whose notice was passed over as unreadable never ended here and kept its place for good.
It is given up, if its id can be read.
- The id of a keyed or unsafe request whose run was over was sent to the interpreter again if it came once more; that the interpreter says 'nothing' was all that kept it from a second run.
Such an id fails here now, for the longest deadline or window (routing/recent.py).

Clear by reading, each with its tests from before: tickets passed to peers (forwarding/passing.py: only safe ones go elsewhere, a keyed one asks its owner, an unsafe one fails), claims of replicated keys (by reference), the hand-over to a moved interpreter (behind a fence; without one it counts as broken), runs adopted after a restart (never sent), the ledger's export (by position).

--- a/sablewheel/protocol/interpreter.py
+++ b/sablewheel/protocol/interpreter.py
@@ -32,9 +32,13 @@
 
 
 class GarbledError(ValueError):
-    """What came is not of the interpreter's lines. `number`: the notice's own, 0 if none can be made out."""
+    """What came is not of the interpreter's lines.
+
+    `number`: the notice's own; `name`: the run whose end it tells; 0 and empty if none can be made out.
+    """
 
     number = 0
+    name = b""
 
 
 @dataclass(slots=True)
@@ -145,6 +149,7 @@
         except GarbledError as trouble:
             numbered = len(words) > 1 and words[0] not in UNNUMBERED and words[1].isdigit()
             trouble.number = int(words[1][:19]) if numbered else 0
+            trouble.name = words[2] if words[0] == b"VALUE" and len(words) > 2 else b""
             raise
         del self._bytes[:stop]
         return notice
--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -27,6 +27,7 @@
 SILENT_MOST = 15  # times asked without a word: 3 s, however long the whole machine stood still between two
 LOST_MOST = 0.05  # commands that came so shortly before a break may be lost, whatever was answered since
 ASKED_MOST = 4096  # questions kept track of; beyond, the oldest are as if they were never answered
+QUIET_MOST = 3  # times asked without a word, past which no command is written that may not be written again
 HAND_OVER_MOST = 0.3  # for the fence on a link that is about to be left; past it, it counts as broken
 HAND_OVER_LOOK = 0.005
 ADOPTED = -1  # the fence of a run that was sent before this process began
@@ -58,6 +59,11 @@
         self.again = False  # its command was written a second time: the first may have been carried out
 
 
+def may_run_twice(exchange: Exchange) -> bool:
+    """Whether a second run of this request would do no harm."""
+    return exchange.ticket.track.nature is Nature.REDOABLE
+
+
 class Client:
     """The one link; `gauges` are those last told, while they hold."""
 
@@ -110,7 +116,7 @@
         """The name is that of no other run: the desk takes no two tickets of one name."""
         run = self._runs[exchange.name] = Run(exchange)
         self._count("runs_sent")
-        if self._ready:
+        if self._ready and (may_run_twice(exchange) or self._unheard < QUIET_MOST):
             self._apply(run)
 
     def adopt(self, exchanges: list[Exchange], last: int | None) -> None:
@@ -193,7 +199,7 @@
             reason: object = "the interpreter closed it"
         except interpreter.GarbledError as trouble:
             self._count("notices_garbled")
-            self._pass_over(trouble.number)
+            self._pass_over(trouble)
             reason = trouble
         except Exception as trouble:  # a fault of ours must not leave the server without its interpreter
             self._count("faults")
@@ -228,7 +234,9 @@
         stream.write(interpreter.connect(self._last))
         stream.flush()
         while data := stream.read():
-            self._unheard = 0
+            was_quiet, self._unheard = self._unheard >= QUIET_MOST, 0
+            if was_quiet and self._ready:
+                self._apply_waiting()
             while notices := parser.feed(data):  # asked once more for what is left: nothing, or no notice
                 data = b""
                 for notice in notices:
@@ -261,18 +269,21 @@
                 self._gauges, self._told = values, self._scheduler.clock.now
                 self._pass_fence(tag, opening, safe)
 
-    def _pass_over(self, number: int) -> None:
+    def _pass_over(self, trouble: interpreter.GarbledError) -> None:
         """The next notice can't be read; a second time in a row it is passed over, and costs nothing else.
 
         Guards against an interpreter that says more than this program knows, or the same thing wrongly each
         time: a link that breaks for it brings it again and breaks again, and no run of any class would ever
-        end. Once may be an accident of the link, and is read anew. May harm the run that it was about: that
-        one is answered when its time is up.
+        end. Once may be an accident of the link, and is read anew. The run that it was about has no other
+        notice, so it is given up, if its name can be read.
         """
+        number = trouble.number
         if number and number == self._last + 1:
             if number == self._unreadable:
                 self._last = number
                 self._count("notices_passed_over")
+                if trouble.name in self._runs:
+                    self._end(trouble.name, Outcome.LOST, 0.0, b"")
             self._unreadable = number
 
     def _pass_fence(self, tag: bytes, opening: int, safe: int) -> None:
@@ -301,12 +312,10 @@
         """
         away = self.away
         self._ready, self._away_since = True, None
-        first = [run for run in self._runs.values() if not run.fence]
         unproven = [run for run in self._runs.values() if run.fence > safe]
-        again = [run for run in unproven if run.exchange.ticket.track.nature is Nature.REDOABLE]
-        unconfirmed = [run for run in unproven if run not in again and not run.unconfirmed]
-        for run in first:
-            self._apply(run)
+        again = [run for run in unproven if may_run_twice(run.exchange)]
+        unconfirmed = [run for run in unproven if not may_run_twice(run.exchange) and not run.unconfirmed]
+        first = self._apply_waiting()
         for run in again:
             self._send_again(run)
         for run in unconfirmed:
@@ -315,11 +324,18 @@
             if run.halted:
                 self._commands += interpreter.halt(run.exchange.name)
         pairs = {
-            "away": round(away, 3), "open_runs": len(self._runs), "sent_first": len(first),
+            "away": round(away, 3), "open_runs": len(self._runs), "sent_first": first,
             "sent_again": len(again), "unconfirmed": len(unconfirmed),
         }  # fmt: skip
         log.info("link to the interpreter ready", extra={"pairs": pairs})
 
+    def _apply_waiting(self) -> int:
+        """Write the commands that were never written; how many."""
+        waiting = [run for run in self._runs.values() if not run.fence]
+        for run in waiting:
+            self._apply(run)
+        return len(waiting)
+
     def _send_again(self, run: Run) -> None:
         run.again = True
         self._count("runs_sent_again")
--- a/sablewheel/routing/dispatch.py
+++ b/sablewheel/routing/dispatch.py
@@ -11,16 +11,22 @@
 from ..choice import Controller
 from ..terms import Deed, Happening, Machine, Nature, Outcome, Ticket
 from ..transport.scheduler import Scheduler
-from .client import Client
+from .client import Client, may_run_twice
 from .exchange import Exchange, Place, Standing
 from .labels import Labels
 from .reasons import FailureReason, log_reason
+from .recent import RecentRuns
 from .seam import UNREMEMBERED, Memory
 from .server import Server
 
 log = logging.getLogger(__name__)
 
 
+def _longest_span(machine: Machine) -> float:
+    """The longest deadline or window of any class, in seconds."""
+    return max(max(track.abandon, track.window) for track in machine.tracks)
+
+
 class Dispatch:
     """All that one round of poll brought is one batch; `end_round` decides it and lets everything out."""
 
@@ -51,6 +57,7 @@
         self.denials: dict[str, int] = {}  # by reason, and those told no time to come back
         self.failures: dict[str, int] = {}  # by reason
         self._names: set[bytes] = set()  # theirs
+        self._recent = RecentRuns(_longest_span(machine))
         self._server: Server
         self._client: Client
 
@@ -71,6 +78,7 @@
             self._controller.retune(machine)
         self._machine = machine
         self._client.can_stop = machine.halting is terms.Halting.DROPS
+        self._recent.life = max(self._recent.life, _longest_span(machine))
         self._labels.lag = max(self._labels.lag, *(track.abandon for track in machine.tracks))
 
     def greeted(self, cold: bool, age: float) -> None:
@@ -111,15 +119,18 @@
         ticket, label = exchange.ticket, exchange.label
         if self._controller is None or (not self._memory.ready and ticket.track.nature is Nature.LABELLED):
             return self._wait_for_start(exchange)
-        if exchange.name in self._names:
+        keyed = ticket.track.nature is Nature.LABELLED
+        if exchange.name in self._names or (exchange.name in self._recent and not keyed):
             return self._fail_request(exchange, FailureReason.REPEATED_ID)
-        if label is not None and ticket.track.nature is Nature.LABELLED:
+        if label is not None and keyed:
             # Another try in this very batch: its fate first, or this one could not be told what it repeats.
             if label in self._undecided:
                 self.decide()
             exchange.first = self._labels.find(label, ticket.arrived)
             if exchange.first is not None and not exchange.first.asks_same(exchange):
                 return self._fail_request(exchange, FailureReason.OTHER_CONTENT)
+            if exchange.first is None and exchange.name in self._recent:
+                return self._fail_request(exchange, FailureReason.REPEATED_ID)
             # What it repeats may be forgotten, on either side of a restart: neither run nor denied.
             if exchange.first is None and (
                 self._labels.forgets(ticket.arrived, self._clock.now) or self._memory.may_not_run(exchange)
@@ -179,6 +190,7 @@
         exchange.took = took
         self._memory.ended(exchange, outcome, result)
         if outcome is Outcome.MOOT:
+            self._recent.discard(exchange.name)
             # It never began, so no repeat joins it; the controller's word for that comes when it is off.
             self._labels.release(exchange)
         if outcome is Outcome.WORKED:
@@ -221,6 +233,7 @@
         try:
             self.decide()
             self._labels.sweep(self._clock.now)
+            self._recent.sweep(self._clock.now)
         finally:
             try:
                 self._client.flush()
@@ -295,6 +308,8 @@
             case terms.Run():
                 if exchange.place is Place.HELD:
                     exchange.place = Place.RUNNING
+                    if not may_run_twice(exchange):
+                        self._recent.add(exchange.name, self._clock.now)
                     self._memory.before_run(exchange, self._client.run)
             case terms.Stop():
                 if exchange.place is Place.RUNNING:
@@ -366,7 +381,8 @@
         But what ran is not denied, in any other try either: what repeats it, or may, is terminated.
         """
         ticket = exchange.ticket
-        if ticket not in self._exchanges and exchange.name in self._names:  # the name of one that is open
+        known = exchange.name in self._names or exchange.name in self._recent
+        if ticket not in self._exchanges and known:  # the id of one that is open, or ran
             return self._fail_request(exchange, FailureReason.REPEATED_ID)
         if ticket.track.nature is Nature.LABELLED and exchange.label is not None:
             first = self._labels.find(exchange.label, ticket.arrived)
--- a/sablewheel/routing/reasons.py
+++ b/sablewheel/routing/reasons.py
@@ -12,7 +12,7 @@
 class FailureReason(Enum):
     """Why a request's final answer is an error."""
 
-    REPEATED_ID = "repeated_id"  # another request of this id is open
+    REPEATED_ID = "repeated_id"  # another request of this id is open, or was run lately
     OTHER_CONTENT = "other_content"  # its key came with another body or class
     TOO_OLD = "too_old"  # a run of the same key may be forgotten by now
     NOT_STARTED = "not_started"  # the interpreter was not up in its time
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -90,6 +90,63 @@
     assert not any(one.answers for one in lost)
 
 
+def test_no_keyed_command_is_written_to_a_link_on_which_nothing_is_heard() -> None:
+    """It would be lost with the link, and could not be written again."""
+    town = Town(MACHINE)
+    town.wait(0.5)
+    links, town.links = town.links, []  # nothing that is written arrives any more
+    town.wait(1.0)
+    keyed, safe = town.call(b"record", b"a"), town.call(b"lookup")
+    town.settle()
+    assert links[0].written.count(b"APPLY") == 1
+    town.wait(2.5)
+    assert town.counts.count("links") == 2 and set(town.interpreter.running) == {keyed.name, safe.name}
+    assert not town.counts.count("runs_unconfirmed")
+
+
+def test_keyed_commands_go_out_as_soon_as_a_quiet_link_speaks_again() -> None:
+    town = Town(MACHINE)
+    town.wait(0.5)
+    links, town.links = town.links, []
+    town.wait(1.0)
+    keyed = town.call(b"record", b"a")
+    town.settle()
+    assert not town.interpreter.running
+    town.links = links
+    town.settle()
+    assert town.counts.count("links") == 1 and set(town.interpreter.running) == {keyed.name}
+
+
+def test_a_run_whose_end_can_not_be_read_gives_its_place_back() -> None:
+    town = Town(MACHINE)
+    one = town.call(b"record", b"a")
+    town.settle()
+    del town.interpreter.running[one.name]
+    for _ in range(2):
+        assert town.link is not None
+        town.link.feed(b"VALUE 1 %b succeeded 250 0\r\n\r\n" % one.name)
+        town.wait(0.1)
+    assert town.counts.count("notices_passed_over") == 1
+    assert one.answers[0][1] == b"FAILED" and town.dispatch.open_count == 0
+
+
+def test_unconfirmed_runs_count_against_what_the_cores_survive_until_they_are_given_up() -> None:
+    town = Town(MACHINE)
+    most = int(MACHINE.cores * MACHINE.crowd_multiple)
+    for number in range(most):
+        town.call(b"record", b"%d" % number)
+        town.settle(deliver=False)
+        broken(town, lost=True)
+    assert town.counts.count("runs_unconfirmed") == most
+    refused = town.call(b"record", b"refused")
+    town.settle()
+    assert not town.interpreter.running
+    town.wait(9.0)
+    served = town.call(b"record", b"served")
+    town.settle()
+    assert refused.answers[0][1] == b"BUSY" and set(town.interpreter.running) == {served.name}
+
+
 def test_a_keyed_run_whose_command_never_left_the_process_is_sent() -> None:
     """The link was broken already, so nobody can have read it."""
     town = Town(MACHINE)
--- a/tests/test_crossing_repeats.py
+++ b/tests/test_crossing_repeats.py
@@ -504,7 +504,7 @@
     town.router.feed(copy)
     town.settle(deliver=False)
     town.settle()
-    assert town.dispatch.open_count == 0 and town.ran() == [one]
+    assert town.dispatch.open_count == 0 and town.ran() == [one] and town.counts.count("runs_sent") == 1
     if label:  # and the label is free for a true try
         true = town.call(b"record", b"a")
         town.settle()
