A close that fails leaves no segment's descriptor behind to be closed a second time

DiskFiles._close_open (state/files.py) forgot the descriptor only after close(2) had succeeded; after an error the next file closed the same number again, which by then may be another's (a connection, the lock). Test: two closes, the first fails; before, the number was closed twice.

--- a/sablewheel/state/files.py
+++ b/sablewheel/state/files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import os
 from pathlib import Path
@@ -90,6 +91,8 @@
         return self._open[1]
 
     def _close_open(self) -> None:
-        if self._open is not None:
-            os.close(self._open[1])
-            self._open = None
+        held, self._open = self._open, None
+        if held is not None:
+            # The descriptor is free whatever close(2) says, and what counts as durable was synced.
+            with contextlib.suppress(OSError):
+                os.close(held[1])
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -84,14 +84,20 @@
         self._parser = Parser()
         self.sent: dict[int, bytes] = {}
         self.keys: dict[int, bytes] = {}  # of the keyed ones
+        self.sent_at: dict[int, float] = {}  # monotonic
         self.answers: dict[int, list[bytes]] = {}
+        self.answered_at: dict[int, float] = {}
+        self.told_to_go = False  # no new request may come on this connection
+        self.ended_at: float | None = None  # when it was seen to have ended
 
     def ask(self, tag: int, request_class: bytes, key: int | None = None) -> bytes:
         """Send a request, a keyed one with a key of its own unless `key` is given; its id."""
         request = b"%016x" % (0xA0000 + tag)
         label = b"%032x" % (tag if key is None else key) if request_class == KEYED else b""
         frame = wire.call(tag, request, request_class, self.wall_clock(), b"body", b"regina", label=label)
-        self._socket.sendall(frame)
+        self.sent_at[tag] = time.monotonic()
+        with contextlib.suppress(ConnectionError):
+            self._socket.sendall(frame)
         self.sent[tag] = request
         if label:
             self.keys[tag] = label
@@ -101,15 +107,36 @@
         """Take answers until all are here or the time is up."""
         until = time.monotonic() + seconds
         while len(self.answers) < len(self.sent) and (left := until - time.monotonic()) > 0:
-            self._socket.settimeout(left)
-            try:
-                data = self._socket.recv(65536)
-            except TimeoutError:
+            if not self._read_once(left):
                 return
-            for words in self._parser.feed(data):
-                if int(words[0]):
-                    assert int(words[0]) not in self.answers, "answered twice"
-                    self.answers[int(words[0])] = words
+
+    def look(self) -> None:
+        """Take what is there."""
+        while self._read_once(0.0):
+            pass
+
+    def _read_once(self, most: float) -> bool:
+        """Whether anything was read within `most` seconds."""
+        if self.ended_at is not None:
+            return False
+        self._socket.settimeout(most)
+        try:
+            data = self._socket.recv(65536)
+        except (TimeoutError, BlockingIOError):
+            return False
+        except ConnectionError:
+            data = b""
+        if not data:
+            self.ended_at = time.monotonic()
+            return False
+        for words in self._parser.feed(data):
+            tag = int(words[0])
+            assert tag not in self.answers, "answered twice"
+            if tag:
+                self.answers[tag], self.answered_at[tag] = words, time.monotonic()
+            else:
+                self.told_to_go = True
+        return True
 
     def close(self) -> None:
         self._socket.close()
@@ -126,6 +153,7 @@
         shifted: bool = False,
         module: tuple[str, ...] = ("sablewheel",),
         environment: dict[str, str] | None = None,
+        cores: int = 64,
         **changes: Any,
     ) -> None:
         """`keyed_work`: seconds of a keyed run; `shifted`: its wall clock goes by `rig.shift`; `module`: what
@@ -133,7 +161,8 @@
         """
         interpreter_port, port = free_port(), free_port()
         work = {SAFE.decode(): 0.02, KEYED.decode(): keyed_work}
-        rig.interpreter("vm", interpreter_port, work=work, cores=64)
+        rig.interpreter("vm", interpreter_port, work=work, cores=cores)
+        self.interpreter_port = interpreter_port
         self.proxy = LinkProxy(interpreter_port, pass_on or pass_unchanged)
         configuration = rig.configuration("n1", port, self.proxy.port, **changes)
         told = {"RELAY_CONFIG": str(configuration), **(environment or {})}
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import os
 import random
 import time
 from collections.abc import Callable
@@ -238,6 +239,28 @@
     assert "a log of kind test" in third.recover(lambda *_: None).damage[0]
 
 
+def test_a_close_that_fails_closes_no_other_descriptor(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    files, real = DiskFiles(tmp_path), os.close
+    closed: list[int] = []
+
+    def failing(descriptor: int) -> None:
+        real(descriptor)
+        closed.append(descriptor)
+        raise OSError(errno.EIO, "input/output error")
+
+    files.create("1.seg")
+    files.append("1.seg", b"one")
+    files.sync("1.seg")
+    monkeypatch.setattr(os, "close", failing)
+    files._close_open()
+    files._close_open()
+    monkeypatch.undo()
+    assert len(closed) == 1 and files.read("1.seg", 0, 9) == b"one"
+    files.close()
+
+
 def test_health_names_its_states_and_waits_longer_after_each_fault() -> None:
     health = DiskHealth(slow_after=0.1)
     assert health.look(0.0) is Disk.WORKING and health.may_commit(0.0)
