--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -306,12 +306,11 @@
     def _catch_up(self, safe: int) -> None:
         """All that was missed is in: what has no end yet and was never written is applied, and what may not
         have been read is applied again if its class may run twice.
-
-        A run that still runs goes on as it was, but one that ends while the command is on its way is begun
-        anew: no question asked before can rule that out. So a keyed or unsafe run is never applied twice.
         """
         away = self.away
         self._ready, self._away_since = True, None
+        # A run that ends while its command is on the way again is begun anew, and no question asked before
+        # can rule that out. So what may not run twice is left to its end, told or not.
         unproven = [run for run in self._runs.values() if run.fence > safe]
         again = [run for run in unproven if may_run_twice(run.exchange)]
         unconfirmed = [run for run in unproven if not may_run_twice(run.exchange) and not run.unconfirmed]
