--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -121,12 +121,17 @@
     global chance
     chance = Chance(told)
     socket.socket = FailingSocket  # type: ignore[misc]
-    real_poll, real_pipe = select.poll, os.pipe
+    real_poll, real_pipe, real_read = select.poll, os.pipe, os.read
 
     def pipe() -> tuple[int, int]:
         chance.maybe_raise("pipe", [errno.EMFILE, errno.ENFILE])
         return real_pipe()
 
+    def read(descriptor: int, size: int) -> bytes:
+        chance.maybe_raise("read", [errno.EIO, errno.EINTR])
+        return real_read(descriptor, size)
+
+    os.read = read
     select.poll = lambda: FailingPoll(real_poll())  # type: ignore[misc,assignment,return-value]
     os.pipe = pipe
 
