After an outage of the interpreter's link, what nobody waits for any more is not begun

Commands that were never written were all written on the next link, also for requests that had been given up meanwhile; the interpreter's 'nothing' was all that kept them from taking cores. They count as never begun, and their keys are free. Test: after 4.5 s without a link no command goes out for two requests that failed at 4 s, and a repeat of the keyed one runs; it fails without the change.

--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -329,11 +329,15 @@
         log.info("link to the interpreter ready", extra={"pairs": pairs})
 
     def _apply_waiting(self) -> int:
-        """Write the commands that were never written; how many."""
+        """Write the commands that were never written; how many. What nobody waits for is not begun."""
         waiting = [run for run in self._runs.values() if not run.fence]
-        for run in waiting:
+        wanted = [run for run in waiting if not run.exchange.closed or run.exchange.joined]
+        for run in wanted:
             self._apply(run)
-        return len(waiting)
+        for run in waiting:
+            if run not in wanted:
+                self._end(run.exchange.name, Outcome.MOOT, 0.0, b"")
+        return len(wanted)
 
     def _send_again(self, run: Run) -> None:
         run.again = True
--- a/tests/test_crossing_link.py
+++ b/tests/test_crossing_link.py
@@ -117,6 +117,32 @@
     assert town.counts.count("links") == 1 and set(town.interpreter.running) == {keyed.name}
 
 
+def test_what_nobody_waits_for_after_an_outage_is_not_begun_and_its_key_is_free() -> None:
+    town = Town(MACHINE)
+    town.linked = False
+    town.cut(lost=False)
+    town.wait(0.1)
+    keyed, safe = town.call(b"record", b"a"), town.call(b"lookup")
+    town.wait(4.5)
+    assert keyed.answers[0][1] == safe.answers[0][1] == b"FAILED"
+    commands: list[bytes] = []
+
+    def noting(obey: Obey, words: list[bytes], body: bytes) -> bytes:
+        commands.append(words[0])
+        return obey(words, body)
+
+    obeying(town, noting)
+    town.linked = True
+    town.wait(1.0)
+    recover(town)
+    assert b"APPLY" not in commands and not town.client._runs and town.dispatch.open_count == 0
+    repeat = town.call(b"record", b"a")
+    town.settle()
+    town.end(repeat.name)
+    town.settle()
+    assert repeat.answers[0][1] == b"OK"
+
+
 def test_a_run_whose_end_can_not_be_read_gives_its_place_back() -> None:
     town = Town(MACHINE)
     one = town.call(b"record", b"a")
