--- a/sablewheel/routing/client.py
+++ b/sablewheel/routing/client.py
@@ -33,6 +33,8 @@
 ADOPTED = -1  # the fence of a run that was sent before this process began
 
 log = logging.getLogger(__name__)
+# Many lines at a break, which must not use up the rate of the link's own.
+run_log = logging.getLogger(f"{__name__}.runs")
 
 
 class Desk(Protocol):
@@ -343,14 +345,14 @@
         run.again = True
         self._count("runs_sent_again")
         pairs = {**self._told_of(run), "written_before": self._since_sent(run)}
-        log.info("run sent again", extra={"pairs": pairs})
+        run_log.info("run sent again", extra={"pairs": pairs})
         self._apply(run)
 
     def _leave_unconfirmed(self, run: Run) -> None:
         run.unconfirmed = True
         self._count("runs_unconfirmed")
         pairs = {**self._told_of(run), "written_before": self._since_sent(run)}
-        log.info("start of a run unconfirmed", extra={"pairs": pairs})
+        run_log.info("start of a run unconfirmed", extra={"pairs": pairs})
         self._desk.start_unconfirmed(run.exchange)
 
     def _told_of(self, run: Run) -> dict[str, object]:
@@ -391,7 +393,7 @@
             return
         if run.again:
             pairs = {**self._told_of(run), "notice": notice.number, "after": self._since_sent(run)}
-            log.info("end of a run that was sent again", extra={"pairs": pairs})
+            run_log.info("end of a run that was sent again", extra={"pairs": pairs})
             if self.can_stop:  # it may have been begun once more, and nobody counts that run
                 self._commands += interpreter.halt(notice.name)
         run.exchange.notice = notice.number
@@ -403,7 +405,7 @@
             "notice": notice.number,
             "outcome": notice.outcome.name.lower(),
         }
-        log.info("end of a run that is not open here", extra={"pairs": pairs})
+        run_log.info("end of a run that is not open here", extra={"pairs": pairs})
 
     def _rejected(self, command: interpreter.Command, name: bytes) -> None:
         """The command was not carried out: so its run never started, unless one before it was.
