--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -8,7 +8,12 @@
 import time
 from collections.abc import Callable
 from errno import EADDRINUSE
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
+
+if TYPE_CHECKING:
+    from .program.application import Application
+    from .program.configuration import Posting
+    from .program.features import Features
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 DOOR_SPARE = 1.0  # how long past a predecessor's own notice its door is waited for
@@ -21,7 +26,6 @@
     """The program as a process; signals that come while it is put together wait until it can take them."""
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     from .program import configuration, logs
-    from .program.application import Application
 
     features, file = None, os.environ.get("SABLEWHEEL_FEATURES")
     try:
@@ -39,17 +43,7 @@
             return 2
     logs.start(posting.level)
     try:
-        try:
-            if features is None:
-                application = patiently(lambda: Application(posting))
-            else:  # not again: they hold folders by now
-                application = Application(posting, features)
-        except OSError as trouble:
-            if trouble.errno != EADDRINUSE or features is not None:
-                raise
-            if not await_door(posting.listen, posting.stop_after + DOOR_SPARE):
-                return 0
-            application = patiently(lambda: Application(posting))
+        application = put_together(posting, features)
     except OSError as trouble:
         if trouble.errno is None or trouble.filename:  # a feature's folder, not the door
             print(f"sablewheel: {trouble}", file=sys.stderr)
@@ -57,6 +51,8 @@
         host, port = posting.listen
         print(f"sablewheel: listen: {host}:{port}: {trouble.strerror}", file=sys.stderr)
         return 1
+    if application is None:
+        return 0
     patiently(application.prepare)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     code = application.run()
@@ -66,6 +62,25 @@
     return code
 
 
+def put_together(posting: Posting, features: Features | None) -> Application | None:
+    """The program's parts, its address taken; None: told to leave while another process held the address.
+
+    Raises OSError where the address can't be had, or a feature's folder can't be used.
+    """
+    from .program.application import Application
+
+    if features is not None:  # not again: they hold folders by now
+        return Application(posting, features)
+    try:
+        return patiently(lambda: Application(posting))
+    except OSError as trouble:
+        if trouble.errno != EADDRINUSE:
+            raise
+    if not await_door(posting.listen, posting.stop_after + DOOR_SPARE):
+        return None
+    return patiently(lambda: Application(posting))
+
+
 def patiently(step: Callable[[], T]) -> T:
     """Take a step of the start, and again after a rest while the system fails in a way that may pass.
 
