A caller's stamp by a clock that was not stepped along is still understood

If only this machine's view of the wall clock steps by an hour, stamps of others fit none of its settings and were all refused as out of range. Then any earlier setting counts by which the stamp is at most a minute old. A step of a few seconds can't be told that way: such stamps read as older or as made later by the step (left open). Tests: an hour either way, 300 s after the step; they failed before.

--- a/sablewheel/transport/clock.py
+++ b/sablewheel/transport/clock.py
@@ -15,7 +15,7 @@
 STEP_LEAST = 0.02  # seconds by which the wall clock must leave the monotonic one to count as stepped...
 SLEW_MOST = 0.001  # ...and this share of the time since the last reading, by which it may be slewed
 READING_MOST = 0.001  # seconds between two readings that still tell how far the clocks are apart
-STAMP_AGE_MOST = 60.0  # seconds for which stamps by an earlier setting may still come in
+STAMP_AGE_MOST = 60.0  # seconds that a stamp may be old when it comes in
 STEPS_KEPT = 16
 
 
@@ -62,8 +62,6 @@
             self._earlier.appendleft(Setting(self._offset, self._set_at, self.now))
             self._set_at = since
         self._offset = offset
-        while self._earlier and self._earlier[-1].until < self.now - STAMP_AGE_MOST:
-            self._earlier.pop()
 
     def to_unix(self, moment: float) -> float:
         """What the wall clock, as it is set now, says of a moment of this clock."""
@@ -73,15 +71,19 @@
         """The moment at which the wall clock of this machine said `stamp`, by the setting that fits.
 
         A setting fits a stamp that falls into the time in which it held. Where an earlier one and the present
-        one both fit, as for some seconds after a step back, the present one counts. A stamp that fits none is
-        read by the present one.
+        one both fit, as for some seconds after a step back, the present one counts. One that fits none may
+        come from a clock that was not stepped along: then any setting counts by which it is not too old.
+        Else it is read by the present one.
         """
         self.read()  # the wall clock may have been stepped since the last reading
         present = stamp - self._offset
         if not self._earlier or self._set_at <= present <= self.now + STEP_LEAST:
             return present
-        for setting in self._earlier:
-            moment = stamp - setting.offset
-            if setting.since <= moment <= setting.until:
-                return moment
-        return present
+        moments = [(stamp - setting.offset, setting) for setting in self._earlier]
+        fitting = [moment for moment, setting in moments if setting.since <= moment <= setting.until]
+        recent = [
+            moment
+            for moment in (*fitting, present, *(moment for moment, _ in moments))
+            if self.now - STAMP_AGE_MOST < moment <= self.now + STEP_LEAST
+        ]
+        return recent[0] if recent else present
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -92,6 +92,21 @@
     assert clock.from_unix(made.unix) == pytest.approx(made.monotonic + apart)
 
 
+@pytest.mark.parametrize("step", [3600.0, -3600.0])
+def test_a_stamp_by_a_clock_that_was_not_stepped_along_is_still_understood(
+    monkeypatch: pytest.MonkeyPatch, step: float
+) -> None:
+    made = MadeTime(monkeypatch)
+    clock = Clock()
+    made.wait(10.0, step)
+    clock.read()
+    made.wait(300.0)
+    unstepped = made.unix - step - 0.5
+    assert clock.from_unix(unstepped) == pytest.approx(clock.now - 0.5)
+    assert clock.from_unix(made.unix - 0.5) == pytest.approx(clock.now - 0.5)
+    assert clock.from_unix(12.0) == 12.0 - step  # made up: nothing fits
+
+
 def test_a_clock_that_is_slewed_is_followed_and_counts_as_one_setting(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
