README's least configuration serves: no span of zero divides or spins

Callers saw: a server started from README's text answered for a second, then lost what it read.

Cause: tick-s and idle-s are left out there, both 0. ConnectionLimits._returning_ratio divided 0 by 0 once 50 requests were read, and the round's actions were lost with it. With a batch interval of 0 the credit pool also set its next iteration to the very moment of the last one.

Settings with a batch interval decide as before.

--- a/sablewheel/overload/connection_limits.py
+++ b/sablewheel/overload/connection_limits.py
@@ -39,9 +39,11 @@
         has_stopped_growing = self.open_connections <= self._previous_open_connections
         self._previous_open_connections = self.open_connections
         self.next_review_at = self._context.now + max(
-            settings.advertisement_ttl_s, settings.min_batch_interval_s
+            settings.advertisement_ttl_s, self._context.min_interval_s
         )
-        if len(self._clients.arrivals) >= MIN_ARRIVALS:
+        if not settings.idle_timeout_s:  # unknown: no connection is closed for being unused
+            self._idle_timeout_s = 0.0
+        elif len(self._clients.arrivals) >= MIN_ARRIVALS:
             self._adjust(has_stopped_growing)
         if self._idle_timeout_s != previous_s:
             self._context.actions.append(CloseIdle(self._idle_timeout_s))
@@ -63,7 +65,7 @@
             and returning_ratio < MAX_RETURNING_RATIO_TO_CLOSE
             and retries_per_start < MAX_RETURNING_RATIO_TO_CLOSE
         ):
-            shortest_s = max(settings.answer_slack_s, settings.min_batch_interval_s)
+            shortest_s = max(settings.answer_slack_s, self._context.min_interval_s)
             self._idle_timeout_s = min(shortest_s, settings.idle_timeout_s)
 
     def _returning_ratio(self) -> float:
@@ -78,6 +80,6 @@
         )
         new_ratio = sum(arrival.since_last_s > idle_timeout_s for arrival in arrivals) / len(arrivals)
         returning_ratio: float = 1 - new_ratio ** sqrt(
-            idle_timeout_s / max(observed_s, settings.min_batch_interval_s)
+            idle_timeout_s / max(observed_s, self._context.min_interval_s)
         )
         return returning_ratio
--- a/sablewheel/overload/credit_pool.py
+++ b/sablewheel/overload/credit_pool.py
@@ -53,6 +53,6 @@
         self.credit = min(max(self.credit, settings.cores), max_credit)
         self._last_started, self._last_completed = self.started, self.completed
         self.started = self.completed = self.drops = 0
-        interval_s = max(RESPONSE_TIMES_PER_ITERATION * response_s, settings.min_batch_interval_s)
+        interval_s = max(RESPONSE_TIMES_PER_ITERATION * response_s, self._context.min_interval_s)
         self.next_iteration_at = self._context.now + interval_s
         return interval_s
--- a/sablewheel/overload/dependency_calls.py
+++ b/sablewheel/overload/dependency_calls.py
@@ -69,11 +69,11 @@
 
     def make_calls(self) -> None:
         """Make calls, oldest first, while the dependency has capacity."""
-        now, settings = self._context.now, self._context.settings
+        now = self._context.now
         while self._waiting:
             request = self._waiting[0]
             if request.stage is Stage.WAITING_TO_CALL and not request.answered:
-                remaining_s = max(request.deadline - now, settings.min_batch_interval_s)
+                remaining_s = max(request.deadline - now, self._context.min_interval_s)
                 slow_call_s = 2 * self._capacity.durations_s.quantile(0.99, remaining_s)
                 timeout_s = min(remaining_s, slow_call_s, self._capacity.max_call_s())
                 if not self._capacity.fits(timeout_s):
--- a/sablewheel/overload/idempotency.py
+++ b/sablewheel/overload/idempotency.py
@@ -33,7 +33,7 @@
         if request_class.idempotency is Idempotency.KEYED:
             # Even past its window: a duplicate of it may lie unread for as long.
             expires_in_s = request.arrived_at + request_class.idempotency_window_s - context.now
-            self._reserve(request, max(expires_in_s, context.settings.min_batch_interval_s))
+            self._reserve(request, max(expires_in_s, context.min_interval_s))
         elif self._may_coalesce(request):
             self._reserve(request, remaining_s)
 
--- a/sablewheel/overload/interface/actions.py
+++ b/sablewheel/overload/interface/actions.py
@@ -116,7 +116,7 @@
 
 @dataclass(slots=True)
 class CloseIdle:
-    """Close connections that are unused for `idle_timeout_s` seconds, from now on."""
+    """Close connections that are unused for `idle_timeout_s` seconds, from now on; 0: close none."""
 
     idle_timeout_s: float
 
--- a/sablewheel/serving/dispatcher.py
+++ b/sablewheel/serving/dispatcher.py
@@ -289,7 +289,7 @@
                 case interface.SetHealth(healthy):
                     self._server_status.healthy = healthy
                 case interface.CloseIdle(idle_timeout_s):
-                    self._listener.set_idle_timeout(idle_timeout_s or self._server_settings.idle_timeout_s)
+                    self._listener.set_idle_timeout(idle_timeout_s or inf)
                 case interface.Log(message):
                     log.info("controller message", extra={"pairs": {"message": message}})
                 case _:
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -90,7 +90,7 @@
         self.close_announced = False  # no new request may come on this connection
         self.ended_at: float | None = None  # when it was seen to have ended
 
-    def ask(self, tag: int, request_class: bytes, key: int | None = None) -> bytes:
+    def ask(self, tag: int, request_class: bytes, key: int | None = None, tenant: bytes = b"regina") -> bytes:
         """Send a request, a keyed one with a key of its own unless `key` is given; its id."""
         request = b"%016x" % (0xA0000 + tag)
         idempotency_key = b"%032x" % (tag if key is None else key) if request_class == KEYED else b""
@@ -100,7 +100,7 @@
             request_class,
             self.wall_clock(),
             b"body",
-            b"regina",
+            tenant,
             idempotency_key=idempotency_key,
         )
         self.sent_at[tag] = time.monotonic()
