A fault in one part of the controller no longer takes the answers of its round

Callers saw: after one internal error in a round, other requests read in it got no answer in time.

Cause: Controller.handle_events returned its actions at the end, so an exception in any part took along all that was decided before it, and the events; nothing else knew the requests' deadlines.

Change: each event and step stands alone and reports an InternalError action; the request of an event that could not be handled is ended; the dispatcher does all the rest and then raises, logged and counted as before; DeadlineBackstop answers at its deadline what the controller lost sight of, at no cost before the first error. A part that keeps failing waits a batch interval (the test had spun at one instant). Adapter and test worlds raise an InternalError, so no check is weaker than before.

--- a/sablewheel/bench_adapter/host.py
+++ b/sablewheel/bench_adapter/host.py
@@ -109,7 +109,9 @@
         self.requests[name] = request
 
     def line(self, action: Action) -> str:
-        """Return an action as a line of the wire."""
+        """Return an action as a line of the wire; an internal error of the controller is raised."""
+        if isinstance(action, interface.InternalError):
+            raise action.error
         verb = VERBS[type(action)]
         request = getattr(action, "request", None)
         subject = f"{self.name} {self.ids[request]}" if request is not None else f"{self.name}"
--- a/sablewheel/overload/controller.py
+++ b/sablewheel/overload/controller.py
@@ -25,7 +25,7 @@
 from .dependency_calls import DependencyCalls
 from .dependency_capacity import DependencyCapacity
 from .idempotency import IdempotencyKeys
-from .interface import Action, Event, ServerSettings, SetHealth, SetTimer, Stage
+from .interface import Action, Event, InternalError, ServerSettings, SetHealth, SetTimer, Stage
 from .request_endings import RequestEndings
 from .request_queue import RequestQueues
 from .resource_limits import ResourceLimits
@@ -125,6 +125,17 @@
             self._dependency_calls,
         )
         self._timer_set_for = inf
+        self._steps: tuple[Callable[[], None], ...] = (
+            self._dependency_calls.make_calls,
+            self._answer_overdue,
+            self._presume_lost,
+            self._coalescer.attach_waiting,
+            self._run_starter.start_queued,
+            self._iterate_if_due,
+            self._review_if_due,
+            self._advertiser.update,
+            self._set_timer,
+        )
         self._handlers: dict[type[Event], Callable[[Any], None]] = {
             interface.RequestArrived: self._request_arrived,
             interface.RunEnded: self._run_ended,
@@ -164,24 +175,70 @@
         context.begin_batch(now)
         if context.opened_at < 0:
             self._open()
-        self._keys.expire()
+        self._run_step(self._keys.expire)
         for event in events:
+            self._handle_event(event)
+        for step in self._steps:
+            self._run_step(step)
+        return context.actions
+
+    def _run_step(self, step: Callable[[], None]) -> None:
+        """Run a step; an internal error in it leaves the other steps and their actions alone."""
+        try:
+            step()
+        except Exception as error:
+            self._context.actions.append(InternalError(error))
+
+    def _handle_event(self, event: Event) -> None:
+        """Pass one event on; an internal error costs the request that it is about, and no other."""
+        try:
             self._handlers[type(event)](event)
-        self._dependency_calls.make_calls()
+        except Exception as error:
+            self._context.actions.append(InternalError(error))
+            self._end_after_error(event)
+
+    def _end_after_error(self, event: Event) -> None:
+        """End the request of an event that could not be handled, unless it still runs."""
+        completion = self._completion
+        match event:
+            case interface.RunEnded(request):
+                if not request.answered:
+                    self._run_step(lambda: completion.fail(request))
+                self._run_step(lambda: completion.finish(request))
+            case interface.CallerGone(request):
+                completion.mark_answered(request)
+                if request.stage in (Stage.QUEUED, Stage.COALESCED):
+                    self._run_step(lambda: completion.finish(request))
+            case interface.RequestArrived(request):
+                if request.stage is Stage.QUEUED and not request.answered:
+                    self._run_step(lambda: completion.fail(request))
+            case _:
+                pass  # the request runs: its end or its deadline is still to come
+
+    def _answer_overdue(self) -> None:
+        """Answer the requests whose time is up, each apart from the others."""
+        now = self._context.now
         while (request := self._deadlines.pop_due(now)) is not None:
-            self._endings.time_is_up(request)
-        context.actions.extend(
-            interface.PresumeLost(request) for request in self.resources.unconfirmed.take_overdue(now)
-        )
-        self._coalescer.attach_waiting()
-        self._run_starter.start_queued()
-        if now >= self.credit_pool.next_iteration_at:
+            try:
+                self._endings.time_is_up(request)
+            except Exception as error:
+                self._context.actions.append(InternalError(error))
+                if not request.answered:
+                    self._completion.fail(request)
+
+    def _presume_lost(self) -> None:
+        overdue = self.resources.unconfirmed.take_overdue(self._context.now)
+        self._context.actions.extend(interface.PresumeLost(request) for request in overdue)
+
+    def _iterate_if_due(self) -> None:
+        pool, now = self.credit_pool, self._context.now
+        if now >= pool.next_iteration_at:
+            pool.next_iteration_at = now + self._context.min_interval_s  # an internal error must not spin
             self._iterate_credit_pool()
-        if now >= self._connection_limits.next_review_at:
+
+    def _review_if_due(self) -> None:
+        if self._context.now >= self._connection_limits.next_review_at:
             self._connection_limits.review()
-        self._advertiser.update()
-        self._set_timer()
-        return context.actions
 
     def _open(self) -> None:
         context = self._context
@@ -207,7 +264,9 @@
         )
         if needed_at < self._timer_set_for:
             self._timer_set_for = needed_at
-            self._context.actions.append(SetTimer(max(needed_at - self._context.now, 0.0)))
+            failed = any(isinstance(action, InternalError) for action in self._context.actions)
+            least_s = self._context.min_interval_s if failed else 0.0  # what failed may be due for good
+            self._context.actions.append(SetTimer(max(needed_at - self._context.now, least_s)))
 
     def _request_arrived(self, event: interface.RequestArrived) -> None:
         self._admission.admit(event.request)
--- a/sablewheel/overload/interface/actions.py
+++ b/sablewheel/overload/interface/actions.py
@@ -135,6 +135,16 @@
     message: str
 
 
+@dataclass(slots=True)
+class InternalError:
+    """A part of the controller raised; the other actions of the batch stand.
+
+    Requests that this part should have dealt with may be left without an answer until their deadlines.
+    """
+
+    error: Exception
+
+
 Action: TypeAlias = (
     Run
     | Cancel
@@ -151,4 +161,5 @@
     | CloseIdle
     | SetTimer
     | Log
+    | InternalError
 )
--- a/sablewheel/serving/dispatcher.py
+++ b/sablewheel/serving/dispatcher.py
@@ -13,6 +13,7 @@
 from ..overload.interface import Action, Event, Outcome, ServerSettings
 from ..transport.scheduler import Scheduler
 from .close_reasons import FailureReason
+from .deadline_backstop import DeadlineBackstop
 from .duplicate_checks import DuplicateChecks, is_keyed
 from .exchange import Exchange, ExchangeState, ServerStatus
 from .hooks import NO_RESULT_STORE, ResultStore
@@ -89,6 +90,8 @@
         self._undecided_keys: set[bytes] = set()  # idempotency keys among the events
         self._with_client_deadline: list[Exchange] = []  # among the events
         self._start_queue = StartQueue(scheduler, self._fail_not_started)
+        self._errors: list[Exception] = []  # of the controller, in this round
+        self._deadline_backstop = DeadlineBackstop(scheduler, self._fail_overdue)
         self._listener: RequestListener
         self._interpreter: InterpreterClient
 
@@ -156,10 +159,7 @@
         return self._controller is None or (not self._result_store.ready and is_keyed(exchange))
 
     def _wait_for_start(self, exchange: Exchange) -> None:
-        request = exchange.request
-        deadline = request.arrived_at + request.request_class.timeout_s
-        if exchange.client_deadline is not None and self._server_settings.deadline_propagated:
-            deadline = exchange.client_deadline
+        deadline = exchange.deadline(self._server_settings.deadline_propagated)
         timeout_s = deadline - self._server_settings.min_batch_interval_s - self._clock.now
         self._start_queue.add(exchange, timeout_s)
 
@@ -256,7 +256,11 @@
     # -- the batch
 
     def end_round(self) -> None:
-        """Decide on all events and send everything, also what was decided before an internal error."""
+        """Decide on all events and send everything, also what was decided beside an internal error.
+
+        Raises:
+            Exception: The first internal error of the round, after all else was done.
+        """
         try:
             self._decide()
             self._idempotency_keys.sweep(self._clock.now)
@@ -266,6 +270,13 @@
                 self._interpreter.flush()
             finally:
                 self._listener.flush()
+        if self._errors:
+            error, *others = self._errors
+            self._errors = []
+            for other in others:
+                log.error("decision ended by a fault", exc_info=other)
+                self._scheduler.on_fault()
+            raise error
 
     def _decide(self) -> None:
         """Decide on batches until no event is left, as some actions cause an event at once."""
@@ -277,7 +288,11 @@
                 exchange.request.remaining_s = max((exchange.client_deadline or now) - now, 0.0)
             self._with_client_deadline.clear()
             self.batches += 1
-            self._apply_actions(self._controller.handle_events(now, events), now)
+            try:
+                actions = self._controller.handle_events(now, events)
+            except Exception as error:
+                actions = [interface.InternalError(error)]
+            self._apply_actions(actions, now)
 
     def _apply_actions(self, actions: list[Action], decided_at: float) -> None:
         for action in actions:
@@ -290,11 +305,24 @@
                     self._server_status.healthy = healthy
                 case interface.CloseIdle(idle_timeout_s):
                     self._listener.set_idle_timeout(idle_timeout_s or inf)
+                case interface.InternalError(error):
+                    self._decision_failed(error)
                 case interface.Log(message):
                     log.info("controller message", extra={"pairs": {"message": message}})
                 case _:
                     self._apply_request_action(action)
 
+    def _decision_failed(self, error: Exception) -> None:
+        """Note an internal error of the controller, which `end_round` raises once all else is done."""
+        self._errors.append(error)
+        propagated = self._server_settings.deadline_propagated
+        self._deadline_backstop.watch(self._open_requests.all(), propagated)
+
+    def _fail_overdue(self, exchange: Exchange) -> None:
+        if not exchange.closed:
+            self._open_requests.fail(exchange, FailureReason.FAULT)
+            self.cancelled(exchange)
+
     def _apply_request_action(self, action: RequestAction) -> None:
         exchange = self._open_requests.get(action.request)
         if exchange is not None:
--- a/sablewheel/serving/exchange.py
+++ b/sablewheel/serving/exchange.py
@@ -179,6 +179,12 @@
             return self.content_hash == other.content_hash
         return self.digest == digest(other.request_class, other.body)
 
+    def deadline(self, propagated: bool) -> float:
+        """Return when the client stops waiting: as it states, if that counts, or by the request class."""
+        if propagated and self.client_deadline is not None:
+            return self.client_deadline
+        return self.request.arrived_at + self.request.request_class.timeout_s
+
     @property
     def closed(self) -> bool:
         """Whether the answer is given, or nobody waits for it."""
--- a/tests/simulated_server.py
+++ b/tests/simulated_server.py
@@ -27,6 +27,14 @@
 PROVES_NEVER_RAN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NEVER_STARTED)
 
 
+def raise_errors(actions: list[interface.Action]) -> list[interface.Action]:
+    """The actions of a batch; an internal error of the controller is raised."""
+    for action in actions:
+        if isinstance(action, interface.InternalError):
+            raise action.error
+    return actions
+
+
 class Fact:
     """What the world knows of a request."""
 
@@ -165,7 +173,7 @@
 
     def batch(self, more: list[interface.Event]) -> list[interface.Action]:
         events, self.later = self.later + more, []
-        actions = self.controller.handle_events(self.now, events)
+        actions = raise_errors(self.controller.handle_events(self.now, events))
         for action in actions:
             self._apply(action)
         self._check()
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -11,6 +11,7 @@
 from random import Random
 
 import pytest
+from simulated_server import raise_errors
 
 from sablewheel.forwarding.events import (
     AdmitRequest,
@@ -114,7 +115,7 @@
         sender.told, sender.told_at = self.said, self.now
 
     def decide(self, events: list[interface.Event]) -> None:
-        actions = self.controller.handle_events(self.now, events)
+        actions = raise_errors(self.controller.handle_events(self.now, events))
         for action in actions:
             match action:
                 case interface.AdvertiseCapacity(amount):
@@ -251,7 +252,7 @@
 
     def decide(self, events: list[interface.Event]) -> None:
         ended = [one.request for one in events if isinstance(one, interface.RunEnded)]
-        for action in self.controller.handle_events(self.now, events):
+        for action in raise_errors(self.controller.handle_events(self.now, events)):
             match action:
                 case interface.Run(request):
                     self.left[request] = self.work * self.draws.uniform(0.5, 1.5)
--- a/tests/test_service_rules.py
+++ b/tests/test_service_rules.py
@@ -9,7 +9,7 @@
 import pytest
 from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
-from simulated_server import CALLING, HELD, JOINED, OVER, RUNNING, STANDING, Fact, World
+from simulated_server import CALLING, HELD, JOINED, OVER, RUNNING, STANDING, Fact, World, raise_errors
 
 from sablewheel.overload import interface
 from sablewheel.overload.controller import Controller
@@ -297,9 +297,8 @@
     """A request comes and is completed at once; the gauges are told."""
     request = Request(PLAIN.request_classes[1], router, None, now, 1.0)
     events: list[interface.Event] = [interface.RequestArrived(request), interface.TimerFired(0.5, open_ones)]
-    return controller.handle_events(now, events) + controller.handle_events(
-        now + 0.05, [interface.RunEnded(request, 0.05, Outcome.SUCCEEDED)]
-    )
+    ends: list[interface.Event] = [interface.RunEnded(request, 0.05, Outcome.SUCCEEDED)]
+    return raise_errors(controller.handle_events(now, events) + controller.handle_events(now + 0.05, ends))
 
 
 @pytest.mark.parametrize(("crowd", "growing"), [(400, False), (400, True), (12, False)])
