Duplicates of a queued request no longer pass the memory guard

Cause: Admission.admit passed a duplicate to the coalescer before any guard; where a run more does not fit the duplicate waits there, and its own memory was asked nowhere.

Change: a duplicate whose memory is not free is answered at once: rejected where its original never started or the class is idempotent, else failed.

--- a/sablewheel/overload/admission.py
+++ b/sablewheel/overload/admission.py
@@ -9,7 +9,7 @@
 from .deadlines import Deadlines
 from .dependency_calls import DependencyCalls
 from .idempotency import IdempotencyKeys
-from .interface import RejectionReason, Request
+from .interface import Idempotency, RejectionReason, Request, Stage
 from .request_queue import RequestQueues
 from .resource_limits import ResourceLimits
 from .run_starter import RunStarter
@@ -62,7 +62,7 @@
         remaining_s = self._record(request)
         original, request.duplicate_of = request.duplicate_of, None
         if original is not None and (original.started or not original.answered):
-            self._coalescer.attach(request, original)
+            self._attach_or_answer(request, original)
             return
         reason = self._guard(request)
         if reason is not None:
@@ -80,6 +80,20 @@
         else:
             self._queue_or_reject(request, slack_s, queue_waits_s)
 
+    def _attach_or_answer(self, request: Request, original: Request) -> None:
+        """Attach a duplicate to its original, if the memory in which it would wait is free.
+
+        Otherwise it is answered at once: rejected if that is true of all attempts, as nothing has run, or of
+        an idempotent one, which may run again; else it fails.
+        """
+        never_ran = original.stage is Stage.QUEUED and not original.started
+        if self._resources.memory_fits(0.0):
+            self._coalescer.attach(request, original)
+        elif never_ran or request.request_class.idempotency is Idempotency.IDEMPOTENT:
+            self._completion.reject(request, RejectionReason.MEMORY)
+        else:
+            self._completion.fail(request)
+
     def _record(self, request: Request) -> float:
         """Count a request as read and set its deadline; returns how long its client still waits."""
         now, request_class = self._context.now, request.request_class
--- a/tests/test_service_rules.py
+++ b/tests/test_service_rules.py
@@ -147,7 +147,7 @@
 
 
 def test_duplicates_of_a_queued_request_stay_within_the_memory_limit() -> None:
-    """Known red: the duplicate waits with its own memory, which no guard has counted."""
+    """The duplicate waited with its own memory, which no guard had counted."""
     tight = replace(PLAIN, memory_kb=60.0, over_quota_weight=0.05, idle_timeout_s=30.0)
     arrivals = [(0, 0), (0, 0), (1, 3), (1, 3)]  # request class, and which body and idempotency key
     play(tight, [("arrive", kind, which, 0.0, False) for kind, which in arrivals], 0.0)
