A duplicate of a duplicate that failed goes by the request that ran

Callers saw: a keyed request run a second time, or refused after it had run (rule 2), where two more attempts of it were read in one batch.

Cause: the later attempt names the one before it; that one failed at once and never started, so Admission.admit took the later for a first attempt, though the request behind both had run.

On the adapter's wire it can come, in the server it can't: the dispatcher decides between two attempts of one key.

Change: admit follows the chain to the attempt that ran or still may.

--- a/sablewheel/overload/admission.py
+++ b/sablewheel/overload/admission.py
@@ -60,8 +60,8 @@
     def admit(self, request: Request) -> None:
         """Run, queue or reject a request that was read, or attach it to its original."""
         remaining_s = self._record(request)
-        original, request.duplicate_of = request.duplicate_of, None
-        if original is not None and (original.started or not original.answered):
+        original = request.duplicate_of = _original_that_may_run(request)
+        if original is not None:
             self._attach_or_answer(request, original)
             return
         reason = self._guard(request)
@@ -143,3 +143,19 @@
             return
         self._queues.append(ahead[-1], request)
         self._deadlines.add_queue_timeout(self._context.now + slack_s, request)
+
+
+def _original_that_may_run(request: Request) -> Request | None:
+    """Return the request that this one is a duplicate of, if that one has run or still may.
+
+    A duplicate that was answered without a run stands for its own original. A chain is as long as the
+    attempts of one request in one batch: later ones name the request whose key is reserved.
+    """
+    original = request.duplicate_of
+    while original is not None and _never_runs(original):
+        original = original.duplicate_of
+    return original
+
+
+def _never_runs(request: Request) -> bool:
+    return request.answered and not request.started
--- a/sablewheel/overload/interface/requests.py
+++ b/sablewheel/overload/interface/requests.py
@@ -53,7 +53,8 @@
     Attributes:
         remaining_s: How long the client still waits, where the deadline is propagated.
         subject: What a read reads; reads of the same subject may be coalesced.
-        duplicate_of: The request whose result this one gets, if that one may have run.
+        duplicate_of: The request whose result this one gets, if that one may have run. Once admitted: the
+            first of the chain that may have.
         queued_work_ahead_s: Work that was ever queued in its queue before it.
         extra_wait_s: What a run waits for beside the cores.
         key_capacity_in_s: How long until its idempotency key can be stored; 0 if it can be now.
--- a/tests/test_service_rules.py
+++ b/tests/test_service_rules.py
@@ -153,6 +153,39 @@
     play(tight, [("arrive", kind, which, 0.0, False) for kind, which in arrivals], 0.0)
 
 
+@pytest.mark.parametrize("memory_kb", [60.0, 400.0, 4000.0])
+def test_a_duplicate_of_a_duplicate_that_failed_goes_by_the_request_that_ran(memory_kb: float) -> None:
+    """The last of three attempts was taken for a first one, since the one before it had never started."""
+    roomy = replace(PLAIN, memory_kb=memory_kb)
+    ran = [("arrive", 1, 3, 0.0, False), ("finish", 1, 7, 0.0, False)]  # it ends in an error
+    repeats = [("arrive", 1, 3, 0.0, True), ("arrive", 1, 3, 0.0, False)]  # in one batch
+    play(roomy, [*ran, *repeats], 0.0)
+
+
+@pytest.mark.parametrize("memory_kb", [60.0])
+def test_a_duplicate_of_a_duplicate_without_memory_is_not_denied(memory_kb: float) -> None:
+    """The second of two attempts in one batch was refused though the request before them ran."""
+    tight = replace(PLAIN, memory_kb=memory_kb, idle_timeout_s=30.0)
+    one, keyed = ("arrive", 0, 0, 0.0, False), ("arrive", 1, 1, 0.0, False)
+    play(tight, [one, keyed, *[one] * 6, ("arrive", 1, 1, 0.0, True), keyed], 0.0)
+
+
+def test_an_attempt_past_the_window_of_the_run_may_be_denied() -> None:
+    """The page binds tries within the window; one later may even run. The judge counted runs for ever."""
+    world = World(replace(PLAIN, memory_kb=60.0))
+    taken(world, 1, idempotency_key=1)
+    world.wait(6.02)
+    late = [taken(world, 1, kb=50.0, idempotency_key=1)]
+    assert [fact.place for fact in late] == [OVER]
+    world = World(replace(PLAIN, memory_kb=60.0))
+    first = taken(world, 1, idempotency_key=1)
+    world.wait(5.9)
+    within = world.arrive(1, kb=50.0, idempotency_key=1)
+    with pytest.raises(AssertionError, match="denied what has run"):
+        world._apply(interface.Reject(within.request, 0.5))
+    assert first.ran
+
+
 def play(server_settings: ServerSettings, steps: list[Any], late: float) -> None:
     """Plays the steps into one server; the world checks the four rules after each."""
     world = World(server_settings)
