--- a/sablewheel/overload/dependency_capacity.py
+++ b/sablewheel/overload/dependency_capacity.py
@@ -9,6 +9,7 @@
 from .interface import Request
 from .service_times import Samples
 
+NANOSECONDS = 1_000_000_000  # a second; whole numbers add up to the same in any order
 MAX_SLOWDOWN = 3.0  # recent median over lower quartile of all calls: about 2 where times scatter evenly
 
 
@@ -16,7 +17,8 @@
     """The calls in flight and those of the last span, against this server's share of the dependency.
 
     Invariant: the time of all calls in any span, each in flight booked at the longest it may take, stays
-    within the capacity times the span.
+    within the capacity times the span. `_booked_ns` is the sum over `_past_calls` and `_timeouts`, each
+    counted as the dependency `_booked_for` has it, so that a question costs no more behind many calls.
     """
 
     def __init__(self, context: DecisionContext) -> None:
@@ -24,6 +26,8 @@
         self.durations_s = Samples()
         self._timeouts: dict[Request, float] = {}  # of the calls in flight
         self._past_calls: deque[tuple[float, float]] = deque()  # when each one ended, how long it took
+        self._booked_for = context.settings.dependency
+        self._booked_ns = 0
 
     @property
     def in_flight(self) -> int:
@@ -36,15 +40,20 @@
 
     def open_call(self, request: Request, timeout_s: float) -> None:
         """Book a call that is made now."""
+        self._recount_if_retuned()
         request.called_at = self._context.now
         self._timeouts[request] = timeout_s
+        self._booked_ns += self._open_ns(timeout_s)
 
     def close_call(self, request: Request, abandoned: bool) -> None:
         """Book a call as ended; an abandoned one may go on at the dependency for a while."""
-        del self._timeouts[request]
+        self._recount_if_retuned()
+        self._booked_ns -= self._open_ns(self._timeouts.pop(request))
         dependency, now = self._context.settings.dependency, self._context.now
         linger_s = dependency.linger_s if abandoned and dependency else 0.0
-        self._past_calls.append((now + linger_s, now - request.called_at + linger_s))
+        took_s = now - request.called_at + linger_s
+        self._past_calls.append((now + linger_s, took_s))
+        self._booked_ns += self._capped_ns(took_s)
 
     def fits(self, timeout_s: float) -> bool:
         """Return whether one more call of at most `timeout_s` stays within this server's share."""
@@ -53,13 +62,28 @@
             return True
         if len(self._timeouts) >= self._max_in_flight(dependency.capacity):
             return False
-        span_s, linger_s = dependency.span_s, dependency.linger_s
+        self._recount_if_retuned()
+        span_s = dependency.span_s
         while self._past_calls and self._past_calls[0][0] <= self._context.now - span_s:
-            self._past_calls.popleft()
-        booked_s = sum(min(took_s, span_s) for _, took_s in self._past_calls) + sum(
-            min(open_timeout_s + linger_s, span_s) for open_timeout_s in self._timeouts.values()
-        )
-        return booked_s + min(timeout_s + linger_s, span_s) <= dependency.capacity * span_s
+            self._booked_ns -= self._capped_ns(self._past_calls.popleft()[1])
+        return self._booked_ns + self._open_ns(timeout_s) <= dependency.capacity * span_s * NANOSECONDS
+
+    def _open_ns(self, timeout_s: float) -> int:
+        """Return what a call in flight books: the longest that it may keep the dependency busy."""
+        return self._capped_ns(timeout_s + (self._booked_for.linger_s if self._booked_for else 0.0))
+
+    def _capped_ns(self, duration_s: float) -> int:
+        span_s = self._booked_for.span_s if self._booked_for else 0.0
+        return round(min(duration_s, span_s) * NANOSECONDS)
+
+    def _recount_if_retuned(self) -> None:
+        """Count all calls anew if the settings of the dependency have changed."""
+        dependency = self._context.settings.dependency
+        if dependency is self._booked_for:
+            return
+        self._booked_for = dependency
+        self._booked_ns = sum(self._capped_ns(took_s) for _, took_s in self._past_calls)
+        self._booked_ns += sum(map(self._open_ns, self._timeouts.values()))
 
     def max_call_s(self) -> float:
         """Return the longest time that one call may book: one core's part of a span's capacity."""
--- a/sablewheel/overload/idempotency.py
+++ b/sablewheel/overload/idempotency.py
@@ -21,6 +21,7 @@
         self._context = context
         self._resources = resources
         self._expiries: list[tuple[float, int, Request]] = []  # a heap: windows differ by request class
+        self._sequence = 0  # among equal expiries the first one reserved expires first
 
     def memory_fits(self, request: Request) -> bool:
         """Return whether the memory of the request's key is free, if its class needs one."""
@@ -41,7 +42,8 @@
         """Count a key that is reserved already."""
         request.holds_key = True
         self._resources.memory_kb += self._context.settings.idempotency_key_kb
-        heappush(self._expiries, (self._context.now + valid_for_s, id(request), request))
+        self._sequence += 1
+        heappush(self._expiries, (self._context.now + valid_for_s, self._sequence, request))
 
     def release(self, request: Request) -> None:
         """Release the key of a request that never ran, if it holds one."""
