The policy's trial injects its faults again, and a run without them is void

Cause: it set a name in a module that nothing reads since a rename; setattr does not mind.

The policy trial's lost requests are judged: each was open on a server that the trial killed. The lists of variants are back.

--- a/sablewheel/experiments/affinity.py
+++ b/sablewheel/experiments/affinity.py
@@ -21,12 +21,16 @@
 from itertools import pairwise
 from pathlib import Path
 
+from ..session_affinity.plan import FAULTY_VARIANTS
 from .affinity_size import modulo, rendezvous
 from .fleet import LISTEN, Block
 from .forwarding import LINK, LINK_DOOR, Scenario
+from .replaced_parts import was_announced
 from .result import ExperimentResult
 from .testbed import PATIENCE, SETTINGS, Testbed, TestbedError
 
+__all__ = ["FAULTY_VARIANTS", "run"]
+
 SIZE = 5
 KIOSKS = 30
 BUDGET = 0.8  # moves a second
@@ -254,6 +258,10 @@
 
 
 def _check_promises(scenario: Sessions, result: ExperimentResult, marks: dict[str, float]) -> None:
+    for name in scenario.names:
+        log = scenario.testbed.folder / f"{name}.log"
+        part = scenario.broken or "version-from-file"
+        result.require(f"{name} runs as {part}", was_announced(log, part))
     runs = sorted(scenario.runs(), key=lambda one: one.begun)
     moves = [one for one in scenario.moves() if one.when < marks["end"]]
     order = [*sorted(marks, key=lambda what: marks[what])]
--- a/sablewheel/experiments/affinity_server.py
+++ b/sablewheel/experiments/affinity_server.py
@@ -16,6 +16,7 @@
 
 from ..membership.view import Fact
 from ..session_affinity import session_router
+from .replaced_parts import announce, replace_part
 
 LOOK_EVERY = 0.1
 FILE, VARIANT = Path(sys.argv[1]), "".join(sys.argv[2:3])
@@ -27,6 +28,7 @@
     def __init__(self, scheduler: Any, plan: Any, *rest: Any, **more: Any) -> None:
         settings = dataclasses.replace(plan.settings, faulty_variant=VARIANT)
         super().__init__(scheduler, dataclasses.replace(plan, settings=settings), *rest, **more)
+        announce(VARIANT or "version-from-file")
         if VARIANT == "two-owners":  # the numbers fence nobody either
             self._keeper.group_of = lambda exchange: (
                 exchange.session.encode() or exchange.idempotency_key or b"",
@@ -48,6 +50,6 @@
 
 if __name__ == "__main__":
     # The program imports the class from its module when the feature is switched on.
-    setattr(session_router, "SessionRouter", VersionFromFileRouter)  # noqa: B010
+    replace_part(session_router, "SessionRouter", VersionFromFileRouter)
     sys.argv = sys.argv[:1]
     runpy.run_module("sablewheel", run_name="__main__")
--- a/sablewheel/experiments/affinity_size.py
+++ b/sablewheel/experiments/affinity_size.py
@@ -13,10 +13,12 @@
 from collections import Counter
 
 from ..overload.interface import Idempotency
-from ..session_affinity.plan import AffinitySettings
+from ..session_affinity.plan import FAULTY_VARIANTS, AffinitySettings
 from .affinity_fleet import World
 from .result import ExperimentResult
 
+__all__ = ["FAULTY_VARIANTS", "run"]
+
 EACH = 20  # sessions a member
 BUDGET = 2.0  # moves a second, of the whole fleet
 GRACE = 10.0
--- a/sablewheel/experiments/faulty_member.py
+++ b/sablewheel/experiments/faulty_member.py
@@ -14,6 +14,7 @@
 from ..membership.node import Node
 from ..membership.plan import FAULTY_VARIANTS, Mode, Settings
 from ..membership.view import Member
+from .replaced_parts import announce, replace_part
 
 BASELINES = {one.value: one for one in Mode if one is not Mode.CONSENSUS}
 
@@ -32,8 +33,9 @@
         else:
             raise SystemExit(f"{kind!r} is none of {', '.join([*BASELINES, *FAULTY_VARIANTS])}")
         super().__init__(me, seeds, settings, chance, now)
+        announce(kind)
 
 
 if __name__ == "__main__":
-    setattr(shell, "Node", Odd)  # noqa: B010  a name that the module itself only imports
+    replace_part(shell, "Node", Odd)
     runpy.run_module("sablewheel", run_name="__main__")
--- a/sablewheel/experiments/faulty_server.py
+++ b/sablewheel/experiments/faulty_server.py
@@ -15,6 +15,7 @@
 from ..result_store.recorder import Recorder
 from ..result_store.run_log import StartRun
 from ..serving.exchange import Caller, Exchange
+from .replaced_parts import replace_part
 
 
 def no_intent() -> None:
@@ -61,7 +62,7 @@
     def clock_offset_s(then: ClockReading, now: ClockReading) -> float:
         return 0.0
 
-    setattr(loading, "clock_offset_s", clock_offset_s)  # noqa: B010  a name that the module itself only imports
+    replace_part(loading, "clock_offset_s", clock_offset_s)
 
 
 VARIANTS = {
--- a/sablewheel/experiments/forwarder.py
+++ b/sablewheel/experiments/forwarder.py
@@ -20,6 +20,7 @@
 from ..forwarding.forwarding_state import ForwardingState
 from ..membership.view import View
 from ..serving.exchange import Exchange
+from .replaced_parts import announce, replace_part
 
 SHARE = 0.7  # of requests that go to a peer
 
@@ -32,6 +33,7 @@
         self.placer = self
         self._others: list[str] = []
         self._chance = random.Random(self._last_number)
+        announce(sys.argv[1])
         self._admitted_file = open(sys.argv[2], "a", buffering=1)  # noqa: SIM115  kept until the end
 
     def handle_view(self, view: View) -> None:
@@ -87,5 +89,5 @@
 
 if __name__ == "__main__":
     VARIANTS[sys.argv[1]]()
-    setattr(forward, "ForwardingService", Spread)  # noqa: B010  the program imports it from there when it is switched on
+    replace_part(forward, "ForwardingService", Spread)  # the program imports it from there
     runpy.run_module("sablewheel", run_name="__main__")
--- a/sablewheel/experiments/forwarding.py
+++ b/sablewheel/experiments/forwarding.py
@@ -22,6 +22,7 @@
 from ..protocol.resp import Parser
 from . import client_protocol as wire
 from .fleet import DOOR, LISTEN, PORT, Block, Fleet, Relay
+from .replaced_parts import was_announced
 from .result import ExperimentResult
 from .testbed import PATIENCE, Testbed, TestbedError, free_port
 
@@ -217,6 +218,9 @@
 
 def _check_promises(scenario: Scenario, result: ExperimentResult, codes: list[int]) -> None:
     testbed = scenario.testbed
+    for name in scenario.names:
+        log = testbed.folder / f"{name}.log"
+        result.require(f"{name} runs as {scenario.kind}", was_announced(log, scenario.kind))
     held = {name: list(testbed.held(f"r-{name}")) for name in scenario.names}
     seconds = sum(one["how"] == "second" for each in held.values() for one in each)
     tries = {name: [one for one in each if one["how"] != "second"] for name, each in held.items()}
--- a/sablewheel/experiments/membership.py
+++ b/sablewheel/experiments/membership.py
@@ -20,6 +20,7 @@
 
 from ..membership.plan import FAULTY_VARIANTS, Settings
 from .fleet import Block, Fleet, Seen
+from .replaced_parts import was_announced
 from .result import ExperimentResult
 from .testbed import Testbed, TestbedError
 
@@ -385,6 +386,11 @@
 
 def _check_promises(scenario: Scenario, result: ExperimentResult) -> None:
     ours = scenario.ours
+    for fleet in scenario.same:
+        if fleet.kind != "ours":
+            logs = [scenario.testbed.folder / f"{fleet.idempotency_key(name)}.log" for name in fleet.names]
+            taken = all(was_announced(log, fleet.kind) for log in logs)
+            result.require(f"all members run as {fleet.kind}", taken)
     _judge_together(scenario, result)
     detected = {
         fleet.kind: [one for name, at in scenario.crashes for one in _out_times(fleet, name, at)]
--- a/sablewheel/experiments/policy.py
+++ b/sablewheel/experiments/policy.py
@@ -27,7 +27,8 @@
 from ..protocol.resp import Parser
 from . import client_protocol as wire
 from .fleet import DOOR, LISTEN, PORT, Block, Fleet, Relay
-from .policy_member import TAMPERED
+from .policy_member import TAMPERED, WRONG_TRANSLATION
+from .replaced_parts import was_announced
 from .result import ExperimentResult
 from .testbed import PATIENCE, Process, Testbed, TestbedError, free_port
 
@@ -37,6 +38,7 @@
 KINDS = ("disk", "disk", "disk", "plain", "plain", "small")
 FEW = ("m4", "m5")  # who is cut off
 CHANGES_MOST = 2  # of what holds, for one fault
+KILL_SEEN_WITHIN_S = 1.0  # by the router whose connection it ends
 SLACK = 0.2  # a run that was admitted may begin so long after its server's policy changed
 REQUEST_CLASSES = {"pay": {"share": 0.3, "keyed": True}, "read": {"share": 0.4}, "bulk": {"share": 0.3}}
 WORK = {"pay": 0.03, "read": 0.02, "bulk": 0.02}
@@ -226,6 +228,7 @@
     others: list[Scenario]
     spans: dict[str, tuple[float, float]] = field(default_factory=dict)
     active_at: float = 0.0
+    killed: list[tuple[str, float]] = field(default_factory=list)  # servers and when, monotonic
 
     @property
     def all(self) -> list[Scenario]:
@@ -240,6 +243,7 @@
     def kill(self, *names: str) -> None:
         for scenario in self.all:
             for name in names:
+                self.killed.append((f"{scenario.host(name)}:{LISTEN}", time.monotonic()))
                 scenario.processes[name].kill()
 
     def start(self, *names: str, kind: str = "") -> None:
@@ -360,7 +364,41 @@
     ]
 
 
+def _check_injected(act: Act, result: ExperimentResult) -> None:
+    """A run whose faults did not take place shows nothing."""
+    ours, folder = act.ours, act.ours.testbed.folder
+    logs = {name: folder / f"{ours.idempotency_key(name)}.log" for name in ours.names}
+    for name, path in logs.items():
+        result.require(f"{name} runs as {ours.kind}", was_announced(path, ours.kind))
+    result.require(
+        "one member's translation came out wrong",
+        any(was_announced(path, WRONG_TRANSLATION) for path in logs.values()),
+    )
+    for scenario in act.others:
+        if scenario.kind == "weakest":
+            paths = [folder / f"{scenario.idempotency_key(name)}.log" for name in scenario.names]
+            taken = any(was_announced(path, "weakest") for path in paths)
+            result.require("the baseline serves as its weakest class", taken)
+
+
+def _check_lost(act: Act, result: ExperimentResult, tries: list[dict[str, Any]]) -> None:
+    """A connection ends with requests open where its server was killed, and nowhere else."""
+    lost = [one for one in tries if one["how"] in ("lost", "unanswered")]
+    unexplained = [
+        one["name"]
+        for one in lost
+        if not any(
+            server == one["server"] and killed_at <= one["until"] < killed_at + KILL_SEEN_WITHIN_S
+            for server, killed_at in act.killed
+        )
+    ]
+    result.check(
+        "no request lost but by a kill", not unexplained, f"{len(lost)} lost, {len(unexplained)} else"
+    )
+
+
 def _check_promises(act: Act, result: ExperimentResult, codes: list[int]) -> None:
+    _check_injected(act, result)
     ours, testbed = act.ours, act.ours.testbed
     lines = ours.said()
     holds = [one for one in lines if one.what == "policy active"]
@@ -373,6 +411,7 @@
         for name, when in begun[ours.kind].get(one["name"], [])
         if when > act.active_at + SLACK
     ]
+    _check_lost(act, result, tries[ours.kind])
     unfit = [one for one in served if one[2] != "disk"]
     result.check(
         "no ticket served by a class that can't run what its flow requires",
--- a/sablewheel/experiments/policy_member.py
+++ b/sablewheel/experiments/policy_member.py
@@ -24,8 +24,10 @@
 from ..feature_policy.rollout_events import TranslationFinished
 from ..serving.dispatcher import Dispatcher
 from ..serving.exchange import Exchange
+from .replaced_parts import announce, replace_part
 
 TAMPERED = 9
+WRONG_TRANSLATION = "wrong-translation"
 
 
 class Odd(shell.PolicyService):
@@ -34,6 +36,7 @@
     def __init__(self, scheduler: Any, plan: PolicyPlan, *rest: Any) -> None:
         kind = sys.argv[1]
         super().__init__(scheduler, replace(plan, broken=kind if kind in FAULTY_VARIANTS else ""), *rest)
+        announce(kind)
 
     def _answer(self, data: bytes) -> TranslationFinished:
         told = super()._answer(data)
@@ -42,13 +45,19 @@
         made = told.made.translation
         best = max(made.classes.values(), key=lambda plan: len(plan.features))
         wrong = replace(made, classes=dict.fromkeys(made.classes, best))
+        announce(WRONG_TRANSLATION)
         return TranslationFinished(PolicyBundle(told.made.policy, wrong))
 
 
 def weakest(request_class: bytes) -> None:
     arrived = Dispatcher.arrived
+    announced = False
 
     def only_weak(self: Dispatcher, exchange: Exchange) -> None:
+        nonlocal announced
+        if not announced:
+            announced = True
+            announce("weakest")
         if exchange.request_class == request_class:
             return exchange.reject(0.0, True)
         arrived(self, exchange)
@@ -60,7 +69,7 @@
     if sys.argv[1] == "weakest":
         weakest(sys.argv[2].encode())
     elif sys.argv[1] == "ours" or sys.argv[1] in FAULTY_VARIANTS:
-        setattr(shell, "Policies", Odd)  # noqa: B010  the program imports it from there
+        replace_part(shell, "PolicyService", Odd)  # the program imports it from there
     else:
         raise SystemExit(f"{sys.argv[1]!r} is none of ours, weakest, {', '.join(FAULTY_VARIANTS)}")
     runpy.run_module("sablewheel", run_name="__main__")
--- a/sablewheel/experiments/replication_server.py
+++ b/sablewheel/experiments/replication_server.py
@@ -10,10 +10,11 @@
 import sys
 
 from ..replication import service
+from .replaced_parts import replace_part
 from .replication_scenario import KINDS
 
 if __name__ == "__main__":
     broken = functools.partial(service.ReplicationService, replica_type=KINDS[sys.argv[1]])
-    setattr(service, "ReplicationService", broken)  # noqa: B010  the program imports it from there when it is switched on
+    replace_part(service, "ReplicationService", broken)  # the program imports it from there
     sys.argv = sys.argv[:1]
     runpy.run_module("sablewheel", run_name="__main__")
--- /dev/null
+++ b/tests/test_replaced_parts.py
@@ -0,0 +1,92 @@
+"""What trials break on purpose is there to be broken, and a run in which it was not broken is void."""
+
+from __future__ import annotations
+
+import importlib
+import inspect
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from sablewheel.command.trial import TRIALS
+from sablewheel.experiments import (
+    affinity,
+    faulty_member,
+    faulty_server,
+    forwarder,
+    replaced_parts,
+    replication_scenario,
+)
+from sablewheel.experiments.result import ExperimentResult
+from sablewheel.feature_policy.rollout import FAULTY_VARIANTS as POLICY_VARIANTS
+from sablewheel.membership.plan import FAULTY_VARIANTS as MEMBERSHIP_VARIANTS
+
+PACKAGE = "sablewheel.experiments"
+FAULTY_CONFIGURATION = 2  # the server's exit code; it is put together from its modules before
+VARIANTS = [
+    *(("policy_member", kind) for kind in ("ours", "weakest", *POLICY_VARIANTS)),
+    *(("faulty_member", kind) for kind in (*faulty_member.BASELINES, *MEMBERSHIP_VARIANTS)),
+    *(("faulty_server", kind) for kind in faulty_server.VARIANTS),
+    *(("forwarder", kind) for kind in forwarder.VARIANTS),
+    *(("affinity_server", kind) for kind in affinity.FAULTY_VARIANTS),
+    *(("replication_server", kind) for kind in replication_scenario.KINDS),
+]
+
+
+@pytest.mark.parametrize(("module", "kind"), VARIANTS)
+def test_a_variant_finds_the_part_that_it_replaces(module: str, kind: str, tmp_path: Path) -> None:
+    """The policy trial replaced a name that nothing read, and was broken for want of any fault."""
+    words = {"affinity_server": [str(tmp_path / "version"), kind], "forwarder": [kind, str(tmp_path / "in")]}
+    arguments = words.get(module, [kind, "pay"])
+    environment = {key: value for key, value in os.environ.items() if key != "RELAY_CONFIG"}
+    ended = subprocess.run(
+        [sys.executable, "-m", f"sablewheel.experiments.{module}", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env=environment,
+        check=False,
+    )
+    assert ended.returncode == FAULTY_CONFIGURATION and "RELAY_CONFIG" in ended.stderr, ended.stderr
+
+
+TRIALS_WITH_VARIANTS = sorted(
+    trial
+    for trial, module in TRIALS.items()
+    if "broken" in inspect.signature(importlib.import_module(f"{PACKAGE}.{module}").run).parameters
+)
+
+
+@pytest.mark.parametrize("trial", TRIALS_WITH_VARIANTS)
+def test_a_trial_that_can_be_broken_offers_its_variants(trial: str) -> None:
+    """Those of affinity could not be asked for any more: a list that only the command read was gone."""
+    assert importlib.import_module(f"{PACKAGE}.{TRIALS[trial]}").FAULTY_VARIANTS
+
+
+def test_a_part_that_is_not_there_is_not_replaced() -> None:
+    with pytest.raises(AttributeError):
+        replaced_parts.replace_part(replaced_parts, "no_such_part", object())
+
+
+def test_a_replaced_part_is_announced_in_the_log(tmp_path: Path) -> None:
+    path = tmp_path / "n1.log"
+    path.write_text(
+        'time=1.0 level=warning from=x event="part replaced by a trial" part=ours\n'
+        "time=2.0 level=info from=x event=other part=ignore-class\n"
+    )
+    assert replaced_parts.was_announced(path, "ours")
+    assert not replaced_parts.was_announced(path, "ignore-class")
+
+
+def test_a_run_whose_fault_did_not_take_place_is_void_and_holds_nothing() -> None:
+    result = ExperimentResult("policy")
+    result.check("a promise", True)
+    assert result.holds
+    result.require("a fault", True)
+    assert result.holds and not result.void
+    result.require("another fault", False)
+    assert result.void and not result.holds
+    assert "another fault" in result.table() and '"void": true' in result.line()
