A migration that does not start in a drain gives its token back to the drain

Callers saw: sessions of a draining server left behind, to be taken over from a dead owner.

Cause: MigrationQueue.refund returned the token to the fleet's budget, though try_take takes it from the drain's while the server drains.

Evidence: the new test fails without the change at its second turn in vain. All three callers return a token in the step in which they took it, so the choice of budget can't change between.

--- a/sablewheel/session_affinity/migration_queue.py
+++ b/sablewheel/session_affinity/migration_queue.py
@@ -89,8 +89,8 @@
         return (self._drain_budget or self._budget).try_take(now)
 
     def refund(self) -> None:
-        """Return the token of a migration that was not started."""
-        self._budget.refund()
+        """Return the token of a migration that was not started, in the step in which it was taken."""
+        (self._drain_budget or self._budget).refund()
 
     def share_budget(self, now: float, member_count: int) -> None:
         """Set this server's share of the fleet's budget."""
--- a/tests/test_session_affinity.py
+++ b/tests/test_session_affinity.py
@@ -18,6 +18,7 @@
 from sablewheel.session_affinity import codec
 from sablewheel.session_affinity.binding import Binding, BindingState, MigrationCause, newer
 from sablewheel.session_affinity.budget import MIN_BURST, MigrationBudget
+from sablewheel.session_affinity.context import SessionContext
 from sablewheel.session_affinity.effects import (
     DecisionReason,
     ForwardToOwner,
@@ -44,6 +45,7 @@
 )
 from sablewheel.session_affinity.keys import KEY_LENGTH, MAX_FIELD_BYTES, SessionKeyFields, session_key
 from sablewheel.session_affinity.messages import BindingNotice, OfferReply, OwnershipOffer, TakeOwnership
+from sablewheel.session_affinity.migration_queue import MigrationQueue
 from sablewheel.session_affinity.ownership import OwnershipPhase
 from sablewheel.session_affinity.placement import (
     ServerLoad,
@@ -154,6 +156,21 @@
         assert taken <= rate * now + max(MIN_BURST, rate) + 1e-6
 
 
+def test_a_migration_not_started_in_a_drain_gives_its_token_back_to_the_drain() -> None:
+    """It went to the fleet's budget: each turn in vain slowed the drain and sped up all that came after."""
+    settings = AffinitySettings(migrations_per_s=2.0)
+    queue = MigrationQueue(SessionContext("a", 1, settings), 0.0)
+    queue.share_budget(0.0, 2)
+    assert queue.try_take(0.0)  # the fleet's budget is spent
+    queue.start_drain(0.0, 1, 1.0)
+    for _ in range(5):
+        assert queue.try_take(0.0)
+        queue.refund()
+    assert queue.try_take(0.0) and not queue.try_take(0.0)
+    queue._drain_budget = None
+    assert not queue.try_take(0.0)
+
+
 def test_a_rate_of_zero_allows_no_migration() -> None:
     assert not MigrationBudget(0.0, 0.0).try_take(1e9)
 
