A fleet takes over sessions of dead owners at its budget, not each server by itself

Callers saw: after a death whose number of sessions nobody knew, the register loaded by N times the takeovers meant.

Cause: the takeover bucket was filled at the whole fleet's rate on each server; a view set the share of the other bucket only.

Change: share_budget sets both. The cost: a server that has all requests of an unknown load takes longer.

--- a/sablewheel/session_affinity/migration_queue.py
+++ b/sablewheel/session_affinity/migration_queue.py
@@ -93,8 +93,10 @@
         (self._drain_budget or self._budget).refund()
 
     def share_budget(self, now: float, member_count: int) -> None:
-        """Set this server's share of the fleet's budget."""
-        self._budget.set_rate(now, self._context.settings.migrations_per_s / max(member_count, 1))
+        """Set this server's share of the fleet's budget, for its own sessions and for those it takes over."""
+        rate = self._context.settings.migrations_per_s / max(member_count, 1)
+        self._budget.set_rate(now, rate)
+        self._takeover_budget.set_rate(now, rate)
 
     def start_drain(self, now: float, session_count: int, span_s: float) -> None:
         """Set the pace that migrates all sessions within the span, or the fleet's pace if that is higher."""
@@ -118,7 +120,8 @@
         """Return the seconds until a removed owner's session may be taken over; 0 takes a token for it.
 
         Each such session has its turn by its key, spread so that the fleet migrates no more per second than
-        its budget, whichever server has the requests. A token bucket covers loads that were not known.
+        its budget, whichever server has the requests. A token bucket at this server's share of that budget
+        covers loads that were not known.
         """
         if self._context.settings.faulty_variant == "no-budget" or stored is None:
             return 0.0
--- a/tests/test_session_affinity.py
+++ b/tests/test_session_affinity.py
@@ -171,6 +171,27 @@
     assert not queue.try_take(0.0)
 
 
+@pytest.mark.parametrize("size", [1, 3, 10, 100])
+def test_servers_together_take_over_no_more_sessions_than_the_fleets_budget(size: int) -> None:
+    """Each server had the whole fleet's budget for sessions of dead owners whose number nobody knew."""
+    rate, seconds, steps = 5.0, 10.0, 200
+    queues = [
+        MigrationQueue(SessionContext(f"s{place}", 1, AffinitySettings(migrations_per_s=rate)), 0.0)
+        for place in range(size)
+    ]
+    taken = 0
+    for queue in queues:
+        queue.share_budget(0.0, size)
+    for step in range(steps):
+        now = seconds * step / steps
+        for place, queue in enumerate(queues):
+            stored = Binding(f"k{place}-{step}", 5, "dead", 1, 1)
+            taken += queue.takeover_wait_s(now, stored.key, stored) <= 0
+    # A server's bucket holds one token at least, or what its share of the rate brings in a second.
+    burst = size * max(MIN_BURST, rate / size)
+    assert 0.9 * rate * seconds <= taken <= rate * seconds + burst
+
+
 def test_a_rate_of_zero_allows_no_migration() -> None:
     assert not MigrationBudget(0.0, 0.0).try_take(1e9)
 
