A suspicion of a member known by its address alone can be encoded

Cause: MemberTable.incarnation is -1 for a member that is known by its address alone, and a failed probe of it was gossiped as a suspicion of incarnation -1, which no message can carry.

Change: a failed probe suspects incarnation 0 at the least.

--- a/sablewheel/membership/failure_detector.py
+++ b/sablewheel/membership/failure_detector.py
@@ -20,6 +20,7 @@
 from .suspicions import Suspicion, SuspicionTable
 
 PROBE_END_RATIO = 0.9  # of the period: the probe ends before the next one starts
+LOWEST_INCARNATION = 0  # that a message can carry
 MAX_HEALTH_PENALTY = 2  # for the missing answers of one failed probe
 
 
@@ -190,7 +191,8 @@
         missing_nacks = max(probe.helpers_asked, 0) - probe.nacks
         self._adjust_health(min(missing_nacks, MAX_HEALTH_PENALTY) if probe.helpers_asked > 0 else 1)
         self._outbox.count("probes_failed")
-        known = self._member_table.incarnation(probe.target)
+        # A baseline without consensus knows some members by their address alone.
+        known = max(self._member_table.incarnation(probe.target), LOWEST_INCARNATION)
         if self._settings.injected_fault == "no-suspicion" or self._settings.mode is Mode.HEARTBEAT:
             self._on_failure(now, probe.target, known)
             return
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -508,6 +508,24 @@
     assert [one.partition("@")[0] for one in changes(net, at)] == ["remove:m3"]
 
 
+@pytest.mark.parametrize("mode", Mode)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_every_message_of_a_simulated_fleet_can_be_encoded(
+    mode: Mode, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A suspicion of a member known by its address alone carried incarnation -1."""
+    carry = Net._carry
+
+    def encode_and_carry(net: Net, sender: str, send: Send) -> None:
+        assert codec.decode(codec.encode(send.message)) == send.message
+        carry(net, sender, send)
+
+    monkeypatch.setattr(Net, "_carry", encode_and_carry)
+    net = start_fleet(7, Settings(mode=mode), seed)
+    net.kill("m3")
+    net.run(net.now + 10.0)
+
+
 def test_the_heartbeat_baseline_removes_a_paused_member() -> None:
     base = start_fleet(7, Settings(mode=Mode.HEARTBEAT))
     base.stopped["m2"] = base.now + 3.0
