--- a/sablewheel/command/trial.py
+++ b/sablewheel/command/trial.py
@@ -33,7 +33,7 @@
 
 @click.command()
 @click.argument("name", type=click.Choice(sorted(TRIALS)))
-@click.option("--quick", is_flag=True, help="Shorter: most take under 40 seconds.")
+@click.option("--quick", is_flag=True, help="Shorter: most take under a minute, membership four.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--broken", default="", help="A part broken on purpose; the trial must catch it.")
 @click.option("--json", "json_file", type=click.Path(path_type=Path), help="Also write the line here.")
--- a/tests/test_scheduler_races.py
+++ b/tests/test_scheduler_races.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import signal
 import socket
@@ -156,6 +157,31 @@
     assert len(heard) < 5 and heard[-1]  # long before the time was over
 
 
+@pytest.mark.parametrize("number", [errno.EIO, errno.ENOMEM, errno.EINTR])
+def test_signals_are_taken_though_a_read_of_their_pipe_failed(
+    scheduler: Scheduler, signals: int, number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A failed read ended the greenlet that takes signals, and the process was deaf from then on."""
+    taken, failures, read = [0], [number], os.read
+
+    def failing(descriptor: int, most: int) -> bytes:
+        if failures and scheduler._signal_pipe is not None and descriptor == scheduler._signal_pipe[0]:
+            raise OSError(failures.pop(), "a failed call")
+        return read(descriptor, most)
+
+    def take() -> None:
+        taken[0] += 1
+        if taken[0] == 2:
+            scheduler.stop()
+
+    monkeypatch.setattr(os, "read", failing)
+    scheduler.on_signal(signals, take)
+    scheduler.after(0.01, lambda: os.kill(os.getpid(), signals))
+    scheduler.after(0.3, lambda: os.kill(os.getpid(), signals))
+    play(scheduler)
+    assert taken == [2] and not failures
+
+
 def test_signals_between_any_two_steps_of_a_round_are_taken_in_the_loop(
     scheduler: Scheduler, signals: int
 ) -> None:
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
 import os
 import signal
@@ -428,11 +429,16 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.empty, self.closing = sock, [], []  # type: ignore[var-annotated]
+        self.failures: list[int] = []  # error numbers of the next calls of accept, once the queue was empty
+        self.was_empty = False
 
     def accept(self) -> tuple[socket.socket, Any]:
+        if self.was_empty and self.failures:
+            raise OSError(self.failures.pop(), "a failed call")
         try:
             return self.sock.accept()
         except BlockingIOError:
+            self.was_empty = True
             if self.empty:
                 self.empty.pop()()
             raise
@@ -506,6 +512,21 @@
         socket.create_connection(harness.address, timeout=PATIENCE)
 
 
+@pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EPROTO, errno.EINTR])
+@pytest.mark.parametrize("times", [1, 40])
+def test_who_connects_behind_the_last_check_is_taken_though_accept_fails(
+    harness: ListeningSocketHarness, number: int, times: int
+) -> None:
+    """A failed accept there ended the taking, and the close reset the request in the queue."""
+    harness.sock.failures = [number] * times
+    harness.sock.empty.append(harness.client)
+    for _ in range(times + 1):
+        if harness.listener.close_if_queue_empty():
+            break
+    assert harness.listener.close_if_queue_empty()
+    assert harness.answer() == [b"told"]
+
+
 def test_who_connects_as_the_socket_closes_is_not_accepted_and_lost(harness: ListeningSocketHarness) -> None:
     harness.sock.closing.append(lambda: harness.client(0.05))
     assert harness.listener.close_if_queue_empty()
