Takeovers with turns keep the fleet's bucket; only unknown loads get a share

Cause: set the takeover bucket to a server's share also where each session has a turn, which is spread over the fleet's budget already, so such takeovers were limited twice.

Change: a bucket at the server's share for owners whose load nobody knew, the fleet's rate for sessions with a turn, as before; turns stay known for twice their span, since requests come after them.

--- a/sablewheel/session_affinity/migration_queue.py
+++ b/sablewheel/session_affinity/migration_queue.py
@@ -14,6 +14,7 @@
 
 MIN_WAIT_S = 1e-3
 MIN_RATE_PER_S = 1e-6
+TURNS_KNOWN_FOR = 2.0  # times the span of the turns: a request may come after its session's turn
 
 
 class MigrationQueue:
@@ -30,7 +31,8 @@
         rate = context.settings.migrations_per_s
         self._keys: deque[str] = deque()
         self._budget = MigrationBudget(rate, now)
-        self._takeover_budget = MigrationBudget(rate, now)
+        self._takeover_budget = MigrationBudget(rate, now)  # of sessions that have turns
+        self._turnless_takeover_budget = MigrationBudget(rate, now)  # of owners with unknown loads
         self._drain_budget: MigrationBudget | None = None
         self._departures: dict[
             tuple[str, int], tuple[float, float]
@@ -93,10 +95,10 @@
         (self._drain_budget or self._budget).refund()
 
     def share_budget(self, now: float, member_count: int) -> None:
-        """Set this server's share of the fleet's budget, for its own sessions and for those it takes over."""
+        """Set this server's share of the fleet's budget; turns keep to the whole of it by themselves."""
         rate = self._context.settings.migrations_per_s / max(member_count, 1)
         self._budget.set_rate(now, rate)
-        self._takeover_budget.set_rate(now, rate)
+        self._turnless_takeover_budget.set_rate(now, rate)
 
     def start_drain(self, now: float, session_count: int, span_s: float) -> None:
         """Set the pace that migrates all sessions within the span, or the fleet's pace if that is higher."""
@@ -111,22 +113,26 @@
         self._departures[member.name, member.incarnation] = (now, span_s)
 
     def forget_past_departures(self, now: float) -> None:
-        """Forget the removed members whose sessions have all had their turns."""
+        """Forget the removed members whose sessions have all had their turns, and time to use them."""
         self._departures = {
-            member: (at, span_s) for member, (at, span_s) in self._departures.items() if now < at + span_s
+            member: (at, span_s)
+            for member, (at, span_s) in self._departures.items()
+            if now < at + TURNS_KNOWN_FOR * span_s
         }
 
     def takeover_wait_s(self, now: float, key: str, stored: Binding | None) -> float:
         """Return the seconds until a removed owner's session may be taken over; 0 takes a token for it.
 
         Each such session has its turn by its key, spread so that the fleet migrates no more per second than
-        its budget, whichever server has the requests. A token bucket at this server's share of that budget
-        covers loads that were not known.
+        its budget, whichever server has the requests. For an owner whose load was not known there are no
+        turns, but a token bucket at this server's share of that budget.
         """
         if self._context.settings.faulty_variant == "no-budget" or stored is None:
             return 0.0
-        departed_at, span_s = self._departures.get((stored.owner, stored.incarnation), (now, 0.0))
+        departure = self._departures.get((stored.owner, stored.incarnation))
+        budget = self._turnless_takeover_budget if departure is None else self._takeover_budget
+        departed_at, span_s = departure or (now, 0.0)
         wait_s = departed_at + span_s * turn_fraction(key) - now
-        if wait_s <= 0 and not self._takeover_budget.try_take(now):
-            wait_s = self._takeover_budget.wait_s(now)
+        if wait_s <= 0 and not budget.try_take(now):
+            wait_s = budget.wait_s(now)
         return max(wait_s, 0.0)
