Test double of the interpreter numbers and sends its notices under one lock

Cause: the test's thread and the double's own thread both end runs. One numbered its notice, gave the interpreter lock away in sendall, and the other sent a later number first. A server drops a notice whose number is below one that it has read, as the protocol says, so the run never ended for it. No real interpreter does so: one stream, one writer.

--- a/tests/simulated_server.py
+++ b/tests/simulated_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import threading
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -291,6 +292,7 @@
     """Runs what it is sent, numbers its notices, and repeats those that a broken link missed."""
 
     def __init__(self) -> None:
+        self.lock = threading.RLock()  # for those who use it from several threads
         self.up = True
         self.running: dict[bytes, tuple[bytes, bytes]] = {}
         self.over: set[bytes] = set()  # runs that ended
--- a/tests/stories/test_server_stories.py
+++ b/tests/stories/test_server_stories.py
@@ -214,9 +214,7 @@
 def greet(interpreter: FakeInterpreter) -> None:
     """The interpreter is up now, for the link that waits for it."""
     wait_until(lambda: interpreter.link is not None)
-    interpreter.core.up = True
-    assert interpreter.link is not None
-    interpreter.link.sendall(interpreter.core.feed(b"CONNECT 0\r\n"))
+    interpreter.greet()
 
 
 @given(parsers.re(r"a fleet of (?P<size>\d+) servers(?P<kind>.*)"))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,7 +15,7 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from simulated_server import SimulatedInterpreter, call, frame
@@ -48,7 +48,11 @@
 
 
 class FakeInterpreter:
-    """A simulated interpreter behind a socket: ends each run at once, or when asked."""
+    """A simulated interpreter behind a socket: ends each run at once, or when asked.
+
+    Its own thread and the test's both use it. Each numbers and sends under the lock of the interpreter: a
+    server drops a notice whose number is below one that it has read.
+    """
 
     def __init__(self, core: SimulatedInterpreter | None = None) -> None:
         self.core, self.at_once = core or SimulatedInterpreter(), True
@@ -63,17 +67,29 @@
                 self.link = self.listening_socket.accept()[0]
                 self.core.bytes = b""
                 while data := self.link.recv(65536):
-                    self.link.sendall(self.core.feed(data))
-                    while self.at_once and self.core.running:
-                        self.end(next(iter(self.core.running)))
+                    self._obey(self.link, data)
             except OSError:
                 if self.listening_socket.fileno() < 0:
                     return
 
+    def _obey(self, link: socket.socket, data: bytes) -> None:
+        with self.core.lock:
+            link.sendall(self.core.feed(data))
+            while self.at_once and self.core.running:
+                self.end(next(iter(self.core.running)))
+
+    def greet(self) -> None:
+        """Be up from now on, and answer the link that waits for it."""
+        assert self.link is not None
+        with self.core.lock:
+            self.core.up = True
+            self.link.sendall(self.core.feed(b"CONNECT 0\r\n"))
+
     def end(self, name: bytes) -> None:
-        notice = self.core.end(name)
-        if self.link is not None:
-            self.link.sendall(notice)
+        with self.core.lock:
+            notice = self.core.end(name)
+            if self.link is not None:
+                self.link.sendall(notice)
 
     def cut(self) -> None:
         if self.link is not None:
@@ -257,6 +273,34 @@
     assert done.returncode == 0 and "occasion=asked" in done.stderr and "occasion=exit" in done.stderr
 
 
+class StallingLink:
+    """A link that holds up the first thread that sends."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+        self.reached = threading.Event()
+
+    def sendall(self, data: bytes) -> None:
+        if not self.reached.is_set():
+            self.reached.set()
+            time.sleep(0.1)
+        self.sent.append(data)
+
+
+def test_a_fake_interpreter_that_two_threads_use_sends_its_notices_in_order() -> None:
+    """A lookup failed in CI: the notice of its end was sent behind a later one and dropped by the server."""
+    interpreter, link = FakeInterpreter(), StallingLink()
+    interpreter.link = cast(socket.socket, link)
+    interpreter.core.running = {b"first": (b"lookup", b""), b"second": (b"lookup", b"")}
+    other = threading.Thread(target=interpreter.end, args=(b"first",))
+    other.start()
+    assert link.reached.wait(PATIENCE)
+    interpreter.end(b"second")
+    other.join(PATIENCE)
+    interpreter.listening_socket.close()
+    assert link.sent == interpreter.core.notices
+
+
 def test_killed_and_started_again_under_its_address_it_serves(deployment: Deployment) -> None:
     for _ in range(2):
         process = deployment.start()
