Tests of the program keep their address from other programs while they run

Eight runs of the stories at once: one of eight failed at its start, 'the connection ended without an answer'. The port was drawn, freed, and the server listened on it later; until then any other program or outgoing connection could take it.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -97,6 +97,14 @@
                 self.link.shutdown(socket.SHUT_RDWR)
 
 
+def reserved_address() -> socket.socket:
+    """A socket that keeps its address from others and outgoing connections; a server may listen there."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    return reserved
+
+
 class Deployment:
     """One server process with its configuration, a fake interpreter and the name service's socket."""
 
@@ -105,8 +113,8 @@
         self.name_service = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.name_service.bind(("127.0.0.1", 0))
         self.name_service.settimeout(PATIENCE)
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = free.getsockname()
+        self._reserved = reserved_address()
+        self.address = self._reserved.getsockname()
         self.file = folder / "configuration.json"
         self.config: dict[str, Any] = {
             "name": "n3",
@@ -160,6 +168,7 @@
         self.interpreter.listening_socket.close()
         self.interpreter.cut()
         self.name_service.close()
+        self._reserved.close()
 
 
 def wait_until(true: Callable[[], object]) -> None:
