Unconfirmed runs are queried once nobody waits, and free their places in the guard

Cause: commands lost with the link can't be told from runs. Each kept its place among what the cores survive for a longest timeout past its client's, 4 s; 24 of 24 places were taken so, and nothing started. Change: once the client's timeout and the answer slack have passed, the command is written again. The key stays reserved. A query that a break loses is written again only to an interpreter that has answered one.

--- a/sablewheel/overload/controller.py
+++ b/sablewheel/overload/controller.py
@@ -128,7 +128,7 @@
         self._steps: tuple[Callable[[], None], ...] = (
             self._dependency_calls.make_calls,
             self._answer_overdue,
-            self._presume_lost,
+            self._review_unconfirmed,
             self._coalescer.attach_waiting,
             self._run_starter.start_queued,
             self._iterate_if_due,
@@ -226,9 +226,11 @@
                 if not request.answered:
                     self._completion.fail(request)
 
-    def _presume_lost(self) -> None:
-        overdue = self.resources.unconfirmed.take_overdue(self._context.now)
-        self._context.actions.extend(interface.PresumeLost(request) for request in overdue)
+    def _review_unconfirmed(self) -> None:
+        unconfirmed, context = self.resources.unconfirmed, self._context
+        overdue = unconfirmed.take_overdue(context.now)
+        context.actions.extend(interface.PresumeLost(request) for request in overdue)
+        context.actions.extend(map(interface.QueryRun, unconfirmed.take_to_query(context.now)))
 
     def _iterate_if_due(self) -> None:
         pool, now = self.credit_pool, self._context.now
@@ -282,7 +284,9 @@
 
     def _start_unconfirmed(self, event: interface.StartUnconfirmed) -> None:
         if event.request.stage is Stage.RUNNING:
-            self.resources.unconfirmed.add(event.request, self._context.now, self._context.max_timeout_s)
+            context = self._context
+            slack_s = context.settings.answer_slack_s
+            self.resources.unconfirmed.add(event.request, context.now, context.max_timeout_s, slack_s)
 
     def _caller_gone(self, event: interface.CallerGone) -> None:
         self._endings.caller_gone(event.request)
--- a/sablewheel/overload/interface/actions.py
+++ b/sablewheel/overload/interface/actions.py
@@ -33,6 +33,13 @@
     request: Request
 
 
+@dataclass(slots=True)
+class QueryRun:
+    """Query whether a run whose start is unconfirmed goes on; nobody waits for its request any more."""
+
+    request: Request
+
+
 @dataclass(slots=True)
 class PresumeLost:
     """Stop waiting for the end of a run whose start is unconfirmed."""
@@ -148,6 +155,7 @@
 Action: TypeAlias = (
     Run
     | Cancel
+    | QueryRun
     | PresumeLost
     | Reject
     | Fail
--- a/sablewheel/overload/unconfirmed_starts.py
+++ b/sablewheel/overload/unconfirmed_starts.py
@@ -3,15 +3,27 @@
 Such a run may go on like any other, so it counts against what the cores and the memory survive, and its key
 stays reserved. It may as well never have started, and then its end is never reported. So it takes no credit,
 and its end is not awaited for ever.
+
+Once its client no longer waits, its command may be written again without harm: it begins nothing, and its
+answer tells whether the run goes on.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from math import inf
 
 from .interface import Request
 
 
+@dataclass(slots=True)
+class _Wait:
+    """When to query whether the run goes on, infinite once that is done, and until when to await its end."""
+
+    query_at: float
+    until: float
+
+
 class UnconfirmedStarts:
     """The runs concerned, and until when the end of each is awaited.
 
@@ -19,32 +31,43 @@
     """
 
     def __init__(self) -> None:
-        self._awaited_until: dict[Request, float] = {}
+        self._waits: dict[Request, _Wait] = {}
 
     def __len__(self) -> int:
-        return len(self._awaited_until)
+        return len(self._waits)
 
-    def add(self, request: Request, now: float, max_timeout_s: float) -> None:
+    def add(self, request: Request, now: float, max_timeout_s: float, answer_slack_s: float) -> None:
         """Await the end of a run until its client's timeout and `max_timeout_s` seconds more.
 
         `max_timeout_s` is the longest timeout of any class: a run that is so late serves nobody, and another
-        one beside it is within the slack of the guards.
+        one beside it is within the slack of the guards. `answer_slack_s` is how long an answer may need to
+        reach its client: then the request is over for everyone.
         """
+        if request in self._waits:
+            return
         client_timeout_at = max(request.arrived_at + request.request_class.timeout_s, now)
-        self._awaited_until.setdefault(request, client_timeout_at + max_timeout_s)
+        query_at = max(client_timeout_at, request.deadline) + answer_slack_s
+        self._waits[request] = _Wait(query_at, client_timeout_at + max_timeout_s)
 
     def discard(self, request: Request) -> None:
         """Remove a run that is known to have started, or is over."""
-        self._awaited_until.pop(request, None)
+        self._waits.pop(request, None)
+
+    def take_to_query(self, now: float) -> list[Request]:
+        """Return the runs that are to be queried, each once."""
+        due = [request for request, wait in self._waits.items() if wait.query_at <= now]
+        for request in due:
+            self._waits[request].query_at = inf
+        return due
 
     def take_overdue(self, now: float) -> list[Request]:
         """Remove and return the runs whose end is awaited no longer."""
-        overdue = [request for request, until in self._awaited_until.items() if until <= now]
+        overdue = [request for request, wait in self._waits.items() if wait.until <= now]
         for request in overdue:
-            del self._awaited_until[request]
+            del self._waits[request]
         return overdue
 
     @property
     def next_due(self) -> float:
-        """When the first of them becomes overdue; infinite if there is none."""
-        return min(self._awaited_until.values(), default=inf)
+        """When the first of them is to be queried or becomes overdue; infinite if there is none."""
+        return min((min(wait.query_at, wait.until) for wait in self._waits.values()), default=inf)
--- a/sablewheel/serving/dispatcher.py
+++ b/sablewheel/serving/dispatcher.py
@@ -31,6 +31,7 @@
 RequestAction: TypeAlias = (
     interface.Run
     | interface.Cancel
+    | interface.QueryRun
     | interface.PresumeLost
     | interface.Reject
     | interface.Fail
@@ -339,6 +340,8 @@
                 self._start_run(exchange)
             case interface.Cancel():
                 self._cancel_run(exchange)
+            case interface.QueryRun():
+                self._interpreter.query_run(exchange)
             case interface.PresumeLost():
                 self._interpreter.presume_lost(exchange)
             case interface.Reject():
--- a/sablewheel/serving/interpreter_client.py
+++ b/sablewheel/serving/interpreter_client.py
@@ -23,7 +23,7 @@
 from ..transport.stream import Stream
 from .exchange import Exchange
 from .fences import Fences
-from .open_run import OpenRun, log_unknown_result, may_run_twice
+from .open_run import OpenRun, RunQuery, log_unknown_result, may_run_twice
 
 INITIAL_BACKOFF_S, MAX_BACKOFF_S = 0.02, 0.5  # between connection attempts
 GAUGES_INTERVAL_S, GAUGES_LIFETIME_S = 0.2, 0.5
@@ -99,6 +99,7 @@
         self._gauges: tuple[float | None, ...] = ()
         self._gauges_received_at = 0.0
         self._greeted = False  # on any link so far
+        self._answers_run_queries = False  # as the protocol says: one was answered by "nothing"
         self._silent_queries = 0  # since the last byte received on this link, or while no greeting came
         self._moves = 0  # addresses so far
         self.connect_to(connect)
@@ -146,6 +147,20 @@
         if exchange.name in self._runs:
             self._end_run(exchange.name, Outcome.LOST)
 
+    def query_run(self, exchange: Exchange) -> None:
+        """Query whether a run goes on whose start is unconfirmed, now or once a link is ready.
+
+        The command to start it is written again. The interpreter ignores it while the run goes on, and
+        starts nothing for a request that is over, but reports that. So this is for answered requests only.
+        If a break loses the query, it is written again once the interpreter has reported so of any run: one
+        that started the run instead would start it twice.
+        """
+        run = self._runs.get(exchange.name)
+        if run is not None and run.unconfirmed and exchange.closed:
+            run.query = RunQuery.WANTED
+            if self._ready:
+                self._write_query(run)
+
     def cancel(self, exchange: Exchange) -> None:
         """Cancel a run, now or once a link is ready."""
         run = self._runs.get(exchange.name)
@@ -323,6 +338,8 @@
         for run in self._runs.values():
             if run.cancelled:
                 self._commands += interpreter.encode_cancel_run(run.exchange.name)
+            if run.query is RunQuery.WANTED or (run.query is RunQuery.WRITTEN and self._answers_run_queries):
+                self._write_query(run)
         pairs = {
             "away": round(disconnected_for_s, 3),
             "open_runs": len(self._runs),
@@ -361,11 +378,18 @@
 
     def _write_start(self, run: OpenRun) -> None:
         run.fence, run.sent_at = self._fences.next, self._scheduler.clock.now
-        exchange = run.exchange
-        self._commands += interpreter.encode_start_run(exchange.name, exchange.request_class, exchange.body)
+        self._write_start_command(run.exchange)
         if self._stream is not None:
             run.command_end = self._stream.bytes_queued + len(self._commands)
 
+    def _write_query(self, run: OpenRun) -> None:
+        run.query = RunQuery.WRITTEN
+        self._count("runs_queried")
+        self._write_start_command(run.exchange)
+
+    def _write_start_command(self, exchange: Exchange) -> None:
+        self._commands += interpreter.encode_start_run(exchange.name, exchange.request_class, exchange.body)
+
     def _check_link(self) -> None:
         """Query the gauges, and close a link that is open but dead.
 
@@ -392,7 +416,11 @@
             if self.discards_cancelled_runs:  # it may have started once more, and nobody counts that run
                 self._commands += interpreter.encode_cancel_run(notice.name)
         run.exchange.notice_number = notice.number
-        self._end_run(notice.name, notice.outcome, notice.run_time_s, notice.result)
+        outcome = notice.outcome
+        if run.query is RunQuery.WRITTEN and outcome is Outcome.NEVER_STARTED:
+            self._answers_run_queries = True
+            outcome = Outcome.LOST  # nothing runs, but that does not prove that nothing ever ran
+        self._end_run(notice.name, outcome, notice.run_time_s, notice.result)
 
     def _handle_call_needed(self, notice: interpreter.CallNeeded) -> None:
         self._count("calls_needed")
@@ -411,8 +439,11 @@
         pairs = {"command": notice.command.name.lower(), "name": notice.name.decode("ascii", "replace")}
         log.warning("interpreter rejected a command", extra={"pairs": pairs})
         if notice.command is interpreter.Command.START and notice.name in self._runs:
-            resent = self._runs[notice.name].resent
-            self._end_run(notice.name, Outcome.ERROR if resent else Outcome.NEVER_STARTED)
+            run = self._runs[notice.name]
+            if run.query is RunQuery.WRITTEN:
+                self._end_run(notice.name, Outcome.LOST)
+            else:
+                self._end_run(notice.name, Outcome.ERROR if run.resent else Outcome.NEVER_STARTED)
 
     def _end_run(self, name: bytes, outcome: Outcome, run_time_s: float = 0.0, result: bytes = b"") -> None:
         exchange = self._runs.pop(name).exchange
--- a/sablewheel/serving/open_run.py
+++ b/sablewheel/serving/open_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from enum import Enum, auto
 
 from ..overload.interface import Idempotency
 from ..protocol.interpreter import RunFinished
@@ -11,6 +12,14 @@
 log = logging.getLogger(__name__)  # apart from the link's: there are many lines of runs when it breaks
 
 
+class RunQuery(Enum):
+    """How far the query is whether a run goes on whose start is unconfirmed."""
+
+    NONE = auto()
+    WANTED = auto()
+    WRITTEN = auto()  # on some link, not answered
+
+
 class OpenRun:
     """A run whose end is not known.
 
@@ -20,10 +29,20 @@
         sent_at: When its command was last written.
         unconfirmed: Whether the handler was notified that its start is unconfirmed.
         cancelled: Whether it is to be cancelled.
+        query: Whether the interpreter is queried whether it goes on.
         resent: Whether its command was written again, though the first may have been carried out.
     """
 
-    __slots__ = ("cancelled", "command_end", "exchange", "fence", "resent", "sent_at", "unconfirmed")
+    __slots__ = (
+        "cancelled",
+        "command_end",
+        "exchange",
+        "fence",
+        "query",
+        "resent",
+        "sent_at",
+        "unconfirmed",
+    )
 
     def __init__(self, exchange: Exchange) -> None:
         self.exchange = exchange
@@ -31,6 +50,7 @@
         self.command_end = 0
         self.sent_at = 0.0
         self.unconfirmed = self.cancelled = self.resent = False
+        self.query = RunQuery.NONE
 
     def log_unproven(self, event: str, now: float) -> None:
         """Log an event after a break of the link, when it is not known whether the run started."""
--- a/tests/test_interpreter_link_races.py
+++ b/tests/test_interpreter_link_races.py
@@ -177,6 +177,116 @@
     assert refused.answers[0][1] == b"BUSY" and set(server.interpreter.running) == {served.name}
 
 
+RECORD_OVER_S = SERVER_SETTINGS.request_classes[1].timeout_s + SERVER_SETTINGS.answer_slack_s
+ROUND_TRIP_S = 0.05  # of a query, with a round of timers
+
+
+def fill_with_lost_commands(server: SimulatedServer) -> None:
+    for number in range(int(SERVER_SETTINGS.cores * SERVER_SETTINGS.max_concurrency_per_core)):
+        server.call(b"record", b"%d" % number)
+        server.settle(deliver=False)
+        broken(server, lost=True)
+
+
+def test_lost_commands_free_their_places_once_the_interpreter_answers_that_none_runs() -> None:
+    """They filled the guard for a longest timeout more, and nothing started meanwhile."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    fill_with_lost_commands(server)
+    server.wait(RECORD_OVER_S + ROUND_TRIP_S)
+    served = server.call(b"record", b"served")
+    server.settle()
+    assert set(server.interpreter.running) == {served.name}
+
+
+@pytest.mark.parametrize("has_answered", [False, True])
+def test_a_lost_query_is_written_again_only_to_an_interpreter_that_has_answered_one(
+    has_answered: bool,
+) -> None:
+    """One that starts the run instead would start it twice."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    if has_answered:
+        fill_with_lost_commands(server)
+        server.wait(RECORD_OVER_S + ROUND_TRIP_S)
+    server.call(b"record", b"a")
+    server.settle(deliver=False)
+    broken(server, lost=True)
+    queries = server.counts.count("runs_queried")
+    obeying(server, answers_questions_only)
+    server.wait(RECORD_OVER_S + ROUND_TRIP_S)
+    assert server.counts.count("runs_queried") == queries + 1 and server.dispatcher.open_count == 1
+    recover(server)
+    broken(server, lost=True)
+    assert server.counts.count("runs_queried") == queries + 1 + has_answered
+    assert server.dispatcher.open_count == (0 if has_answered else 1) and not server.interpreter.applied
+
+
+def test_an_interpreter_that_starts_what_is_queried_starts_it_once() -> None:
+    """The protocol says that it starts nothing; rule 2 is not left to that."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    server.call(b"record", b"a")
+    server.settle(deliver=False)
+    broken(server, lost=True)
+
+    def starting_all(obey: Obey, words: list[bytes], body: bytes) -> bytes:
+        server.interpreter.answered.clear()
+        return obey(words, body)
+
+    obeying(server, starting_all)
+    server.wait(RECORD_OVER_S + ROUND_TRIP_S)
+    assert len(server.interpreter.running) == 1
+    broken(server, lost=False)
+    server.end(server.attempts[0].name)
+    server.settle()
+    broken(server, lost=True)
+    assert len(server.interpreter.applied) == 1 and server.dispatcher.open_count == 0
+
+
+def test_a_query_starts_nothing_and_leaves_the_run_that_goes_on_its_place() -> None:
+    server = SimulatedServer(SERVER_SETTINGS)
+    attempt = server.call(b"record", b"a")
+    server.settle(deliver=False)
+    broken(server, lost=False)
+    server.wait(RECORD_OVER_S + ROUND_TRIP_S)
+    assert server.counts.count("runs_queried") == 1 and server.dispatcher.open_count == 1
+    server.end(attempt.name)
+    server.settle()
+    assert len(server.interpreter.applied) == 1 and server.dispatcher.open_count == 0
+    assert not server.counts.count("ends_unknown")
+
+
+def test_no_run_is_queried_while_its_client_waits() -> None:
+    """The interpreter would start it, and it may have run before."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    server.call(b"record", b"a")
+    server.settle(deliver=False)
+    broken(server, lost=True)
+    while not server.attempts[0].answers:
+        assert not server.counts.count("runs_queried")
+        server.wait(0.01)
+    server.wait(RECORD_OVER_S - server.now + server.attempts[0].since - 0.01)
+    assert not server.counts.count("runs_queried")
+    server.wait(ROUND_TRIP_S)
+    assert server.counts.count("runs_queried") == 1 and not server.interpreter.applied
+
+
+def test_the_key_of_a_run_whose_query_is_rejected_stays_reserved() -> None:
+    server = SimulatedServer(SERVER_SETTINGS)
+    server.call(b"record", b"a")
+    server.settle(deliver=False)
+    broken(server, lost=True)
+
+    def rejecting(obey: Obey, words: list[bytes], body: bytes) -> bytes:
+        return b"ERROR APPLY %b\r\n" % words[1] if words[0] == b"APPLY" else obey(words, body)
+
+    obeying(server, rejecting)
+    server.wait(RECORD_OVER_S + ROUND_TRIP_S)
+    recover(server)
+    assert server.dispatcher.open_count == 0
+    repeat = server.call(b"record", b"a")  # within its window
+    server.settle()
+    assert not server.interpreter.applied and repeat.answers[0][1] == b"FAILED"
+
+
 def test_a_keyed_run_whose_command_never_left_the_process_is_sent() -> None:
     """The link was broken already, so nobody can have read it."""
     server = SimulatedServer(SERVER_SETTINGS)
