A server without a disk keeps sealed blocks till acknowledged, and tells what it loses

Cause, by reading: settled() was true between a collector's greeting, which empties the exporter's list, and the moment at which the blocks were sent anew. And at the end only entries not sealed yet were told, not sealed blocks. Change: the blocks that the memory source keeps decide, and are told by customer with the rest at the end. Both new tests fail before.

--- a/sablewheel/usage_metering/recorder.py
+++ b/sablewheel/usage_metering/recorder.py
@@ -98,6 +98,7 @@
         self._bridge: WorkerThread | None = None
         self._shared = bridge is not None  # then its owner closes it, behind all who use it
         self._sender: ExportSender | None = None
+        self._memory_source: MemorySource | None = None  # without a disk: blocks that only this process has
         self._tracks: dict[bytes, str] = {}
         self.recovery = durable.RecoveryReport()
         self._waits = plan.depth is Depth.DURABLE and plan.answers is Answers.AFTER_ENTRY
@@ -117,6 +118,7 @@
                 source = DurableSource(self._store, predecessors.positions, plan.keep_bytes)
             else:
                 source = MemorySource(self._entries_buffer, incarnation, self._cut_for_export)
+                self._memory_source = source
             self._sender = ExportSender(scheduler, plan.export, server, incarnation, source, chance, count)
             for one, number in predecessors.positions.last.items():
                 self._sender.exporter.known(one, number)
@@ -293,7 +295,7 @@
             return False
         if self._store is not None:
             return self._store.all_durable and self._answered() <= self._marked
-        return self._sender is None or not self._sender.exporter.unsettled
+        return self._memory_source is None or not self._memory_source.kept
 
     def close(self, most: float) -> None:
         """The last instant: write what can be written; what can't is told in the log, by tenant."""
@@ -305,23 +307,19 @@
                 self._bridge.close(most)
         if self._sender is not None:
             self._sender.close()
-        if not self._entries_buffer.empty:
-            self._log_unsealed()
+        self._log_left_behind()
+
+    def _log_left_behind(self) -> None:
+        """Nothing is lost silently: totals that can be put right by hand, as corrections.
 
-    def _log_unsealed(self) -> None:
-        """Nothing is lost silently: totals that can be put right by hand, as corrections."""
-        left = pb.Block.FromString(self._cut(self._scheduler.clock.now, 0, 1 << 30).data)
+        Of blocks that were sent and not acknowledged the collector may have some all the same.
+        """
+        left = list(self._memory_source.kept) if self._memory_source is not None else []
+        if not self._entries_buffer.empty:
+            left.append(self._cut(self._scheduler.clock.now, 0, 1 << 30))
         sums: dict[str, list[int]] = {}
-        for entry in left.entries:
-            row = sums.setdefault(entry.customer, [0, 0, 0])
-            row[0] += 1
-            row[1] += entry.billed
-            row[2] += entry.run_us
-        for total in left.totals:
-            row = sums.setdefault(total.customer, [0, 0, 0])
-            row[0] += total.entries
-            row[1] += total.entries * total.billed
-            row[2] += total.run_us
+        for block in left:
+            _add_usage(sums, pb.Block.FromString(block.data))
         for customer, (entries, billed, run_us) in sorted(sums.items()):
             pairs = {"customer": customer, "entries": entries, "billed": billed, "run_s": run_us / 1e6}
             log.error("entries left behind", extra={"pairs": pairs})
@@ -350,3 +348,17 @@
         return bytes.fromhex(name.decode("ascii"))
     except ValueError:
         return name
+
+
+def _add_usage(sums: dict[str, list[int]], block: pb.Block) -> None:
+    """Add a block's entries, billed runs and microseconds of runs to those of its customers."""
+    for entry in block.entries:
+        row = sums.setdefault(entry.customer, [0, 0, 0])
+        row[0] += 1
+        row[1] += entry.billed
+        row[2] += entry.run_us
+    for total in block.totals:
+        row = sums.setdefault(total.customer, [0, 0, 0])
+        row[0] += total.entries
+        row[1] += total.entries * total.billed
+        row[2] += total.run_us
--- a/tests/test_usage_metering.py
+++ b/tests/test_usage_metering.py
@@ -21,7 +21,7 @@
 import pytest
 from click.testing import CliRunner
 from fake_disk import FakeFiles
-from simulated_server import SimulatedServer
+from simulated_server import FakeStream, SimulatedServer
 
 from sablewheel.command.main import main
 from sablewheel.overload.interface import (
@@ -38,7 +38,7 @@
 from sablewheel.transport.background import Background
 from sablewheel.transport.periodic import MAX_BUDGET_S, PeriodicScheduler, PeriodicTask
 from sablewheel.transport.scheduler import Clock, Scheduler
-from sablewheel.usage_metering import blocks, collecting, export, reports, statement
+from sablewheel.usage_metering import blocks, collecting, export, reports, sender, statement
 from sablewheel.usage_metering import recorder as usage_recorder
 from sablewheel.usage_metering import usage_metering_pb2 as pb
 from sablewheel.usage_metering.aggregation import EntryBuffer
@@ -49,7 +49,15 @@
 from sablewheel.usage_metering.frames import Frames, frame
 from sablewheel.usage_metering.journal import Journal, JournalError
 from sablewheel.usage_metering.periods import Periods
-from sablewheel.usage_metering.plan import Answers, Calendar, CollectorPlan, Depth, LedgerPlan, Length
+from sablewheel.usage_metering.plan import (
+    Answers,
+    Calendar,
+    CollectorPlan,
+    Depth,
+    ExportPlan,
+    LedgerPlan,
+    Length,
+)
 from sablewheel.usage_metering.recorder import UsageRecorder
 
 MICROSECONDS_PER_SECOND = 1_000_000
@@ -139,6 +147,73 @@
         return True
 
 
+class MemoryDepthServer(SimulatedServer):
+    """The serving layer with a recorder that keeps its entries in memory, and the test as its collector."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        super().__init__(SERVER_SETTINGS)
+        self.exports: list[FakeStream] = []
+        monkeypatch.setattr(sender, "connect", lambda *_: self._open_export())
+        plan = LedgerPlan(block_every=0.1, export=ExportPlan(("127.0.0.1", 1)))
+        background = Background(self.scheduler, lambda: 0)
+        names = {SERVER_SETTINGS.tenants[0]: "acme"}
+        self.usage_recorder = UsageRecorder(
+            self.scheduler, background, plan, "n1", INCARNATION, names, lambda: 0.5, self.counts.append
+        )
+        self.listener.observer = self.usage_recorder
+        self.welcome()
+
+    def _open_export(self) -> FakeStream:
+        self.exports.append(FakeStream(self.scheduler))
+        return self.exports[-1]
+
+    def welcome(self) -> None:
+        """The collector greets on the newest connection, and has nothing yet."""
+        self.wait(1.0)
+        self.exports[-1].feed(frame(pb.Frame(welcome=pb.Welcome(version=export.VERSION))))
+        self.scheduler.run_ready()
+
+    def send_blocks(self) -> None:
+        while self.usage_recorder._sender is not None and self.usage_recorder._sender.send_next():
+            pass
+
+    def serve_one(self) -> None:
+        attempt = self.call(b"lookup")
+        self.settle()
+        self.end(attempt.name)
+        self.settle()
+        self.wait(0.2)
+
+
+def test_a_block_that_waits_to_be_sent_anew_keeps_a_leaving_server(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Greeted anew, a server held nothing for unsettled; it left without 155 entries and told nobody."""
+    server = MemoryDepthServer(monkeypatch)
+    server.serve_one()
+    server.send_blocks()
+    assert not server.usage_recorder.settled()
+    server.exports[-1].feed(b"")
+    server.usage_recorder.parting()
+    server.welcome()
+    assert not server.usage_recorder.settled()
+    server.send_blocks()
+    acknowledged = pb.Acknowledged(incarnation=INCARNATION, number=1)
+    server.exports[-1].feed(frame(pb.Frame(acknowledged=acknowledged)))
+    server.settle()
+    assert server.usage_recorder.settled()
+
+
+def test_sealed_blocks_that_no_collector_acknowledged_are_told_at_the_end(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    server = MemoryDepthServer(monkeypatch)
+    for _ in range(3):
+        server.serve_one()
+        server.send_blocks()
+    server.usage_recorder.close(0.0)
+    told = [record.pairs for record in caplog.records if record.message == "entries left behind"]  # type: ignore[attr-defined]
+    assert [(one["customer"], one["entries"], one["billed"]) for one in told] == [("acme", 3, 3)]
+
+
 def test_a_completed_answer_leaves_when_its_entry_is_durable(monkeypatch: pytest.MonkeyPatch) -> None:
     town = KeptTown(monkeypatch)
     one = town.call(b"lookup")
