--- a/tests/test_interpreter_link_races.py
+++ b/tests/test_interpreter_link_races.py
@@ -11,7 +11,7 @@
 from random import Random
 
 import pytest
-from simulated_server import FakeStream, SimulatedInterpreter, SimulatedServer
+from simulated_server import Attempt, FakeStream, SimulatedInterpreter, SimulatedServer
 from test_serving import SERVER_SETTINGS
 
 from sablewheel.overload.interface import Client, Idempotency, Outcome, Request, RequestClass
@@ -162,12 +162,8 @@
 
 def test_unconfirmed_runs_count_against_what_the_cores_survive_until_they_are_given_up() -> None:
     server = SimulatedServer(SERVER_SETTINGS)
-    most = int(SERVER_SETTINGS.cores * SERVER_SETTINGS.max_concurrency_per_core)
-    for number in range(most):
-        server.call(b"record", b"%d" % number)
-        server.settle(deliver=False)
-        broken(server, lost=True)
-    assert server.counts.count("runs_unconfirmed") == most
+    fill_with_lost_commands(server)
+    assert server.counts.count("runs_unconfirmed") == MOST_RUNS
     refused = server.call(b"record", b"refused")
     server.settle()
     assert not server.interpreter.running
@@ -177,15 +173,24 @@
     assert refused.answers[0][1] == b"BUSY" and set(server.interpreter.running) == {served.name}
 
 
+MOST_RUNS = int(SERVER_SETTINGS.cores * SERVER_SETTINGS.max_concurrency_per_core)
 RECORD_OVER_S = SERVER_SETTINGS.request_classes[1].timeout_s + SERVER_SETTINGS.answer_slack_s
 ROUND_TRIP_S = 0.05  # of a query, with a round of timers
 
 
+def break_behind_command(
+    server: SimulatedServer, idempotency_key: bytes = b"a", lost: bool = True
+) -> Attempt:
+    """The link breaks right behind the command of a keyed request, which is lost or read."""
+    attempt = server.call(b"record", idempotency_key)
+    server.settle(deliver=False)
+    broken(server, lost)
+    return attempt
+
+
 def fill_with_lost_commands(server: SimulatedServer) -> None:
-    for number in range(int(SERVER_SETTINGS.cores * SERVER_SETTINGS.max_concurrency_per_core)):
-        server.call(b"record", b"%d" % number)
-        server.settle(deliver=False)
-        broken(server, lost=True)
+    for number in range(MOST_RUNS):
+        break_behind_command(server, b"%d" % number)
 
 
 def test_lost_commands_free_their_places_once_the_interpreter_answers_that_none_runs() -> None:
@@ -207,9 +212,7 @@
     if has_answered:
         fill_with_lost_commands(server)
         server.wait(RECORD_OVER_S + ROUND_TRIP_S)
-    server.call(b"record", b"a")
-    server.settle(deliver=False)
-    broken(server, lost=True)
+    break_behind_command(server)
     queries = server.counts.count("runs_queried")
     obeying(server, answers_questions_only)
     server.wait(RECORD_OVER_S + ROUND_TRIP_S)
@@ -223,9 +226,7 @@
 def test_an_interpreter_that_starts_what_is_queried_starts_it_once() -> None:
     """The protocol says that it starts nothing; rule 2 is not left to that."""
     server = SimulatedServer(SERVER_SETTINGS)
-    server.call(b"record", b"a")
-    server.settle(deliver=False)
-    broken(server, lost=True)
+    break_behind_command(server)
 
     def starting_all(obey: Obey, words: list[bytes], body: bytes) -> bytes:
         server.interpreter.answered.clear()
@@ -243,9 +244,7 @@
 
 def test_a_query_starts_nothing_and_leaves_the_run_that_goes_on_its_place() -> None:
     server = SimulatedServer(SERVER_SETTINGS)
-    attempt = server.call(b"record", b"a")
-    server.settle(deliver=False)
-    broken(server, lost=False)
+    attempt = break_behind_command(server, lost=False)
     server.wait(RECORD_OVER_S + ROUND_TRIP_S)
     assert server.counts.count("runs_queried") == 1 and server.dispatcher.open_count == 1
     server.end(attempt.name)
@@ -257,9 +256,7 @@
 def test_no_run_is_queried_while_its_client_waits() -> None:
     """The interpreter would start it, and it may have run before."""
     server = SimulatedServer(SERVER_SETTINGS)
-    server.call(b"record", b"a")
-    server.settle(deliver=False)
-    broken(server, lost=True)
+    break_behind_command(server)
     while not server.attempts[0].answers:
         assert not server.counts.count("runs_queried")
         server.wait(0.01)
@@ -271,9 +268,7 @@
 
 def test_the_key_of_a_run_whose_query_is_rejected_stays_reserved() -> None:
     server = SimulatedServer(SERVER_SETTINGS)
-    server.call(b"record", b"a")
-    server.settle(deliver=False)
-    broken(server, lost=True)
+    break_behind_command(server)
 
     def rejecting(obey: Obey, words: list[bytes], body: bytes) -> bytes:
         return b"ERROR APPLY %b\r\n" % words[1] if words[0] == b"APPLY" else obey(words, body)
