Log: a segment's header is durable before its first record

What callers saw: after a power failure in the first commit of a segment, a server whose result store has `unreadable: refuse` did not start: "not a segment" or "the checksum of the header is wrong".

Cause: header and first records were two writes before one sync; a disk may keep the later write only.

The older test of power failures made its kills from errors of calls, after which the log removes the new segment, so it never saw the state.

Change: the header is synced when the segment is created, which costs one sync a segment.

--- a/sablewheel/storage/log.py
+++ b/sablewheel/storage/log.py
@@ -200,6 +200,7 @@
         segment = Segment(name, first_number, 0, self.last_number, sealed=False)
         self._segments.append(segment)
         self._files.append(name, header)
+        self._files.sync(name)  # else a power failure may keep records behind it and lose the header
         segment.size = len(header)
         self.size_bytes += len(header)
         return segment
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -117,6 +117,32 @@
     assert all(payload in durable or payload in attempted for payload in final_payloads)
 
 
+class KilledError(BaseException):
+    """The process is killed in the middle of a commit: nothing of it runs on."""
+
+
+def commit_and_kill_before_sync(files: FakeFiles, payload: bytes) -> None:
+    """Start a log and kill its process when the first record is written, but not synced."""
+
+    def kill(_: str) -> None:
+        raise KilledError
+
+    log, sync = open_log(files), files.sync
+    with pytest.raises(KilledError):
+        files.sync = lambda name: sync(name) if files.size(name) == records.HEADER_SIZE else kill(name)  # type: ignore[method-assign]
+        log.commit([payload])
+    files.sync = sync  # type: ignore[method-assign]
+
+
+def test_a_power_failure_in_the_first_commit_of_a_segment_is_no_damage() -> None:
+    """It may keep the record and lose the header before it, and the folder then counted as damaged."""
+    for seed in range(50):
+        files = FakeFiles()
+        commit_and_kill_before_sync(files, b"payload")
+        recovered, _, damage = recover(files.crash(random.Random(seed)))
+        assert recovered in ([], [b"payload"]) and damage == [], seed
+
+
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(index=st.integers(0, 5), offset=st.integers(0, 400), bit=st.integers(0, 7))
 def test_a_flipped_bit_loses_its_record_and_no_other(index: int, offset: int, bit: int) -> None:
