Log: what recovery has read is durable when it returns

What callers saw: a kill between a record's write and its sync, a restart, then a power failure: the record that the restarted server had answered from was gone, and the folder counted as damaged; the server did not start, or started cold and could run keys a second time.

Cause: recovery read the record from the page cache and never synced it.

Change: recovery ends with a sync of the newest segment; each older segment was synced by the recovery after it.

--- a/sablewheel/storage/log.py
+++ b/sablewheel/storage/log.py
@@ -103,13 +103,18 @@
     # -- recovery
 
     def recover(self, visit: RecordVisitor) -> RecoveryReport:
-        """Read the whole log in order and call `visit` once per record, with number, payload and position."""
+        """Read the whole log in order and call `visit` once per record, with number, payload and position.
+
+        All records that were visited are durable once this method returns.
+        """
         report = RecoveryReport()
         headers = [(name, self._read_header(name, report)) for name in self._files.names()]
         readable = [(name, header) for name, header in headers if header is not None]
         limits = _number_limits([header for _, header in readable])
         for (name, header), limit in zip(readable, limits, strict=True):
             self._recover_segment(name, header, limit, report, visit)
+        if self._segments:  # a kill may have left written records that are not synced yet
+            self._files.sync(self._segments[-1].name)
         report.bytes = self.size_bytes
         return report
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -143,6 +143,19 @@
         assert recovered in ([], [b"payload"]) and damage == [], seed
 
 
+def test_a_recovered_record_survives_a_power_failure() -> None:
+    """After a kill a record may be written and not synced: it was recovered, but not made durable."""
+    files = FakeFiles()
+    commit_and_kill_before_sync(files, b"payload 1")
+    recovered, log, _ = recover(files)
+    assert recovered == [b"payload 1"]
+    log.commit([b"payload 2"])
+    files.unsynced = {name: [] for name in files.names()}  # lost by the power failure
+    files.data = {name: bytearray(data) for name, data in files.durable.items()}
+    recovered, _, damage = recover(files)
+    assert (recovered, damage) == ([b"payload 1", b"payload 2"], [])
+
+
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(index=st.integers(0, 5), offset=st.integers(0, 400), bit=st.integers(0, 7))
 def test_a_flipped_bit_loses_its_record_and_no_other(index: int, offset: int, bit: int) -> None:
