Result store: no record over the log's limit; writers divide by bytes, not by count

Cause: recovery reads records of up to 16 MiB, nothing bounded what is written, and the result store divided its entries by count. Old segments, with the only readable copies, were deleted behind the unreadable record.

Change: the log and its group commit reject a larger record before a byte is written (RecordTooLargeError); groups, compaction and `recall compact` fill records by bytes (record_batches.py); the reader takes any length whose checksum is right, so older folders are read whole; groups over 1 MiB are synced in parts, in order; `recall compact` reads back what it wrote before it deletes, and names what it could not read.

Why it works: what is acknowledged is in records that the reader takes, by one constant in one place.

--- a/sablewheel/command/recall.py
+++ b/sablewheel/command/recall.py
@@ -9,8 +9,7 @@
 import click
 
 from ..result_store.clock_readings import read_clocks
-from ..result_store.folder import compact_folder, load_folder
-from ..storage.files import InUseError
+from ..result_store.folder import UnverifiedCompactionError, compact_folder, load_folder
 from .main import print_json
 
 folder_argument = click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
@@ -97,8 +96,11 @@
     sablewheel recall compact /var/lib/sablewheel/recall
     """
     try:
-        before, after, labels = compact_folder(folder, longest_s, read_clocks())
-    except InUseError as error:
-        click.echo(f"sablewheel recall: {error}", err=True)
+        compaction = compact_folder(folder, longest_s, read_clocks())
+    except (OSError, UnverifiedCompactionError) as error:
+        click.echo(f"sablewheel recall: {folder}: {error}", err=True)
         sys.exit(1)
-    click.echo(f"{labels} labels kept, {before} bytes before, {after} after")
+    for damage in compaction.damages:
+        click.echo(f"sablewheel recall: removed unreadable: {folder}/{damage}", err=True)
+    sizes = f"{compaction.bytes_before} bytes before, {compaction.bytes_after} after"
+    click.echo(f"{compaction.run_count} labels kept, {sizes}")
--- a/sablewheel/result_store/folder.py
+++ b/sablewheel/result_store/folder.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
 from pathlib import Path
 
 from google.protobuf.message import DecodeError
 
 from ..storage.files import DiskFiles
-from ..storage.log import Log, read_folder
+from ..storage.log import Log, LogPosition, read_folder
 from . import result_store_pb2 as pb
 from .clock_readings import ClockReading
-from .codec import LOG_KIND, encode_clock_reading, encode_intent, encode_outcome
+from .codec import LOG_KIND, encode_clock_reading
 from .keyed_runs import KeyedRunTable, RunState
+from .record_batches import snapshots
 from .recovery import RecoveredRuns
 
-RUNS_PER_RECORD = 1000
 UNBOUNDED = 1 << 50  # no limit on runs or bytes
 
 
@@ -32,37 +33,80 @@
     return recovered, notes
 
 
-def compact_folder(folder: Path, max_window_s: float, now: ClockReading) -> tuple[int, int, int]:
-    """Write the runs with open windows to new records and delete the older ones, holding the folder's lock.
+@dataclass(frozen=True)
+class FolderCompaction:
+    """The result of a compaction.
+
+    Attributes:
+        bytes_before: The size of the log before it.
+        bytes_after: The size of the log after it.
+        run_count: The number of runs that were written.
+        damages: Descriptions of the bytes that could not be read, whose segments are deleted.
+    """
+
+    bytes_before: int
+    bytes_after: int
+    run_count: int
+    damages: list[str]
+
+
+class UnverifiedCompactionError(Exception):
+    """The new records of a compaction do not have the runs that were written; nothing was deleted."""
+
 
-    Returns:
-        The size of the log in bytes before and after, and the number of runs that were written.
+def compact_folder(folder: Path, max_window_s: float, now: ClockReading) -> FolderCompaction:
+    """Write the runs with open windows to new records and delete the older ones, holding the folder's lock.
 
     Raises:
         InUseError: A server or another command has locked the folder.
+        CommitError: The new records cannot be written; nothing was deleted.
+        UnverifiedCompactionError: The new records cannot be read back.
     """
     files = DiskFiles(folder)
     try:
         log = Log(files, LOG_KIND, os.urandom(8), UNBOUNDED)
         recovered = _unbounded_runs(max_window_s)
-        log.recover(lambda number, payload, _: recovered.apply(number, pb.Record.FromString(payload)))
+        report = log.recover(
+            lambda number, payload, _: recovered.apply(number, pb.Record.FromString(payload))
+        )
         recovered.finish(now)
-        bytes_before, last_record = log.size_bytes, log.last_number
-        runs = sorted(recovered.table.runs.values(), key=lambda run: run.expires_at)
-        for start in range(0, max(len(runs), 1), RUNS_PER_RECORD):
-            batch = runs[start : start + RUNS_PER_RECORD]
-            record = pb.Record(moment=encode_clock_reading(now), snapshot=True)
-            record.intents.extend(encode_intent(run) for run in batch)
-            finished = (run for run in batch if run.state is not RunState.INTENDED)
-            record.outcomes.extend(encode_outcome(run) for run in finished)
-            if start == 0:  # preserve the number of the last notice that was read
-                record.outcomes.append(pb.Outcome(how=pb.FAILED, notice=recovered.last_notice))
-            log.commit([record.SerializeToString()])
+        bytes_before, last_record, new_records = log.size_bytes, log.last_number, log.next_segment
+        _write_runs(log, recovered, encode_clock_reading(now))
+        _check_written_runs(log, new_records, recovered, max_window_s, now)
         log.release_through(last_record)
-        return bytes_before, log.size_bytes, len(runs)
+        return FolderCompaction(bytes_before, log.size_bytes, len(recovered.table.runs), report.damage)
     finally:
         files.close()
 
 
+def _write_runs(log: Log, recovered: RecoveredRuns, moment: pb.Moment) -> None:
+    """Write the runs, after a record with the number of the last notice that was read."""
+    last_notice = pb.Outcome(how=pb.FAILED, notice=recovered.last_notice)
+    log.commit([pb.Record(moment=moment, snapshot=True, outcomes=[last_notice]).SerializeToString()])
+    runs = sorted(recovered.table.runs.values(), key=lambda run: run.expires_at)
+    for snapshot in snapshots(moment, runs):
+        log.commit([snapshot.record.SerializeToString()])
+
+
+def _check_written_runs(
+    log: Log, start: LogPosition, recovered: RecoveredRuns, max_window_s: float, now: ClockReading
+) -> None:
+    """Read the new records and compare their runs with those that were written."""
+    written = _unbounded_runs(max_window_s)
+    entries, _ = log.read(start, UNBOUNDED)
+    for number, (payload, _) in enumerate(entries):
+        written.apply(number, pb.Record.FromString(payload))
+    written.finish(now)
+    if _contents(written) != _contents(recovered):
+        counts = f"{len(written.table.runs)} of {len(recovered.table.runs)}"
+        raise UnverifiedCompactionError(f"{counts} runs could be read back; nothing was deleted")
+
+
+def _contents(recovered: RecoveredRuns) -> tuple[int, dict[bytes, tuple[bytes, RunState, bytes]]]:
+    """Return what is compared: the number of the last notice, and each run's name, state and result."""
+    runs = recovered.table.runs.items()
+    return recovered.last_notice, {key: (run.request_name, run.state, run.result) for key, run in runs}
+
+
 def _unbounded_runs(max_window_s: float) -> RecoveredRuns:
     return RecoveredRuns(KeyedRunTable(UNBOUNDED, UNBOUNDED), max_window_s)
--- a/sablewheel/storage/group_commit.py
+++ b/sablewheel/storage/group_commit.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from ..transport.scheduler import Scheduler
 from ..transport.worker_thread import WorkerThread
 from .health import DiskHealth, DiskState
 from .log import CommitError, Log, LogPosition
+from .records import check_payload
 
 MAX_PENDING_BYTES = 1 << 20  # limit on the size of records that are not durable yet
 
@@ -86,13 +87,31 @@
         Returns:
             The record's number; the record is durable once `durable_through` reaches it. None if too many
             bytes are not durable yet.
+
+        Raises:
+            RecordTooLargeError: The record is over the size limit of the log.
+        """
+        return self.append_group([payload])
+
+    def append_group(self, payloads: Sequence[bytes]) -> int | None:
+        """Add records to the next commit, all or none.
+
+        Returns:
+            The number of the first record. None if too many bytes are not durable yet.
+
+        Raises:
+            RecordTooLargeError: A record is over the size limit of the log; none is added.
         """
-        if self._undurable_bytes + len(payload) > MAX_PENDING_BYTES and self._undurable_bytes:
+        for payload in payloads:
+            check_payload(payload)
+        group_bytes = sum(map(len, payloads))
+        if self._undurable_bytes + group_bytes > MAX_PENDING_BYTES and self._undurable_bytes:
             return None
-        self._pending.append(payload)
-        self._undurable_bytes += len(payload)
-        self.last_number += 1
-        return self.last_number
+        first_number = self.last_number + 1
+        self._pending += payloads
+        self._undurable_bytes += group_bytes
+        self.last_number += len(payloads)
+        return first_number
 
     def flush(self) -> None:
         """Start a commit of the pending records if none is in flight.
--- a/sablewheel/storage/log.py
+++ b/sablewheel/storage/log.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -18,6 +18,9 @@
 
 MAX_SEGMENT_BYTES = 1 << 26  # most that recovery reads of one file; segments are written far smaller
 READ_CHUNK_BYTES = 1 << 18
+MIN_CHUNK_BYTES = (
+    1 << 20
+)  # of a group; each is synced, as a power failure may keep the later of two writes only
 NO_LIMIT = 1 << 63  # above every record number
 MAX_NAME_ATTEMPTS = 10**6
 
@@ -173,22 +176,25 @@
 
         Raises:
             CommitError: The disk failed or is full; none of the records counts as durable.
+            RecordTooLargeError: A record is over the size limit; nothing was written.
         """
         first_number = self.last_number + 1
-        data = b"".join(
+        chunks = _chunks(
             records.encode_record(first_number + index, payload) for index, payload in enumerate(payloads)
         )
-        if self.size_bytes + len(data) + records.HEADER_SIZE > self._max_bytes:
+        group_bytes = sum(map(len, chunks))
+        if self.size_bytes + group_bytes + records.HEADER_SIZE > self._max_bytes:
             raise CommitError(errno.ENOSPC, f"the log has reached its limit of {self._max_bytes} bytes")
         try:
             segment = self._writable_segment()
-            self._files.append(segment.name, data)
-            self._files.sync(segment.name)
+            for chunk in chunks:
+                self._files.append(segment.name, chunk)
+                self._files.sync(segment.name)
         except OSError as error:
             self._seal_after_fault()
             raise CommitError(error.errno or errno.EIO, error.strerror or str(error)) from error
-        segment.size += len(data)
-        self.size_bytes += len(data)
+        segment.size += group_bytes
+        self.size_bytes += group_bytes
         self.last_number += len(payloads)
         segment.last_number = self.last_number
         return self.last_number
@@ -324,6 +330,11 @@
         self.size_bytes -= oldest.size
         return oldest.size
 
+    @property
+    def next_segment(self) -> LogPosition:
+        """Where the records after a recovery begin: behind all segments that it read."""
+        return LogPosition(self._released_segments + len(self._segments), 0)
+
     @property
     def first_segment(self) -> int:
         """The index of the first segment that is not released, as in `LogPosition.segment`."""
@@ -334,6 +345,20 @@
         self._files.close()
 
 
+def _chunks(encoded_records: Iterable[bytes]) -> list[bytes]:
+    """Join records to chunks of `MIN_CHUNK_BYTES` or more, but for the last one."""
+    chunks: list[bytes] = []
+    joined: list[bytes] = []
+    size = 0
+    for record in encoded_records:
+        joined.append(record)
+        size += len(record)
+        if size >= MIN_CHUNK_BYTES:
+            chunks.append(b"".join(joined))
+            joined, size = [], 0
+    return [*chunks, b"".join(joined)] if joined else chunks
+
+
 def read_folder(folder: Path, kind: bytes, notes: list[str]) -> Iterator[tuple[int, bytes]]:
     """Read the records of a folder as recovery does, but without a lock: the folder may be in use.
 
--- a/sablewheel/storage/records.py
+++ b/sablewheel/storage/records.py
@@ -3,6 +3,8 @@
 This module does no I/O; docs/state-format.md describes the format. A record is valid only if its checksum is
 right and its number is above that of the record before it. Bytes that form no valid record are reported as
 damage and skipped up to the next valid record, which is found by searching for its number.
+
+No record above `MAX_PAYLOAD_BYTES` is written. Earlier versions wrote such records, so they are read.
 """
 
 from __future__ import annotations
@@ -25,6 +27,13 @@
     """The header of a segment cannot be read, or has another version or kind."""
 
 
+class RecordTooLargeError(ValueError):
+    """A payload is larger than `MAX_PAYLOAD_BYTES`."""
+
+    def __init__(self, payload_bytes: int) -> None:
+        super().__init__(f"a record of {payload_bytes} bytes is over the limit of {MAX_PAYLOAD_BYTES} bytes")
+
+
 @dataclass(frozen=True)
 class Header:
     """The header of a segment."""
@@ -78,8 +87,23 @@
     return Header(kind.rstrip(b"\0"), incarnation, first_number)
 
 
+def check_payload(payload: bytes) -> None:
+    """Check that a payload may be written.
+
+    Raises:
+        RecordTooLargeError: The payload is too large.
+    """
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        raise RecordTooLargeError(len(payload))
+
+
 def encode_record(number: int, payload: bytes) -> bytes:
-    """Encode one record."""
+    """Encode one record.
+
+    Raises:
+        RecordTooLargeError: The payload is too large.
+    """
+    check_payload(payload)
     number_bytes = number.to_bytes(8, "big")
     return RECORD.pack(len(payload), crc32(payload, crc32(number_bytes)), number) + payload
 
@@ -90,7 +114,7 @@
         return None
     size, checksum, number = RECORD.unpack_from(data, offset)
     start, end = offset + RECORD.size, offset + RECORD.size + size
-    if not size or size > MAX_PAYLOAD_BYTES or end > len(data) or number <= last_number:
+    if not size or end > len(data) or number <= last_number:
         return None
     payload = data[start:end]
     if crc32(payload, crc32(data[offset + 8 : start])) != checksum:
