Log recovery: read whole segments through a window, search once, tell damage from torn

What callers saw: after a restart with one damaged place, results that were whole on the disk were gone, or the first seconds of keyed requests failed while the log was searched; with segments over 64 MiB the end of each file was lost, and nothing was told.

Cause: recovery read 64 MiB of a file; it searched the rest of a segment once for each of the next 256 numbers, and for no more; and it called any end of any segment torn.

Change: SegmentReader, a window of 1 MiB over any size; one pass for all numbers that the rest of a segment may hold; torn is the end of the log, or of a segment that the next one continues, if its length may have been written. The log's reading from a position and the commands use the same reader.

--- a/sablewheel/storage/log.py
+++ b/sablewheel/storage/log.py
@@ -9,15 +9,16 @@
 from __future__ import annotations
 
 import errno
+import os
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
+from typing import BinaryIO
 
 from . import records
 from .files import SegmentFiles
 
-MAX_SEGMENT_BYTES = 1 << 26  # most that recovery reads of one file; segments are written far smaller
-READ_CHUNK_BYTES = 1 << 18
 MIN_CHUNK_BYTES = (
     1 << 20
 )  # of a group; each is synced, as a power failure may keep the later of two writes only
@@ -138,12 +139,12 @@
     def _recover_segment(
         self, name: str, header: records.Header, limit: int, report: RecoveryReport, visit: RecordVisitor
     ) -> None:
-        data = self._files.read(name, 0, MAX_SEGMENT_BYTES)
+        reader = records.SegmentReader(partial(self._files.read, name), self._files.size(name))
         segment = Segment(name, header.first_number, records.HEADER_SIZE, header.first_number - 1)
         index, damaged = len(self._segments), False
-        for item in records.scan(data, header.first_number):
+        for item in reader.scan(records.HEADER_SIZE, header.first_number - 1):
             if isinstance(item, records.Damage):
-                if item.torn:
+                if item.torn and limit in (NO_LIMIT, self.last_number + 1):
                     report.torn_bytes += item.end - item.offset
                 else:
                     damaged = True
@@ -270,29 +271,13 @@
 
     def _read_segment(self, segment: Segment, offset: int, max_bytes: int) -> Iterator[records.Record]:
         """Yield records of one segment, starting at an offset, until they add up to `max_bytes`."""
-        while offset < segment.size and max_bytes > 0:
-            data = self._read_chunk(segment, offset, max_bytes)
-            end = 0
-            while max_bytes > 0 and (record := records.decode_record(data, end, -1)) is not None:
-                yield records.Record(record.number, record.payload, offset + end, offset + record.end)
-                max_bytes -= record.end - end
-                end = record.end
-            if not end:  # damage, which recovery has reported: continue behind it
-                remainder = self._files.read(segment.name, offset, segment.size - offset)
-                next_record = records.find_next_record(remainder, 1, segment.first_number - 1)
-                if next_record is None:
+        reader = records.SegmentReader(partial(self._files.read, segment.name), segment.size)
+        for item in reader.scan(offset, segment.first_number - 1):
+            if isinstance(item, records.Record):  # recovery has reported the damage
+                yield item
+                max_bytes -= item.end - item.offset
+                if max_bytes <= 0:
                     return
-                end = next_record.offset
-            offset += end
-
-    def _read_chunk(self, segment: Segment, offset: int, max_bytes: int) -> bytes:
-        """Return bytes, starting at an offset, that hold at least one whole record if one begins there."""
-        prefix = self._files.read(segment.name, offset, records.RECORD.size)
-        if len(prefix) < records.RECORD.size:
-            return b""
-        record_size = records.RECORD.size + records.RECORD.unpack(prefix)[0]
-        size = max(record_size, min(max_bytes, READ_CHUNK_BYTES))
-        return self._files.read(segment.name, offset, min(size, segment.size - offset))
 
     # -- releasing
 
@@ -381,16 +366,23 @@
     limits = _number_limits([header for _, header in segments])
     for (path, header), limit in zip(segments, limits, strict=True):
         try:
-            data = path.read_bytes()
+            file = path.open("rb")
         except FileNotFoundError:
             continue  # the server released the segment meanwhile
-        for item in records.scan(data, header.first_number):
-            if isinstance(item, records.Damage):
-                if not item.torn:
-                    notes.append(_describe_damage(str(path), item))
-            elif last_number < item.number < limit:
-                last_number = item.number
-                yield item.number, item.payload
+        with file:
+            reader = records.SegmentReader(partial(_read_file, file), os.fstat(file.fileno()).st_size)
+            for item in reader.scan(records.HEADER_SIZE, header.first_number - 1):
+                if isinstance(item, records.Damage):
+                    if not item.torn or limit not in (NO_LIMIT, last_number + 1):
+                        notes.append(_describe_damage(str(path), item))
+                elif last_number < item.number < limit:
+                    last_number = item.number
+                    yield item.number, item.payload
+
+
+def _read_file(file: BinaryIO, offset: int, max_bytes: int) -> bytes:
+    file.seek(offset)
+    return file.read(max_bytes)
 
 
 def _decode_header_of(kind: bytes, data: bytes) -> records.Header:
