Result store: repeats get every result that it holds, not those of the last 12 MB

What callers saw: with `recall` on and its defaults, FAILED for repeats whose result the server had stored: 28 of 40 results of 1 MB after a kill, 18 of 30 without one.

Cause: the table of idempotency keys bounds its results by a sixteenth of the server's memory (192 MB: 12 MB), whatever `memory-mb` of the result store says.

Change: with a folder the bound is at least the store's; both refer to the same bytes. The stand-in interpreter can make large results, and stand-in clients read them (AnswerParser).

--- a/sablewheel/experiments/interpreter.py
+++ b/sablewheel/experiments/interpreter.py
@@ -3,6 +3,8 @@
     python -m sablewheel.experiments.interpreter '{"port": 6100, "cores": 4, "work": {"lookup": 0.02}, ...}'
 
 The run log has a line for the begin and one for the end of each run, written before any notice of it is sent.
+With `result_bytes` in its specification, a pair of sizes, the size of each result is drawn from the name of
+its request, evenly on a logarithmic scale.
 """
 
 from __future__ import annotations
@@ -26,6 +28,7 @@
         self.cores, self.work = int(spec["cores"]), dict(spec["work"])
         self.random = random.Random(spec.get("seed", 1))
         self.fail = float(spec.get("fail", 0.0))
+        self.result_bytes: list[int] | None = spec.get("result_bytes")
         self.run_log = os.open(spec["log"], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         self.started = time.monotonic()
         self.survives_restart = bool(spec.get("outlives"))  # runs and notices survive a restart of the server
@@ -101,9 +104,17 @@
         self.running.pop(name, None)
         failed = self.random.random() < self.fail
         self.log_run("failure" if failed else "success", name)
-        result = b"" if failed else b"made by " + name + b" of " + body
+        result = b"" if failed else self.pad(name, b"made by " + name + b" of " + body)
         self.end(name, b"failure" if failed else b"success", work_s, result)
 
+    def pad(self, name: bytes, result: bytes) -> bytes:
+        """Return a result extended to the size that is drawn for its request."""
+        if self.result_bytes is None:
+            return result
+        smallest, largest = self.result_bytes
+        size = round(smallest * (largest / smallest) ** random.Random(name).random())
+        return result.ljust(size, b".")
+
     def end(self, name: bytes, outcome: bytes, work_s: float, result: bytes) -> None:
         self.send_notice(name, outcome, work_s, result)
         while self.queue and len(self.running) < self.cores:
--- a/sablewheel/experiments/router.py
+++ b/sablewheel/experiments/router.py
@@ -16,13 +16,19 @@
 import sys
 import time
 from collections import deque
+from hashlib import blake2b
 from typing import Any
 
-from ..protocol.resp import Parser, ProtocolError
 from . import client_protocol as wire
 
 MAX_OPEN_ATTEMPTS = 30
 MAX_LINKS = 12
+MAX_RECORDED_BYTES = 1024  # of a result in the log
+
+
+def recorded_result(result: bytes) -> str:
+    """Return a result as it is recorded: its text, or its digest if it is long."""
+    return result.decode() if len(result) <= MAX_RECORDED_BYTES else blake2b(result).hexdigest()
 
 
 class Link:
@@ -156,7 +162,7 @@
         return new_link
 
     async def read(self, server: str, link: Link) -> None:
-        parser = Parser()
+        parser = wire.AnswerParser()
         try:
             while data := await link.reader.read(1 << 16):
                 for words in parser.feed(data):
@@ -166,7 +172,7 @@
                         self.handle_answer(link, words)
                 if link.draining and not link.open:
                     break
-        except (OSError, ProtocolError):
+        except (OSError, ValueError):
             pass
         self.links[server].remove(link)
         self.record_all(link, "lost")
@@ -181,7 +187,7 @@
             return
         link.answered_tags.add(tag)
         if words[1] == b"OK":
-            attempt["result"] = words[3].decode()
+            attempt["result"] = recorded_result(words[3])
         fields = words[2].decode() if len(words) > 2 else ""
         if "cooldown=" in fields:
             attempt["come_back"] = True
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -128,7 +128,7 @@
         idempotency_keys = IdempotencyTable(
             self._longest_timeout_s(),
             placement_settings.server_settings.answer_slack_s,
-            placement_settings.memory_bytes // RESULT_MEMORY_DIVISOR,
+            max(placement_settings.memory_bytes // RESULT_MEMORY_DIVISOR, self._features.max_result_bytes),
         )
         return Dispatcher(
             self._scheduler,
--- a/sablewheel/program/feature.py
+++ b/sablewheel/program/feature.py
@@ -27,6 +27,10 @@
     def up_at(self) -> float:
         """The earliest time, by the scheduler's clock, to connect to the interpreter; inf if unknown."""
 
+    @property
+    def max_result_bytes(self) -> int:
+        """How many bytes of results features keep in memory for duplicates."""
+
     @property
     def descriptors(self) -> int:
         """How many descriptors features need at present; some need more in a larger fleet."""
@@ -69,6 +73,7 @@
     observer: RequestObserver = NO_OBSERVER
     result_store: ResultStore = NO_RESULT_STORE
     up_at = 0.0
+    max_result_bytes = 0
     descriptors = 0
     last_notice = 0
 
@@ -114,6 +119,7 @@
         handler: Wraps the handler of clients' requests.
         inner_handler: Wraps the same handler inside the `handler` of all features, so that forwarded requests
             reach it as well.
+        max_result_bytes: How many bytes of results the feature keeps in memory for duplicates.
         descriptors: Returns how many descriptors the feature may need, which clients' connections can't use.
     """
 
@@ -125,6 +131,7 @@
     reload: Callable[[], None] | None = None
     descriptors: Callable[[], int] | None = None
     up_at: Callable[[], float] | None = None
+    max_result_bytes: int = 0
     last_notice: Callable[[], int] | None = None
     end_round: Callable[[], None] | None = None
     on_shutdown_notice: Callable[[], None] | None = None
--- a/sablewheel/program/feature_registry.py
+++ b/sablewheel/program/feature_registry.py
@@ -121,6 +121,7 @@
         observer=recorder,
         result_store=recorder,
         up_at=recorder.up_at,
+        max_result_bytes=plan.max_bytes if plan.folder is not None else 0,
         last_notice=lambda: recorder.last_notice,
         end_round=recorder.end_round,
         on_grace_over=recorder.on_grace_over,
--- a/sablewheel/program/feature_set.py
+++ b/sablewheel/program/feature_set.py
@@ -92,6 +92,11 @@
         """The earliest time, by the scheduler's clock, to connect to the interpreter; inf if unknown."""
         return max((up_at() for up_at in self._up_at), default=0.0)
 
+    @property
+    def max_result_bytes(self) -> int:
+        """How many bytes of results features keep in memory for duplicates."""
+        return max((hooks.max_result_bytes for hooks in self._built), default=0)
+
     @property
     def last_notice(self) -> int:
         """The number of the last interpreter notice that a previous server process has read; 0 if unknown."""
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -12,7 +12,6 @@
 
 from sablewheel.experiments import client_protocol as wire
 from sablewheel.experiments.testbed import Testbed, free_port
-from sablewheel.protocol.resp import Parser
 
 TIMEOUT_S = 15.0
 KEYED, SAFE = b"record", b"lookup"
@@ -82,7 +81,7 @@
     def __init__(self, port: int) -> None:
         self._socket = socket.create_connection(("127.0.0.1", port), timeout=TIMEOUT_S)
         self.wall_clock: Callable[[], float] = time.time
-        self._parser = Parser()
+        self._parser = wire.AnswerParser()
         self.sent: dict[int, bytes] = {}
         self.keys: dict[int, bytes] = {}  # idempotency keys of the keyed requests
         self.sent_at: dict[int, float] = {}  # monotonic time
@@ -163,6 +162,8 @@
         module: tuple[str, ...] = ("sablewheel",),
         environment: dict[str, str] | None = None,
         cores: int = 64,
+        features: str | None = None,
+        result_bytes: list[int] | None = None,
         **changes: Any,
     ) -> None:
         """Start the processes and send a first request.
@@ -175,25 +176,40 @@
             module: The server's module and its arguments.
             environment: Further environment variables of the server.
             cores: The number of cores of the interpreter.
+            features: The text of the server's features file; None if it has none.
+            result_bytes: The least and the largest size of a result; None for results of some ten bytes.
             changes: Changed keys of the server's configuration.
         """
         interpreter_port, port = free_port(), free_port()
         work = {SAFE.decode(): 0.02, KEYED.decode(): keyed_work}
-        testbed.interpreter("vm", interpreter_port, work=work, cores=cores)
+        testbed.interpreter("vm", interpreter_port, work=work, cores=cores, result_bytes=result_bytes)
         self.interpreter_port = interpreter_port
         self.proxy = LinkProxy(interpreter_port, pass_on or pass_unchanged)
         configuration = testbed.configuration("n1", port, self.proxy.port, **changes)
         variables = {"RELAY_CONFIG": str(configuration), **(environment or {})}
-        self.server = testbed.start("n1", *module, shifted=shifted, **variables)
-        testbed.wait_until_up(port, self.server)
+        if features is not None:
+            features_file = testbed.folder / "n1.yaml"
+            features_file.write_text(features)
+            variables["SABLEWHEEL_FEATURES"] = str(features_file)
         self.port = port
-        self.client = Client(port)
-        self._testbed = testbed
+        self._testbed, self._module, self._shifted, self._variables = testbed, module, shifted, variables
+        self._start()
         # The server reads a notice before the test starts: a link on which no notice was read looks like the
         # link of a new server.
         self.client.ask(1, SAFE)
         self.client.read(TIMEOUT_S)
 
+    def _start(self) -> None:
+        self.server = self._testbed.start("n1", *self._module, shifted=self._shifted, **self._variables)
+        self._testbed.wait_until_up(self.port, self.server)
+        self.client = Client(self.port)
+
+    def kill_and_restart(self) -> None:
+        """Kill the server, if it still runs, and start it again with a new client."""
+        self.client.close()
+        self.server.kill()
+        self._start()
+
     def starts(self) -> Counter[str]:
         """Return how often the interpreter started each request."""
         return Counter(request for word, request, _ in self._testbed.runs("vm") if word == "begin")
