Result store: a server is not up until its folder is read, for 10 s at most

What callers saw: in a long recovery the server said UP, and keyed requests waited for its end and failed at their deadlines, though siblings could serve them.

Cause: the health answer awaited the recovery only where it decides how to start.

Change: up_at awaits it always. After 10 s, the time in which nine in ten servers have to be ready, a server whose disk stalls serves what is not keyed.

test_a_server_is_not_up_until_its_folder_is_read failed before and passes.

--- a/sablewheel/result_store/recorder.py
+++ b/sablewheel/result_store/recorder.py
@@ -33,6 +33,7 @@
 from .startup import RecoveredFolder, UnreadableFolderError, finished_exchange, read_folder_in_background
 
 SLOW_COMMIT_S = 0.1
+MAX_RECOVERY_WAIT_S = 10.0  # then requests that are not keyed are served without the folder
 SWEEP_INTERVAL_S = 0.25
 DISK_FULL_RETRY_S = 1.0
 RECOVERED_RUN_BYTES = 150  # estimated size on disk of a recovered run without its result
@@ -119,7 +120,11 @@
     # -- recovery
 
     def _recover(self, folder: Path, incarnation: bytes) -> None:
-        """Recover the folder on the worker thread; requests that are not keyed are served meanwhile."""
+        """Recover the folder on the worker thread.
+
+        The server says that it is not up meanwhile, since keyed requests would wait and then fail. After
+        `MAX_RECOVERY_WAIT_S` it serves the others.
+        """
         assert self._worker_thread is not None
         runs = RecoveredRuns(self._table, self._max_window_s)
         read_folder_in_background(
@@ -222,8 +227,10 @@
     def up_at(self) -> float:
         """Return the time from which the server may report that it is up; infinity if not known yet."""
         plan = self._plan
-        if not self.ready and (plan.interpreter_survives or plan.cold_start is ColdStartRule.WAIT):
-            return inf  # the recovery decides which notices to request, or whether to wait
+        if not self.ready:
+            # The recovery may decide which notices to request, or whether to wait.
+            is_decisive = plan.interpreter_survives or plan.cold_start is ColdStartRule.WAIT
+            return inf if is_decisive else self.started_at + MAX_RECOVERY_WAIT_S
         is_recovered = self._run_log.store is not None and self._last_write_at is not None
         if is_recovered and not self._is_damaged:
             return self.started_at
