Worker thread: a failed call on its pipe no longer makes the server deaf to the disk

What callers saw: with the result store or usage metering on, one failed read or write of the worker's pipe and no keyed request was served any more; at the start, the server did not come up.

Cause: a failed read ended the greenlet that reports results, a failed write ended the thread; only a full pipe was expected.

Change: after a failed read what has finished is reported and the read comes again 0.01 s later; a failed write is repeated.

--- a/sablewheel/transport/worker_thread.py
+++ b/sablewheel/transport/worker_thread.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import os
 import signal
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 from queue import SimpleQueue
@@ -14,6 +14,7 @@
 
 from .scheduler import READABLE, Scheduler
 
+PIPE_BACKOFF_S = 0.01  # after a failed call on the pipe
 MAX_OPEN_JOBS = 64  # each feature has only a few open at a time
 
 log = logging.getLogger(__name__)
@@ -73,14 +74,28 @@
             except BaseException as caught:  # any error is reported in the event loop
                 error = caught
             self._finished.append((done, result, error))
-            with contextlib.suppress(BlockingIOError):  # pipe full: the event loop is about to wake anyway
+            self._wake_event_loop()
+
+    def _wake_event_loop(self) -> None:
+        """Write a byte to the pipe. A failed write is repeated, or the results would not be reported."""
+        while True:
+            try:
                 os.write(self._pipe_write, b"!")
+                return
+            except BlockingIOError:  # pipe full: the event loop is about to wake anyway
+                return
+            except OSError:  # must not end the thread: no job would be run after that
+                time.sleep(PIPE_BACKOFF_S)
 
     def _watch_finished(self) -> None:
         while True:
             self._scheduler.wait(self._pipe_read, READABLE)
-            with contextlib.suppress(BlockingIOError):
+            try:
                 os.read(self._pipe_read, 4096)
+            except BlockingIOError:
+                pass
+            except OSError:  # must not end the greenlet: no result would be reported after that
+                self._scheduler.sleep(PIPE_BACKOFF_S)
             self._report_finished()
 
     def _report_finished(self) -> None:
