Start with features: each step repeats itself after a transient system error

What callers saw: a server with any feature on did not come up when one call of its start failed once (too many open files, no buffer space, interrupted); without features it tries for a second.

Cause: a whole start can't be repeated while its features hold folders and sockets, so nothing was.

Change: pipe, folders and sockets of the start are retried where they are made (transport/start_retries.py, moved from __main__), for as long as the start without features.

The test's installation takes features.

--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -6,9 +6,10 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
 from errno import EADDRINUSE
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
+
+from .transport.start_retries import START_RETRY_INTERVAL_S, retry_transient_errors
 
 if TYPE_CHECKING:
     from .program.application import Application
@@ -17,9 +18,6 @@
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 ADDRESS_WAIT_MARGIN_S = 1.0  # added to the shutdown time of a predecessor that still holds the address
-START_RETRY_INTERVAL_S = 0.05
-MAX_START_RETRY_S = 1.0  # for which a start step is retried after transient system errors
-T = TypeVar("T")
 
 
 def main() -> int:
@@ -74,7 +72,7 @@
     """
     from .program.application import Application
 
-    if features is not None:  # no second try: after a failure, features may still hold their folders
+    if features is not None:  # its parts retry: a second application would find what the first one holds
         return Application(placement_settings, features)
     try:
         return retry_transient_errors(lambda: Application(placement_settings))
@@ -88,30 +86,6 @@
     return retry_transient_errors(lambda: Application(placement_settings))
 
 
-def retry_transient_errors(action: Callable[[], T]) -> T:
-    """Run one action of the start, and repeat it while it fails with a transient system error.
-
-    Raises the last error once MAX_START_RETRY_S seconds are over. Any other error is raised at once, and so
-    is an address in use, for which `wait_for_address` waits longer.
-    """
-    from .transport.system_call_errors import RETRYABLE_STARTUP_ERRORS
-
-    deadline = time.monotonic() + MAX_START_RETRY_S
-    while True:
-        try:
-            return action()
-        except (OSError, ValueError) as error:
-            cause = error if isinstance(error, OSError) else error.__cause__
-            is_transient = (
-                isinstance(cause, OSError)
-                and cause.errno in RETRYABLE_STARTUP_ERRORS
-                and cause.errno != EADDRINUSE
-            )
-            if not is_transient or time.monotonic() > deadline:
-                raise
-        time.sleep(START_RETRY_INTERVAL_S)
-
-
 def wait_for_address(address: tuple[str, int], timeout_s: float) -> bool:
     """Wait until the address is free or `timeout_s` is over; return False if a termination signal came first.
 
--- a/sablewheel/forwarding/peer_connections.py
+++ b/sablewheel/forwarding/peer_connections.py
@@ -17,6 +17,7 @@
 from ..membership.view import View
 from ..transport.listening_socket import Listener
 from ..transport.scheduler import Scheduler
+from ..transport.start_retries import retry_transient_errors
 from ..transport.stream import Stream
 from . import forwarding_pb2 as pb
 from .connection import Connection, Peer, QueuedFrame
@@ -80,8 +81,10 @@
         self._is_open = True
         self.counters: dict[str, int] = {}
         self.last_transit_s = 0.0  # transit time of the frame that is being handled; never underestimated
-        self._listener = Listener(
-            scheduler, listen, self._has_capacity, self._handle_accepted, lambda: self._count("crowded")
+        self._listener = retry_transient_errors(
+            lambda: Listener(
+                scheduler, listen, self._has_capacity, self._handle_accepted, lambda: self._count("crowded")
+            )
         )
 
     # -- interface for features
--- a/sablewheel/membership/service.py
+++ b/sablewheel/membership/service.py
@@ -16,6 +16,7 @@
 from ..transport.datagram import DatagramSocket
 from ..transport.listening_socket import Listener
 from ..transport.scheduler import Scheduler
+from ..transport.start_retries import retry_transient_errors
 from ..transport.stream import Stream
 from ..transport.wakeup import Wakeup
 from . import codec
@@ -75,14 +76,18 @@
         self._views_to_announce: deque[View] = deque()  # a callback may cause a further view
         self._last_announced_view: View | None = None
         self._announcing = False
-        self._socket = DatagramSocket(scheduler, plan.listen, codec.MAX_PACKET_BYTES, self._handle_datagram)
+        self._socket = retry_transient_errors(
+            lambda: DatagramSocket(scheduler, plan.listen, codec.MAX_PACKET_BYTES, self._handle_datagram)
+        )
         try:
-            self._listener = Listener(
-                scheduler,
-                plan.listen,
-                lambda: self._frames_in < MAX_CONCURRENT_FRAMES_IN,
-                self._handle_connection,
-                self._handle_connection_limit,
+            self._listener = retry_transient_errors(
+                lambda: Listener(
+                    scheduler,
+                    plan.listen,
+                    lambda: self._frames_in < MAX_CONCURRENT_FRAMES_IN,
+                    self._handle_connection,
+                    self._handle_connection_limit,
+                )
             )
         except OSError:
             self._socket.close()
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -19,6 +19,7 @@
 from ..transport.datagram import DatagramSender
 from ..transport.listening_socket import Listener
 from ..transport.scheduler import Clock, Scheduler
+from ..transport.start_retries import retry_transient_errors
 from ..transport.stream import Address, Stream, connect
 from .configuration import PlacementSettings
 from .configuration_reload import ConfigurationReloader, merge
@@ -87,14 +88,16 @@
         self._request_listener = self._build_request_listener()
         if features is not None and features.any:
             self._scheduler.every(CONNECTION_LIMIT_INTERVAL_S, self._limit_connections)
-        self._name_service = DatagramSender(placement_settings.naming)
+        self._name_service = retry_transient_errors(lambda: DatagramSender(placement_settings.naming))
         # The last step that may fail: a repeated start must not find its own socket listening.
-        self._listener = Listener(
-            self._scheduler,
-            placement_settings.listen,
-            self._request_listener.has_capacity,
-            self._request_listener.accepted,
-            self._request_listener.evict_unused,
+        self._listener = retry_transient_errors(
+            lambda: Listener(
+                self._scheduler,
+                placement_settings.listen,
+                self._request_listener.has_capacity,
+                self._request_listener.accepted,
+                self._request_listener.evict_unused,
+            )
         )
         self._interpreter = InterpreterClient(
             self._scheduler,
--- a/sablewheel/program/feature_set.py
+++ b/sablewheel/program/feature_set.py
@@ -11,6 +11,7 @@
 from ..serving.listener import RequestHandler
 from ..transport.background import Background
 from ..transport.scheduler import Scheduler
+from ..transport.start_retries import retry_transient_errors
 from ..transport.worker_thread import WorkerThread
 from .configuration import PlacementSettings
 from .feature import FeatureHooks
@@ -51,7 +52,9 @@
             if (plan := features.plan(declaration.section)) is not None
         ]
         needs_worker = any(declaration.needs_worker_thread(plan) for declaration, plan in declared)
-        self._worker_thread = WorkerThread(scheduler) if needs_worker else None
+        self._worker_thread = (
+            retry_transient_errors(lambda: WorkerThread(scheduler)) if needs_worker else None
+        )
         feature_context = FeatureContext(
             scheduler,
             self._background,
--- a/sablewheel/result_store/startup.py
+++ b/sablewheel/result_store/startup.py
@@ -11,6 +11,7 @@
 from ..serving.exchange import Exchange, ExchangeState
 from ..storage import log as storage_log
 from ..storage.files import DiskFiles
+from ..transport.start_retries import retry_transient_errors
 from ..transport.worker_thread import WorkerThread
 from . import result_store_pb2 as pb
 from .codec import LOG_KIND
@@ -53,7 +54,8 @@
         on_done: Called in the event loop with the folder, or with the error that prevents the start.
     """
     started_at = time.perf_counter()
-    log = storage_log.Log(DiskFiles(folder), LOG_KIND, incarnation, plan.max_disk_bytes, plan.segment_bytes)
+    files = retry_transient_errors(lambda: DiskFiles(folder))
+    log = storage_log.Log(files, LOG_KIND, incarnation, plan.max_disk_bytes, plan.segment_bytes)
 
     def read() -> storage_log.RecoveryReport:
         return log.recover(lambda number, payload, _: runs.apply(number, pb.Record.FromString(payload)))
--- a/sablewheel/usage_metering/recorder.py
+++ b/sablewheel/usage_metering/recorder.py
@@ -23,6 +23,7 @@
 from ..storage.health import DiskState
 from ..transport.background import Background
 from ..transport.scheduler import Scheduler
+from ..transport.start_retries import retry_transient_errors
 from ..transport.worker_thread import WorkerThread
 from . import usage_metering_pb2 as pb
 from .aggregation import EntryBuffer
@@ -107,10 +108,12 @@
         earlier = EarlierIncarnations()
         if plan.depth is Depth.DURABLE:
             assert plan.folder is not None
-            records = durable.Log(DiskFiles(plan.folder), KIND, incarnation, plan.max_disk_bytes)
+            folder = plan.folder
+            files = retry_transient_errors(lambda: DiskFiles(folder))
+            records = durable.Log(files, KIND, incarnation, plan.max_disk_bytes)
             self.recovery = records.recover(earlier.note_block)
             self._log_recovery(earlier)
-            self._worker_thread = worker_thread or WorkerThread(scheduler)
+            self._worker_thread = worker_thread or retry_transient_errors(lambda: WorkerThread(scheduler))
             self._store = GroupCommitLog(
                 scheduler,
                 self._worker_thread,
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -164,6 +164,7 @@
         cores: int = 64,
         features: str | None = None,
         result_bytes: list[int] | None = None,
+        interpreter_survives: bool = False,
         **changes: Any,
     ) -> None:
         """Start the processes and send a first request.
@@ -178,11 +179,19 @@
             cores: The number of cores of the interpreter.
             features: The text of the server's features file; None if it has none.
             result_bytes: The least and the largest size of a result; None for results of some ten bytes.
+            interpreter_survives: Whether the interpreter's runs and notices outlive a server process.
             changes: Changed keys of the server's configuration.
         """
         interpreter_port, port = free_port(), free_port()
         work = {SAFE.decode(): 0.02, KEYED.decode(): keyed_work}
-        testbed.interpreter("vm", interpreter_port, work=work, cores=cores, result_bytes=result_bytes)
+        testbed.interpreter(
+            "vm",
+            interpreter_port,
+            work=work,
+            cores=cores,
+            result_bytes=result_bytes,
+            outlives=interpreter_survives,
+        )
         self.interpreter_port = interpreter_port
         self.proxy = LinkProxy(interpreter_port, pass_on or pass_unchanged)
         configuration = testbed.configuration("n1", port, self.proxy.port, **changes)
@@ -193,16 +202,18 @@
             variables["SABLEWHEEL_FEATURES"] = str(features_file)
         self.port = port
         self._testbed, self._module, self._shifted, self._variables = testbed, module, shifted, variables
+        self._start_count = 0
         self._start()
-        # The server reads a notice before the test starts: a link on which no notice was read looks like the
-        # link of a new server.
-        self.client.ask(1, SAFE)
-        self.client.read(TIMEOUT_S)
 
     def _start(self) -> None:
         self.server = self._testbed.start("n1", *self._module, shifted=self._shifted, **self._variables)
         self._testbed.wait_until_up(self.port, self.server)
         self.client = Client(self.port)
+        # The server reads a notice before the test starts: a link on which no notice was read looks like the
+        # link of a new server.
+        self._start_count += 1
+        self.client.ask(self._start_count, SAFE)
+        self.client.read(TIMEOUT_S)
 
     def kill_and_restart(self) -> None:
         """Kill the server, if it still runs, and start it again with a new client."""
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -12,7 +12,7 @@
 import pytest
 from installation import KEYED, SAFE, TIMEOUT_S, Client, Installation
 
-from sablewheel.experiments.testbed import Testbed
+from sablewheel.experiments.testbed import Testbed, free_port
 
 DEADLINE_S = 2.0  # of both request classes in the testbed's settings
 SLACK_S = 0.4  # for a busy machine, in addition to the settings' answer slack
@@ -25,10 +25,14 @@
         yield testbed
 
 
-def start_with_failures(testbed: Testbed, seed: int, share: float, *at_start: str) -> Installation:
+def start_with_failures(
+    testbed: Testbed, seed: int, share: float, *at_start: str, features: str | None = None
+) -> Installation:
     options = json.dumps({"seed": seed, "share": share, "at_start": at_start})
     module = ("failing_calls", options, "sablewheel")
-    return Installation(testbed, 0.05, module=module, environment=ENVIRONMENT, stop_ms=2700)
+    return Installation(
+        testbed, 0.05, module=module, environment=ENVIRONMENT, features=features, stop_ms=2700
+    )
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -72,3 +76,22 @@
     installation.client.read(DEADLINE_S)
     installation.close()
     assert installation.client.answers[2][1] == b"OK"
+
+
+@pytest.mark.parametrize("call", ["socket", "setsockopt", "pipe", "poll"])
+def test_a_server_with_features_starts_though_a_call_fails_a_few_times_first(
+    testbed: Testbed, call: str
+) -> None:
+    """A transient error at the start of a server with features ended it with exit code 1."""
+    membership, forwarding = free_port(), free_port()
+    features = (
+        f"version: 1\nrecall:\n  folder: {testbed.folder}/recall\n"
+        f"membership:\n  listen: 127.0.0.1:{membership}\n  seeds: [127.0.0.1:{membership}]\n"
+        "  found-least: 1\n"
+        f"forwarding:\n  listen: 127.0.0.1:{forwarding}\n"
+    )
+    installation = start_with_failures(testbed, 1, 0.0, call, features=features)
+    installation.client.ask(2, KEYED)
+    installation.client.read(DEADLINE_S)
+    installation.close()
+    assert installation.client.answers[2][1] == b"OK"
