--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -74,6 +74,18 @@
     assert merge(a, a) == a and merge(a, EMPTY).outcomes == a.outcomes
 
 
+@given(st.permutations(range(4)), st.lists(entries, min_size=4, max_size=4))
+def test_repeats_are_answered_with_the_first_outcome_however_many_conflict(
+    order: list[int], copies: list[Entry]
+) -> None:
+    """Only two outcomes are retained: none of them displaces the one of the lowest claim, which answers."""
+    merged = EMPTY
+    for index in order:
+        merged = merge(merged, copies[index])
+    all_outcomes = {outcome for copy in copies for outcome in copy.outcomes}
+    assert merged.outcomes[:1] == tuple(sorted(all_outcomes)[:1])
+
+
 @given(entries, entries)
 def test_merge_makes_a_claim_unclaimed_only_by_its_owners_release(a: Entry, b: Entry) -> None:
     merged = merge(a, b)
