Replication: settings whose largest entry fits no frame are an error of the file

What callers saw: repeats at another server ended in an error, since the outcome of a run with a large result never reached a replica: the sender refused each frame as too large, for ever.

Cause: `replication.result-most-kb` (to 512) was compared with no frame; `forwarding.frame-most-kb` goes down to 16 and is 1024 by default, less than an entry with two results of 512 kB.

Change: sections can name conflicts with other sections; two results and 8 kB have to fit into a frame. The error names line, both keys and sizes.

The new case of test_faults_of_the_section_are_reported_by_key failed before (no error); tests of replication, forwarding, affinity and the program pass.

--- a/sablewheel/program/feature_file.py
+++ b/sablewheel/program/feature_file.py
@@ -141,6 +141,12 @@
         if needed not in sections
     ]:
         raise FaultyFeaturesError(file, faults)
+    if faults := [
+        Fault(_line(document, (name, key)), f"{name}.{key}", reason)
+        for name, section in sections.items()
+        for key, reason in section.conflicts(sections)
+    ]:
+        raise FaultyFeaturesError(file, faults)
     return top
 
 
--- a/sablewheel/program/feature_settings/replication.py
+++ b/sablewheel/program/feature_settings/replication.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from collections.abc import Mapping
+from typing import Annotated, Any, Literal
 
 from pydantic import Field, model_validator
 
+from ...replication.entries import MAX_OUTCOMES
 from ...replication.plan import ReplicationPlan, Settings
 from .section import Section
 
+ENTRY_OVERHEAD_KB = 8  # of a packet: its key, group and digest have 1 kB each, its names 200 characters
+
 
 class ReplicationSection(Section):
     """Settings of the replication of keyed runs, bindings and documents on several members each."""
@@ -40,6 +44,18 @@
             )
         return self
 
+    def conflicts(self, sections: Mapping[str, Any]) -> list[tuple[str, str]]:
+        """Check that the largest entry fits into a frame: a larger one would never reach a replica."""
+        frame_kb = sections["forwarding"].frame_most_kb
+        largest_entry_kb = MAX_OUTCOMES * self.result_most_kb + ENTRY_OVERHEAD_KB
+        if largest_entry_kb <= frame_kb:
+            return []
+        reason = (
+            f"{MAX_OUTCOMES} results of {self.result_most_kb} kB and {ENTRY_OVERHEAD_KB} kB of an entry "
+            f"don't fit into forwarding.frame-most-kb {frame_kb}"
+        )
+        return [("result-most-kb", reason)]
+
     def plan(self) -> ReplicationPlan:
         """Return the plan of the feature."""
         settings = Settings(
--- a/sablewheel/program/feature_settings/section.py
+++ b/sablewheel/program/feature_settings/section.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Annotated, ClassVar
+from collections.abc import Mapping
+from typing import Annotated, Any, ClassVar
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
@@ -17,6 +18,14 @@
 
     needs: ClassVar[tuple[str, ...]] = ()
 
+    def conflicts(self, sections: Mapping[str, Any]) -> list[tuple[str, str]]:
+        """Return keys of this section that don't fit another section, each with the reason.
+
+        Args:
+            sections: All sections of the file by name, among them those that `needs` names.
+        """
+        return []
+
     model_config = ConfigDict(
         extra="forbid", strict=True, frozen=True, alias_generator=lambda name: name.replace("_", "-")
     )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -883,6 +883,12 @@
         ("forwarding:\n  listen: 127.0.0.1:7702\n  silent-most-s: 0.3", "at least twice ping-every-s"),
         ("forwarding:\n  listen: 127.0.0.1:7702\n  queue-kb: 64", "does not hold one frame"),
         ("forwarding:\n  listen: 127.0.0.1:7702\n  link-most: 64", "links-most may be meant"),
+        (
+            "membership:\n  listen: 127.0.0.1:7700\n  seeds: [127.0.0.1:7700]\n"
+            "forwarding:\n  listen: 127.0.0.1:7702\n  frame-most-kb: 16\n  queue-kb: 16\n"
+            "replication:\n  result-most-kb: 512",
+            "11: replication.result-most-kb: 2 results of 512 kB .* into forwarding.frame-most-kb 16",
+        ),
     ],
 )
 def test_faults_of_the_section_are_reported_by_key(tmp_path: Path, text: str, message: str) -> None:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -17,9 +17,12 @@
     Scenario,
     run_random_faults,
 )
+from sablewheel.program.feature_settings.replication import ENTRY_OVERHEAD_KB
 from sablewheel.replication.anti_entropy import MAX_VIEWS_SENT
+from sablewheel.replication.codec import encode
 from sablewheel.replication.entries import (
     EMPTY,
+    MAX_OUTCOMES,
     AnswerStatus,
     Change,
     ChangeKind,
@@ -322,3 +325,17 @@
 
 def test_the_scenario_has_each_faulty_variant() -> None:
     assert set(REPLICA_TYPES) == {"", "async-backup", *replication_model.FAULTY_VARIANTS}
+
+
+def test_the_largest_entry_fits_into_the_frames_that_its_settings_allow() -> None:
+    """A frame over `frame-most-kb` is refused, so an entry in it would never reach a replica."""
+    result_kb = 500
+    results = [
+        Outcome(version, (name, 1 << 60, 1 << 60), OutcomeStatus.SUCCEEDED, bytes(result_kb << 10))
+        for version, name in ((1, "a" * 200), (2, "b" * 200))
+    ]
+    key, ballot = ("x" * 200, bytes(1024)), (1 << 60, 1 << 60, "c" * 200, 1 << 60)
+    largest = Entry(ballot, 1 << 60, results[0].owner, b"", bytes(1024), False, tuple(results))
+    message = Accept(1 << 60, 1 << 60, key, 1, largest, 6.0, bytes(1024), 1 << 60)
+    frame_kb = (len(encode(message)) >> 10) + 1
+    assert frame_kb <= MAX_OUTCOMES * result_kb + ENTRY_OVERHEAD_KB
