--- a/sablewheel/experiments/router.py
+++ b/sablewheel/experiments/router.py
@@ -54,7 +54,8 @@
         self.chance = random.Random(spec.get("seed", 1))
         self.links: dict[str, list[Link]] = {server: [] for server in spec["servers"]}
         self.log = open(spec["log"], "a", buffering=1 << 16)  # noqa: SIM115  open until `run` ends
-        self.keyed: dict[str, deque[tuple[bytes, bytes, str, float]]] = {
+        # Recent keyed requests: key, body, tenant, request class and time of the first attempt.
+        self.keyed: dict[str, deque[tuple[bytes, bytes, str, str, float]]] = {
             server: deque(maxlen=1000) for server in spec["servers"]
         }
         self.late: set[asyncio.Task[None]] = set()
@@ -99,13 +100,13 @@
         if request_classes[request_class].get("keyed"):
             recent = self.keyed[server]
             oldest = time.monotonic() - float(self.spec.get("repeat_within", 1.0))
-            while recent and recent[0][3] < oldest:
+            while recent and recent[0][4] < oldest:
                 recent.popleft()
             if recent and self.chance.random() < float(self.spec.get("repeats", 0.0)):
-                idempotency_key, body, tenant, _ = self.chance.choice(recent)
+                idempotency_key, body, tenant, request_class, _ = self.chance.choice(recent)
             else:
                 idempotency_key = b"%032x" % self.chance.getrandbits(128)
-                recent.append((idempotency_key, body, tenant, time.monotonic()))
+                recent.append((idempotency_key, body, tenant, request_class, time.monotonic()))
         await self.try_at(server, request_class, name, tenant, idempotency_key, body)
 
     async def try_at(
--- a/sablewheel/result_store/log_compaction.py
+++ b/sablewheel/result_store/log_compaction.py
@@ -26,6 +26,16 @@
         self._pass_end_record = 0  # the last record that the current pass rewrites; 0 without a pass
         self._bytes_after_pass = 0  # smallest size of the log since the last pass; 0 before the first
 
+    @property
+    def is_compacting(self) -> bool:
+        """Whether a pass is in progress."""
+        return self._pass_end_record > 0
+
+    @property
+    def live_bytes(self) -> int:
+        """The total size of the live runs."""
+        return self._live_bytes
+
     def add(self, idempotency_key: bytes, record_number: int, size: int) -> None:
         """Track a run that is completely stored in the newest record, in `size` bytes."""
         self.remove(idempotency_key)
@@ -61,7 +71,7 @@
             has_grown = log_bytes > MIN_GROWTH_RATIO * self._bytes_after_pass
             if log_bytes > max_bytes and has_grown and self._stored:
                 self._pass_end_record = newest_record
-        return self._pass_end_record > 0
+        return self.is_compacting
 
     def next_batch(self, log_bytes: int) -> list[bytes]:
         """Return the idempotency keys of the runs to rewrite next; an empty list ends the pass."""
--- a/sablewheel/result_store/run_log.py
+++ b/sablewheel/result_store/run_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,8 @@
 MAX_COMMIT_TIMES = 50  # how many recent commits are used to estimate the duration of the next one
 COMMIT_TIME_QUANTILE = 0.9
 
+log = logging.getLogger(__name__)
+
 StartRun = Callable[[Exchange], None]
 
 
@@ -201,7 +204,15 @@
         if store is None:
             return False
         store.release_through(self._planner.oldest_needed_record(store.durable_through) - 1)
-        return self._planner.maybe_begin_pass(store.size_bytes, store.last_number)
+        was_compacting = self._planner.is_compacting
+        is_compacting = self._planner.maybe_begin_pass(store.size_bytes, store.last_number)
+        if is_compacting and not was_compacting:
+            self._log_compaction("compaction started", store)
+        return is_compacting
+
+    def _log_compaction(self, event: str, store: GroupCommitLog) -> None:
+        pairs = {"log_bytes": store.size_bytes, "live_bytes": self._planner.live_bytes}
+        log.info(event, extra={"pairs": pairs})
 
     def compact_batch(self) -> bool:
         """Rewrite the oldest live runs if there is nothing else to write; return whether any were written."""
@@ -210,6 +221,8 @@
             return False
         runs = self._table.runs
         batch = [runs[key] for key in self._planner.next_batch(store.size_bytes) if key in runs]
+        if not self._planner.is_compacting:
+            self._log_compaction("compaction finished", store)
         snapshot = next(snapshots(encode_clock_reading(self._read_clocks()), batch), None)
         if snapshot is None:
             return False
--- a/tests/installation.py
+++ b/tests/installation.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from sablewheel.experiments import client_protocol as wire
-from sablewheel.experiments.testbed import Testbed, free_port
+from sablewheel.experiments.testbed import Testbed, TestbedError, free_port
 
 TIMEOUT_S = 15.0
 KEYED, SAFE = b"record", b"lookup"
@@ -202,18 +202,23 @@
             variables["SABLEWHEEL_FEATURES"] = str(features_file)
         self.port = port
         self._testbed, self._module, self._shifted, self._variables = testbed, module, shifted, variables
-        self._start_count = 0
+        self.wall_clock: Callable[[], float] = time.time  # of the clients
+        self._first_requests = 0
         self._start()
 
     def _start(self) -> None:
         self.server = self._testbed.start("n1", *self._module, shifted=self._shifted, **self._variables)
         self._testbed.wait_until_up(self.port, self.server)
         self.client = Client(self.port)
+        self.client.wall_clock = self.wall_clock
         # The server reads a notice before the test starts: a link on which no notice was read looks like the
         # link of a new server.
-        self._start_count += 1
-        self.client.ask(self._start_count, SAFE)
+        self._first_requests += 1
+        self.client.ask(self._first_requests, SAFE)
         self.client.read(TIMEOUT_S)
+        words = self.client.answers.get(self._first_requests)
+        if words is None or words[1] != b"OK":
+            raise TestbedError(f"the first request was not served: {words}")
 
     def kill_and_restart(self) -> None:
         """Kill the server, if it still runs, and start it again with a new client."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -234,11 +234,11 @@
     def restart_and_repeat(self) -> None:
         """Start the server again, and repeat all idempotency keys."""
         self._faults_enabled.clear()
+        self.installation.wall_clock = lambda: time.time() + self.shift
         self.installation.kill_and_restart()
         self.server = self.installation.server
         self._faults_enabled.set()
         client = self.repeating_client = self.installation.client
-        client.wall_clock = lambda: time.time() + self.shift
         keys = sorted({int(key, 16) for asking in self.clients for key in asking.keys.values()})
         for number, key in enumerate(keys):
             while len(client.sent) - len(client.answers) >= MAX_OPEN_REPEATS and client.ended_at is None:
