Forwarding: serve here what every peer would drop

What callers saw: a request with a memory hint over 84 MB, or a subject or session over 64 characters, was forwarded and dropped by the peer; unless idempotent, it failed.

Cause: the sender did not check these three fields; the receiver bounds them, the hint by the limit of a duration.

Evidence: the four cases of the new test fail before: the request is not handed to the local handler.

Change: is_forwardable has the receiver's bounds and the sender asks it. The hint's bound keeps its value under a name of its own, since peers of the earlier version go by it.

--- a/sablewheel/forwarding/messages.py
+++ b/sablewheel/forwarding/messages.py
@@ -17,6 +17,7 @@
 
 MAX_NAME_BYTES = 64  # limit of a request's name, request class, tenant, idempotency key, session and subject
 MAX_DURATION_S = 86400.0
+MAX_MEMORY_KB = 86400.0  # of a forwarded request
 
 
 class BadMessageError(ValueError):
@@ -45,6 +46,20 @@
     session: str = ""
 
 
+def is_forwardable(request: RequestData) -> bool:
+    """Return whether a receiver accepts the contents of a request, by the bounds that `decode` checks."""
+    names = (
+        request.name,
+        request.request_class,
+        request.tenant,
+        request.idempotency_key or b"",
+        request.subject or "",
+        request.session,
+    )
+    has_valid_names = max(len(name) for name in names) <= MAX_NAME_BYTES
+    return has_valid_names and 0 <= request.memory_kb <= MAX_MEMORY_KB
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardRequest:
     """Forwards a request; `age_s` is the time since it reached the first server."""
@@ -183,7 +198,7 @@
         encoded.body,
         encoded.customer,
         encoded.label or None,
-        _bounded(encoded.kb, "kb"),
+        _bounded(encoded.kb, "kb", MAX_MEMORY_KB),
         encoded.subject or None,
         encoded.session,
     )
@@ -191,7 +206,7 @@
     return ForwardRequest(number, request, age_s, remaining_s)
 
 
-def _bounded(value: float, field: str) -> float:
-    if not (isfinite(value) and 0 <= value <= MAX_DURATION_S):
-        raise BadMessageError(f"{field}: must be 0 to {MAX_DURATION_S:g}, got {value:g}")
+def _bounded(value: float, field: str, limit: float = MAX_DURATION_S) -> float:
+    if not (isfinite(value) and 0 <= value <= limit):
+        raise BadMessageError(f"{field}: must be 0 to {limit:g}, got {value:g}")
     return value
--- a/sablewheel/forwarding/service.py
+++ b/sablewheel/forwarding/service.py
@@ -47,7 +47,6 @@
 from .forwarding_state import ForwardingState
 from .messages import (
     MAX_DURATION_S,
-    MAX_NAME_BYTES,
     Answer,
     BadMessageError,
     FinalStatus,
@@ -56,6 +55,7 @@
     RequestData,
     decode,
     encode,
+    is_forwardable,
 )
 from .peer_connections import PeerConnections
 from .placement import Owner, Placer, ServeLocally, UnknownOwner
@@ -351,17 +351,14 @@
             )
 
     def _request_data(self, exchange: Exchange) -> RequestData | None:
-        """Return the contents to forward; None if the tenant is unknown or a name is too long."""
+        """Return the contents to forward; None if the tenant is unknown or no peer would accept them."""
         request = exchange.request
         tenant = self._tenant_name(request.tenant) if request.tenant is not None else b""
         if tenant is None:
             return None
         is_keyed = request.request_class.idempotency is Idempotency.KEYED
         idempotency_key = exchange.idempotency_key if is_keyed else None
-        names = (exchange.name, exchange.request_class, tenant, idempotency_key or b"")
-        if max(len(name) for name in names) > MAX_NAME_BYTES:
-            return None
-        return RequestData(
+        data = RequestData(
             exchange.name,
             exchange.request_class,
             exchange.body,
@@ -371,6 +368,7 @@
             request.subject,
             exchange.session,
         )
+        return data if is_forwardable(data) else None
 
     def _tenant_name(self, tenant: Tenant) -> bytes | None:
         if tenant not in self._tenant_names:  # reloading the settings creates new objects
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -814,6 +814,30 @@
     run_with_pair(body)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"memory_kb": 86_401.0},
+        {"memory_kb": float("inf")},
+        {"subject": "s" * 65},
+        {"session": "s" * 65},
+    ],
+)
+def test_a_request_that_no_peer_would_accept_is_served_here(changes: dict[str, Any]) -> None:
+    """The receiver dropped it without an answer, and it failed once its acknowledgment was overdue."""
+
+    def body(scheduler: Scheduler, pair: Pair) -> None:
+        values = {"memory_kb": 10.0, "subject": None, "session": "", **changes}
+        settings, now = REQUEST_CLASSES[b"stamp"], scheduler.clock.now
+        request = Request(settings, Client(), None, now, values["memory_kb"], subject=values["subject"])
+        exchange = Exchange(b"name", b"stamp", b"body", 1, None, request, pair.caller)
+        exchange.session = values["session"]
+        pair.services["a"].arrived(exchange)
+        assert pair.handlers["a"].open_requests == [exchange]
+
+    run_with_pair(body)
+
+
 def test_a_lost_connection_ends_each_request_by_its_idempotency() -> None:
     def body(scheduler: Scheduler, pair: Pair) -> None:
         exchanges = {request_class: pair.send_request(request_class) for request_class in REQUEST_CLASSES}
