Tests: a wait that held before any connection was accepted, and a stub without its method

The wait of the eviction test was for all accepted connections to have received a frame, which holds with none accepted: the test went on before the frames it means were read. It waits for the full number now. The faulty handler of a test in test_serving.py had `gone` where the listener calls `cancelled`.

--- a/tests/test_close_races.py
+++ b/tests/test_close_races.py
@@ -438,7 +438,8 @@
                 sock.send(frame(b"RPC.HEALTH", b"1", b""))
             harness.run_until(
                 lambda: (
-                    all(connection.has_received for connection in harness.request_listener.connections)
+                    len(harness.request_listener.connections) == max_connections
+                    and all(connection.has_received for connection in harness.request_listener.connections)
                     and not harness.request_listener._with_answers
                 )
             )
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -378,7 +378,7 @@
     server.wait(1.0)
     assert server.counts.count("links") == 2 and server.link is not None and server.link.open
     del server.dispatcher.run_ended
-    server.listener.handler = type("Faulty", (), {"arrived": raise_error, "gone": lambda *_: None})()
+    server.listener.handler = type("Faulty", (), {"arrived": raise_error, "cancelled": lambda *_: None})()
     answers = server.ask(call(99, b"%016x" % 255, b"lookup", server.now, b""))
     assert [words[:2] for words in answers] == [[b"99", b"FAILED"]]
     assert server.counts.count("faults") == 2  # the link's and the request's
