Trial of the ledger: a run without late entries is void; each late entry has to be marked

Cause: that anything is pending at the close is a condition of the run, not a promise; the promise itself, that each such entry has the mark, was not checked.

Change: without such entries the run is void. With them, every line of an earlier period's time but a correction must have the mark.

--- a/sablewheel/experiments/ledger.py
+++ b/sablewheel/experiments/ledger.py
@@ -18,6 +18,7 @@
 from ..usage_metering.auditing import reconcile_folders
 from ..usage_metering.corrections import Correction, CorrectionError, Target
 from ..usage_metering.journal import Journal
+from ..usage_metering.journal_schema import CORRECTION
 from .connection_faults import ConnectionFaults
 from .result import ExperimentResult
 from .testbed import Process, Testbed, free_port
@@ -397,12 +398,24 @@
     left_behind = "entries left behind" in scenario.servers["n2"].log.read_text()
     code = scenario.servers["n2"].popen.returncode
     result.check("the drained server left no entries behind", not left_behind and code == 0, f"exit {code}")
-    late = next(iter(journal.rows("select count(*) from lines where belongs is not null")))[0]
-    result.check("entries after the close are marked with the period to which they belong", late > 0, late)
+    unmarked, late = _late_lines(journal)
+    result.require("entries after a period's close", late + unmarked > 0)
+    promise = "entries after the close are marked with the period to which they belong"
+    result.check(promise, unmarked == 0, f"{late} marked, {unmarked} not")
     if closed:
         _check_corrections(scenario, result, closed[0])
 
 
+def _late_lines(journal: Journal) -> tuple[int, int]:
+    """Return how many lines of an earlier period's time lack the mark of it, and how many have it."""
+    late = (
+        "select count(*) from lines join periods on periods.id = lines.period"
+        f" where kind != {CORRECTION} and ended_us < periods.start_us and belongs is "
+    )
+    unmarked, marked = (next(iter(journal.rows(late + value)))[0] for value in ("null", "not null"))
+    return unmarked, marked
+
+
 def _check_corrections(scenario: Scenario, result: ExperimentResult, period: str) -> None:
     """Check that a correction leaves a closed statement unchanged and is entered in the open period."""
     journal = Journal(scenario.journal)
