Storage: a disk's incident has one line at its begin and its end, with feature and folder

What on-call saw: while a folder had no space, "disk state changed" several times a second, and no line that named the folder.

Cause: each change between two commits was logged; the log of a folder did not know its name.

Change: changes are grouped to incidents, which end once the disk has worked for 1 s; the last line has the time and the failed commits. Decisions follow the state as before. Damage of the result store is told with its folder.

test_a_disk_that_flips_between_its_states_is_logged_as_one_incident passes (it uses the new argument for the name, so it can't run on the code before).

--- a/sablewheel/result_store/recorder.py
+++ b/sablewheel/result_store/recorder.py
@@ -138,7 +138,7 @@
         self._is_damaged = bool(folder.damages)
         for damage in folder.damages[:MAX_LOGGED_DAMAGES]:
             self._count("recall_damage")
-            log.error("result store damaged", extra={"pairs": {"where": damage}})
+            log.error("result store damaged", extra={"pairs": {"where": f"{self._plan.folder}/{damage}"}})
         self._use_folder(folder)
         pairs = {
             "records": folder.report.records,
@@ -170,6 +170,7 @@
             SLOW_COMMIT_S,
             on_records_durable,
             self._on_disk_state_changed,
+            {"feature": "recall", "folder": self._plan.folder},
         )
         self._run_log.open(store)
 
--- a/sablewheel/storage/group_commit.py
+++ b/sablewheel/storage/group_commit.py
@@ -6,15 +6,16 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from ..transport.scheduler import Scheduler
 from ..transport.worker_thread import WorkerThread
-from .health import DiskHealth, DiskState
+from .health import INCIDENT_END_S, DiskHealth, DiskState, IncidentTracker
 from .log import CommitError, Log, LogPosition
 from .records import check_payload
 
+TIMER_MARGIN_S = 0.01  # so that a timer for the end of an incident does not come too early
 MAX_PENDING_BYTES = 1 << 20  # limit on the size of records that are not durable yet
 
 log = logging.getLogger(__name__)
@@ -35,6 +36,7 @@
         slow_after_s: The disk is reported as slow when a commit takes longer than this.
         on_durable: Called with `durable_through` after each successful commit.
         on_disk_state: Called when the disk's state changes.
+        place: Names the log in log lines, by feature and folder.
     """
 
     def __init__(
@@ -45,11 +47,14 @@
         slow_after_s: float,
         on_durable: Callable[[int], None],
         on_disk_state: Callable[[DiskState], None],
+        place: Mapping[str, object] | None = None,
     ) -> None:
         self._scheduler, self._worker_thread, self._log = scheduler, worker_thread, recovered_log
         self._on_durable, self._on_disk_state = on_durable, on_disk_state
         self._health = DiskHealth(slow_after_s)
         self._disk_state = DiskState.WORKING
+        self._incidents = IncidentTracker()
+        self._place = dict(place or {})
         self._pending: list[bytes] = []
         self._in_flight: list[bytes] = []
         self._undurable_bytes = 0
@@ -137,19 +142,19 @@
 
         def on_done(result: Any, error: BaseException | None) -> None:
             if error is not None:
-                log.error("reading the log failed", extra={"pairs": {"reason": error}})
+                log.error("reading the log failed", extra={"pairs": {**self._place, "reason": error}})
             on_read(*(result if error is None else ([], position)))
 
         return self._worker_thread.submit(lambda: self._log.read(position, max_bytes), on_done)
 
     def release(self, position: LogPosition, keep_bytes: int) -> None:
         """Delete the oldest segments before a position, but keep at least `keep_bytes` bytes before it."""
-        self._worker_thread.submit(lambda: self._log.release(position, keep_bytes), _log_release_error)
+        self._worker_thread.submit(lambda: self._log.release(position, keep_bytes), self._log_release_error)
 
     def release_through(self, number: int) -> None:
         """Delete the oldest segments that only have records up to this number."""
         if number > self._released_through and self._worker_thread.submit(
-            lambda: self._log.release_through(number), _log_release_error
+            lambda: self._log.release_through(number), self._log_release_error
         ):
             self._released_through = number
 
@@ -166,21 +171,41 @@
             self.durable_through = last_number
         else:
             self._health.commit_failed(now, isinstance(error, CommitError) and error.is_disk_full)
-            if self._disk_state in (DiskState.WORKING, DiskState.SLOW):
-                log.error("log commit failed", extra={"pairs": {"reason": error}})
+            incident = self._incidents.incident
+            if incident is None or incident.state is DiskState.SLOW:
+                log.error("log commit failed", extra={"pairs": {**self._place, "reason": error}})
             self._scheduler.after(self._health.retry_at - now, lambda: None)  # a round for the retry
         self._report_state(self._health.state)
+        if error is not None:
+            self._incidents.commit_failed()
         if error is None:
             self._on_durable(self.durable_through)
 
     def _report_state(self, state: DiskState) -> None:
-        if state is not self._disk_state:
-            pairs = {"was": self._disk_state.value, "now": state.value}
+        if state is self._disk_state:
+            return
+        now, was = self._scheduler.clock.now, self._disk_state
+        self._disk_state = state
+        if self._incidents.state_changed(now, state):
+            pairs = {**self._place, "was": was.value, "now": state.value}
             log.warning("disk state changed", extra={"pairs": pairs})
-            self._disk_state = state
-            self._on_disk_state(state)
+        elif state is DiskState.WORKING:
+            self._scheduler.after(INCIDENT_END_S + TIMER_MARGIN_S, self._report_incident_end)
+        self._on_disk_state(state)
 
+    def _report_incident_end(self) -> None:
+        now = self._scheduler.clock.now
+        incident = self._incidents.take_ended(now)
+        if incident is not None:
+            pairs = {
+                **self._place,
+                "was": incident.state.value,
+                "now": DiskState.WORKING.value,
+                "lasted": round(now - incident.began_at, 3),
+                "failed_commits": incident.failed_commits,
+            }
+            log.warning("disk state changed", extra={"pairs": pairs})
 
-def _log_release_error(_: Any, error: BaseException | None) -> None:
-    if error is not None:
-        log.error("releasing log segments failed", extra={"pairs": {"reason": error}})
+    def _log_release_error(self, _: Any, error: BaseException | None) -> None:
+        if error is not None:
+            log.error("releasing log segments failed", extra={"pairs": {**self._place, "reason": error}})
--- a/sablewheel/storage/health.py
+++ b/sablewheel/storage/health.py
@@ -1,10 +1,11 @@
-"""The state of a disk, derived from the results of commits, and the backoff between attempts. No I/O."""
+"""The state of a disk by the results of commits, its incidents, and the backoff of attempts. No I/O."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import Enum
 
+INCIDENT_END_S = 1.0  # for which a disk has to work until its incident is over
 INITIAL_BACKOFF_S, MAX_BACKOFF_S = 0.05, 2.0  # after a failed commit; doubled after each further one
 
 
@@ -55,3 +56,53 @@
     def may_commit(self, now: float) -> bool:
         """Return whether a commit may start: none is in flight, and the backoff has passed."""
         return not self.commit_started_at and now >= self.retry_at
+
+
+@dataclass
+class DiskIncident:
+    """A time in which a disk is slow, full or failing, however often it works in between."""
+
+    state: DiskState  # the worst one so far
+    began_at: float
+    failed_commits: int = 0
+    working_since: float | None = None  # None unless the disk works at present
+
+    def is_over(self, now: float) -> bool:
+        """Return whether the disk has worked for `INCIDENT_END_S`."""
+        return self.working_since is not None and now - self.working_since >= INCIDENT_END_S
+
+
+class IncidentTracker:
+    """Groups changes of a disk's state to incidents, each logged once at its begin and its end."""
+
+    def __init__(self) -> None:
+        self.incident: DiskIncident | None = None
+
+    def state_changed(self, now: float, state: DiskState) -> bool:
+        """Note a change of state; return whether an incident began or became worse."""
+        incident = self.incident
+        if state is DiskState.WORKING:
+            if incident is not None:
+                incident.working_since = now
+            return False
+        if incident is None:
+            self.incident = DiskIncident(state, now)
+            return True
+        incident.working_since = None
+        is_worse = incident.state is DiskState.SLOW and state is not DiskState.SLOW
+        if is_worse:
+            incident.state = state
+        return is_worse
+
+    def commit_failed(self) -> None:
+        """Count a failed commit of the incident."""
+        if self.incident is not None:
+            self.incident.failed_commits += 1
+
+    def take_ended(self, now: float) -> DiskIncident | None:
+        """Return the incident if it is over now; there is none from then on."""
+        incident = self.incident
+        if incident is None or not incident.is_over(now):
+            return None
+        self.incident = None
+        return incident
--- a/sablewheel/usage_metering/recorder.py
+++ b/sablewheel/usage_metering/recorder.py
@@ -121,6 +121,7 @@
                 SLOW_COMMIT_S,
                 self._on_records_durable,
                 self._on_disk_state,
+                {"feature": "ledger", "folder": folder},
             )
         if plan.export is not None:
             source: Any
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -8,11 +8,14 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 from fake_disk import FakeFiles
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from simulated_server import FakeScheduler
+from test_usage_metering import ManualWorkerThread
 
 from sablewheel.storage import records
 from sablewheel.storage.files import DiskFiles, InUseError
@@ -354,6 +357,40 @@
     assert recover(files)[0] == [b"one of fifty"] * 50
 
 
+def test_a_disk_that_flips_between_its_states_is_logged_as_one_incident(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The log had several lines a second while a disk was full, and named neither feature nor folder."""
+    scheduler, files = FakeScheduler(), FakeFiles()
+    worker_thread: Any = ManualWorkerThread()
+    place = {"feature": "recall", "folder": "/somewhere"}
+    states: list[DiskState] = []
+    store = GroupCommitLog(
+        scheduler, worker_thread, open_log(files), 0.1, lambda _: None, states.append, place
+    )
+
+    def wait(duration_s: float) -> None:
+        scheduler.clock.now += duration_s
+        scheduler._run_timers()
+        store.flush()
+        worker_thread.work()
+
+    for _ in range(5):
+        files.fail = {"append": [OSError(errno.ENOSPC, "no space left on device")]}
+        store.append(b"payload")
+        wait(0.2)
+        wait(0.2)  # the second attempt succeeds
+    wait(0.9)
+    assert [state for state in states if state is not DiskState.WORKING] == [DiskState.FULL] * 5
+    lines = [(record.getMessage(), record.pairs) for record in caplog.records]  # type: ignore[attr-defined]
+    assert [line for line, _ in lines] == ["log commit failed", "disk state changed"]
+    assert all(pairs.items() >= place.items() for _, pairs in lines)
+    wait(0.2)
+    ended = caplog.records[-1].pairs  # type: ignore[attr-defined]
+    assert len(caplog.records) == 3 and ended["now"] == "working" and ended["was"] == "full"
+    assert ended["failed_commits"] == 5 and 2.0 < ended["lasted"] < 4.0
+
+
 def test_append_returns_none_when_too_much_is_pending() -> None:
     scheduler, files = Scheduler(Clock()), FakeFiles()
     store = GroupCommitLog(
