Log recovery: a failed sync is told and prevents no start

What callers would have seen: since recovery syncs what it read, and a failure of that call ended the start, also where the disk is merely full, so that nothing was served that needs no disk.

--- a/sablewheel/result_store/recorder.py
+++ b/sablewheel/result_store/recorder.py
@@ -139,6 +139,9 @@
         for damage in folder.damages[:MAX_LOGGED_DAMAGES]:
             self._count("recall_damage")
             log.error("result store damaged", extra={"pairs": {"where": f"{self._plan.folder}/{damage}"}})
+        if folder.report.sync_error:
+            where = f"{self._plan.folder}/{folder.report.sync_error}"
+            log.error("recovered records not synced", extra={"pairs": {"where": where}})
         self._use_folder(folder)
         pairs = {
             "records": folder.report.records,
--- a/sablewheel/storage/log.py
+++ b/sablewheel/storage/log.py
@@ -69,6 +69,7 @@
     segments: int = 0
     torn_bytes: int = 0  # unfinished writes at the ends of segments, never reported as durable
     damage: list[str] = field(default_factory=list)  # descriptions of the damage, each with its file
+    sync_error: str = ""  # why the last records may not be durable; empty if they are
     duplicate_records: int = 0  # records of failed commits that were written again to a later segment
 
 
@@ -109,7 +110,7 @@
     def recover(self, visit: RecordVisitor) -> RecoveryReport:
         """Read the whole log in order and call `visit` once per record, with number, payload and position.
 
-        All records that were visited are durable once this method returns.
+        All records that were visited are durable once this method returns, or the report has a `sync_error`.
         """
         report = RecoveryReport()
         headers = [(name, self._read_header(name, report)) for name in self._files.names()]
@@ -117,11 +118,20 @@
         limits = _number_limits([header for _, header in readable])
         for (name, header), limit in zip(readable, limits, strict=True):
             self._recover_segment(name, header, limit, report, visit)
-        if self._segments:  # a kill may have left written records that are not synced yet
-            self._files.sync(self._segments[-1].name)
+        self._sync_last_segment(report)
         report.bytes = self.size_bytes
         return report
 
+    def _sync_last_segment(self, report: RecoveryReport) -> None:
+        """Sync the last segment: a kill may have left written records that are not synced yet."""
+        if self._segments:
+            try:
+                self._files.sync(self._segments[-1].name)
+            except (
+                OSError
+            ) as error:  # the records are served all the same, as a full disk must not prevent a start
+                report.sync_error = f"{self._segments[-1].name}: {error}"
+
     def _read_header(self, name: str, report: RecoveryReport) -> records.Header | None:
         data = self._files.read(name, 0, records.HEADER_SIZE)
         report.segments += 1
--- a/sablewheel/usage_metering/recorder.py
+++ b/sablewheel/usage_metering/recorder.py
@@ -150,6 +150,8 @@
             "damaged": len(recovery.damage),
         }
         log.info("ledger recovered", extra={"pairs": pairs})
+        if recovery.sync_error:
+            log.error("recovered records not synced", extra={"pairs": {"where": recovery.sync_error}})
         for damage in recovery.damage[:20]:
             log.error("ledger damaged", extra={"pairs": {"where": damage}})
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -159,6 +159,16 @@
     assert (recovered, damage) == ([b"payload 1", b"payload 2"], [])
 
 
+def test_a_failed_sync_at_recovery_is_told_and_prevents_no_start() -> None:
+    files = FakeFiles()
+    open_log(files).commit([b"payload"])
+    files.fail = {"sync": [OSError(errno.ENOSPC, "no space left on device")]}
+    recovered: list[bytes] = []
+    report = open_log(files, b"incarn02").recover(lambda _, payload, __: recovered.append(payload))
+    assert recovered == [b"payload"] and not report.damage
+    assert files.names()[0] in report.sync_error and "no space" in report.sync_error
+
+
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(index=st.integers(0, 5), offset=st.integers(0, 400), bit=st.integers(0, 7))
 def test_a_flipped_bit_loses_its_record_and_no_other(index: int, offset: int, bit: int) -> None:
