Policy: say when a translation with `base` replaces plans

By the code: plans are solved anew only if a flow is unserved, and `base` serves all flows, so kept plans stay, but for one case: over MAX_CLASSES (256) classes the plans of classes that are not requested are dropped, and a flow that only they served makes all requested classes be solved anew. That is the only way to serve it; the docstring says so now. Shown by reading, not by a run. No change of behaviour.

--- a/sablewheel/feature_policy/translate.py
+++ b/sablewheel/feature_policy/translate.py
@@ -77,7 +77,14 @@
     """Return the translation for these classes.
 
     With `base`, a translation of the same policy, the plans of its classes are kept and plans of new classes
-    are added. Raises `InfeasibleError`, `UndecidedError`, or `ValueError` for no or too many classes.
+    are added. Since `base` serves all flows, only one case differs: with more than `MAX_CLASSES` classes the
+    plans of classes that are not requested are dropped, and if a flow was served by these alone, the plans of
+    all requested classes are made anew.
+
+    Raises:
+        InfeasibleError: No choice of plans serves all flows.
+        UndecidedError: The solver's time limit was too short.
+        ValueError: There is no class, or there are too many.
     """
     kept_plans = dict(base.classes) if base is not None else {}
     requested = sorted(set(host_classes))
