--- a/sablewheel/result_store/folder.py
+++ b/sablewheel/result_store/folder.py
@@ -9,7 +9,8 @@
 from google.protobuf.message import DecodeError
 
 from ..storage.files import DiskFiles
-from ..storage.log import Log, LogPosition, read_folder
+from ..storage.folder_reader import read_folder
+from ..storage.log import Log, LogPosition
 from . import result_store_pb2 as pb
 from .clock_readings import ClockReading
 from .codec import LOG_KIND, encode_clock_reading
--- a/sablewheel/storage/log.py
+++ b/sablewheel/storage/log.py
@@ -9,12 +9,9 @@
 from __future__ import annotations
 
 import errno
-import os
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import partial
-from pathlib import Path
-from typing import BinaryIO
 
 from . import records
 from .files import SegmentFiles
@@ -115,7 +112,7 @@
         report = RecoveryReport()
         headers = [(name, self._read_header(name, report)) for name in self._files.names()]
         readable = [(name, header) for name, header in headers if header is not None]
-        limits = _number_limits([header for _, header in readable])
+        limits = number_limits([header for _, header in readable])
         for (name, header), limit in zip(readable, limits, strict=True):
             self._recover_segment(name, header, limit, report, visit)
         self._sync_last_segment(report)
@@ -136,7 +133,7 @@
         data = self._files.read(name, 0, records.HEADER_SIZE)
         report.segments += 1
         try:
-            return _decode_header_of(self._kind, data)
+            return decode_header_of(self._kind, data)
         except records.SegmentError as error:
             size = self._files.size(name)
             if size < records.HEADER_SIZE:  # the server was killed while creating it
@@ -154,11 +151,11 @@
         index, damaged = len(self._segments), False
         for item in reader.scan(records.HEADER_SIZE, header.first_number - 1):
             if isinstance(item, records.Damage):
-                if item.torn and limit in (NO_LIMIT, self.last_number + 1):
+                if is_unfinished_write(item, limit, self.last_number):
                     report.torn_bytes += item.end - item.offset
                 else:
                     damaged = True
-                    report.damage.append(_describe_damage(name, item))
+                    report.damage.append(describe_damage(name, item))
                 continue
             if item.number >= limit or item.number <= self.last_number:
                 report.duplicate_records += 1
@@ -354,55 +351,19 @@
     return [*chunks, b"".join(joined)] if joined else chunks
 
 
-def read_folder(folder: Path, kind: bytes, notes: list[str]) -> Iterator[tuple[int, bytes]]:
-    """Read the records of a folder as recovery does, but without a lock: the folder may be in use.
+def decode_header_of(kind: bytes, data: bytes) -> records.Header:
+    """Decode the header of a segment of a log.
 
-    Args:
-        folder: The log's folder.
-        kind: The name of the log.
-        notes: Receives a line for each unreadable segment and each damaged range.
-
-    Yields:
-        The number and payload of each record, in order.
+    Raises:
+        SegmentError: It is not a readable segment of a log of this kind.
     """
-    segments: list[tuple[Path, records.Header]] = []
-    for path in sorted(folder.glob("*.seg")):
-        try:
-            with path.open("rb") as file:
-                segments.append((path, _decode_header_of(kind, file.read(records.HEADER_SIZE))))
-        except (records.SegmentError, FileNotFoundError) as error:
-            notes.append(f"{path}: {error}")
-    last_number = 0
-    limits = _number_limits([header for _, header in segments])
-    for (path, header), limit in zip(segments, limits, strict=True):
-        try:
-            file = path.open("rb")
-        except FileNotFoundError:
-            continue  # the server released the segment meanwhile
-        with file:
-            reader = records.SegmentReader(partial(_read_file, file), os.fstat(file.fileno()).st_size)
-            for item in reader.scan(records.HEADER_SIZE, header.first_number - 1):
-                if isinstance(item, records.Damage):
-                    if not item.torn or limit not in (NO_LIMIT, last_number + 1):
-                        notes.append(_describe_damage(str(path), item))
-                elif last_number < item.number < limit:
-                    last_number = item.number
-                    yield item.number, item.payload
-
-
-def _read_file(file: BinaryIO, offset: int, max_bytes: int) -> bytes:
-    file.seek(offset)
-    return file.read(max_bytes)
-
-
-def _decode_header_of(kind: bytes, data: bytes) -> records.Header:
     header = records.decode_header(data)
     if header.kind != kind:
         raise records.SegmentError(f"a log of kind {header.kind.decode('ascii', 'replace')}")
     return header
 
 
-def _number_limits(headers: Sequence[records.Header]) -> list[int]:
+def number_limits(headers: Sequence[records.Header]) -> list[int]:
     """Return, for each segment, the number of the first record in the next segment.
 
     Records of a segment from that number on were not durable: they were written again to the next segment.
@@ -410,5 +371,17 @@
     return [*(header.first_number for header in headers[1:]), NO_LIMIT][: len(headers)]
 
 
-def _describe_damage(name: str, damage: records.Damage) -> str:
+def is_unfinished_write(damage: records.Damage, limit: int, last_number: int) -> bool:
+    """Return whether damage is the rest of a write that was never reported as durable.
+
+    Args:
+        damage: The damage.
+        limit: The first number of the next segment, from `number_limits`.
+        last_number: The number of the last record before the damage.
+    """
+    return damage.torn and limit in (NO_LIMIT, last_number + 1)
+
+
+def describe_damage(name: str, damage: records.Damage) -> str:
+    """Return a line that names the file and the bytes."""
     return f"{name}: bytes {damage.offset} to {damage.end} hold no valid record"
--- a/sablewheel/usage_metering/auditing.py
+++ b/sablewheel/usage_metering/auditing.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-from ..storage.log import read_folder
+from ..storage.folder_reader import read_folder
 from . import blocks
 from . import usage_metering_pb2 as pb
 from .journal import Journal
