--- a/sablewheel/program/feature_settings/replication.py
+++ b/sablewheel/program/feature_settings/replication.py
@@ -7,8 +7,7 @@
 
 from pydantic import Field, model_validator
 
-from ...replication.entries import MAX_OUTCOMES
-from ...replication.plan import ReplicationPlan, Settings
+from ...replication.plan import MAX_OUTCOMES, ReplicationPlan, Settings
 from .section import Section
 
 ENTRY_OVERHEAD_KB = 8  # of a packet: its key, group and digest have 1 kB each, its names 200 characters
--- a/sablewheel/replication/claims.py
+++ b/sablewheel/replication/claims.py
@@ -11,7 +11,6 @@
 from .context import IDEMPOTENCY_KEYS, ReplicaContext
 from .entries import (
     EMPTY,
-    MAX_OUTCOMES,
     AnswerStatus,
     Change,
     ChangeKind,
@@ -24,6 +23,7 @@
 )
 from .messages import Claim, CompleteClaim, LogEvent, OutcomeStored
 from .paxos_register import Proposal, merge_all
+from .plan import MAX_OUTCOMES
 from .proposer import Proposer
 from .quorum_requests import QuorumRequests
 from .reachability import Reachability
--- a/sablewheel/replication/entries.py
+++ b/sablewheel/replication/entries.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum, StrEnum
 
-MAX_OUTCOMES = 2  # of one idempotency key; a second outcome proves a fault, a third one adds no evidence
+from .plan import MAX_OUTCOMES
+
 ENTRY_OVERHEAD_BYTES = 200  # approximate size of an entry without its value and results
 
 Key = tuple[str, bytes]  # collection, key
--- a/sablewheel/replication/packet_fields.py
+++ b/sablewheel/replication/packet_fields.py
@@ -5,8 +5,9 @@
 from math import isfinite
 
 from . import replication_pb2 as pb
-from .entries import MAX_OUTCOMES, Ballot, Entry, Key, Outcome, OutcomeStatus, Owner
+from .entries import Ballot, Entry, Key, Outcome, OutcomeStatus, Owner
 from .placement import MAX_WEIGHT, Site
+from .plan import MAX_OUTCOMES
 
 MAX_NAME_LENGTH = 200  # in characters
 MAX_KEY_BYTES = 1024  # of a key, group or digest
--- a/sablewheel/replication/plan.py
+++ b/sablewheel/replication/plan.py
@@ -7,6 +7,9 @@
 SLOTS = 1024  # number of ranges into which groups are hashed; must be the same on all members
 
 
+MAX_OUTCOMES = 2  # of one idempotency key; a second outcome proves a fault, a third one adds no evidence
+
+
 @dataclass(frozen=True)
 class Settings:
     """The settings of one member's replica.
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -22,7 +22,6 @@
 from sablewheel.replication.codec import encode
 from sablewheel.replication.entries import (
     EMPTY,
-    MAX_OUTCOMES,
     AnswerStatus,
     Change,
     ChangeKind,
@@ -46,7 +45,7 @@
     ViewInstalled,
 )
 from sablewheel.replication.placement import Placement, Site, slot_of
-from sablewheel.replication.plan import Settings
+from sablewheel.replication.plan import MAX_OUTCOMES, Settings
 from sablewheel.replication.range_transfer import Ranges
 from sablewheel.replication.replica import Replica
 
