--- a/tests/test_stored_files.py
+++ b/tests/test_stored_files.py
@@ -1,7 +1,7 @@
 """Files written by earlier commits stay readable.
 
 Version 0.2.0 is commit f8a8656, before the identifiers were renamed; 36b8362 is the last commit before the
-texts were reworded. Each fixture contains one small set of files of each kind, written by the programs of that
+texts were reworded. Each fixture contains one small set of files of each kind, written by the programs of its
 commit in one run: the result store of a server that was killed, its usage metering folder, and the journal of
 the collector. `expected.json` contains the results of the readers of that commit.
 """
