--- a/sablewheel/__main__.py
+++ b/sablewheel/__main__.py
@@ -9,8 +9,6 @@
 from errno import EADDRINUSE
 from typing import TYPE_CHECKING
 
-from .transport.start_retries import START_RETRY_INTERVAL_S, retry_transient_errors
-
 if TYPE_CHECKING:
     from .program.application import Application
     from .program.configuration import PlacementSettings
@@ -27,6 +25,7 @@
     """
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     from .program import configuration, logs
+    from .transport.start_retries import retry_transient_errors
 
     features, file = None, os.environ.get("SABLEWHEEL_FEATURES")
     try:
@@ -71,6 +70,7 @@
         OSError: The address can't be listened on, or a feature's folder can't be used.
     """
     from .program.application import Application
+    from .transport.start_retries import retry_transient_errors
 
     if features is not None:  # its parts retry: a second application would find what the first one holds
         return Application(placement_settings, features)
@@ -95,6 +95,8 @@
     """
     import socket
 
+    from .transport.start_retries import START_RETRY_INTERVAL_S
+
     deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
         if signal.sigpending() & {signal.SIGTERM, signal.SIGINT}:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -105,3 +105,13 @@
     deploy = tomllib.loads((ROOT.parent / "deploy" / "balancer.toml").read_text())
     modules = sorted(str(file.relative_to(ROOT.parent)) for file in (ROOT / "overload").rglob("*.py"))
     assert deploy["policy"] == modules
+
+
+def test_nothing_of_the_program_is_imported_before_signals_are_blocked() -> None:
+    """A termination signal that comes before kills the process; each import makes that moment longer."""
+    program = (
+        "import sys, sablewheel.__main__;"
+        "loaded = {name for name in sys.modules if name.startswith('sablewheel.')};"
+        "sys.exit(loaded != {'sablewheel.__main__'})"
+    )
+    assert subprocess.run([sys.executable, "-c", program], timeout=30).returncode == 0
