`recall compact` says what it could not read, not that it removed it

The line said "removed unreadable" for each damage. A file with an unreadable header, or without any readable record, is left where it is, so that was false there. It says "could not be read" now; the test wants the new text, as strictly. test_large_results.py passes.

--- a/sablewheel/command/recall.py
+++ b/sablewheel/command/recall.py
@@ -101,6 +101,6 @@
         click.echo(f"sablewheel recall: {folder}: {error}", err=True)
         sys.exit(1)
     for damage in compaction.damages:
-        click.echo(f"sablewheel recall: removed unreadable: {folder}/{damage}", err=True)
+        click.echo(f"sablewheel recall: could not be read: {folder}/{damage}", err=True)
     sizes = f"{compaction.bytes_before} bytes before, {compaction.bytes_after} after"
     click.echo(f"{compaction.run_count} labels kept, {sizes}")
--- a/sablewheel/result_store/folder.py
+++ b/sablewheel/result_store/folder.py
@@ -42,7 +42,7 @@
         bytes_before: The size of the log before it.
         bytes_after: The size of the log after it.
         run_count: The number of runs that were written.
-        damages: Descriptions of the bytes that could not be read, whose segments are deleted.
+        damages: Descriptions of the bytes that could not be read. Files without any readable record are left.
     """
 
     bytes_before: int
--- a/tests/test_large_results.py
+++ b/tests/test_large_results.py
@@ -278,7 +278,7 @@
     path.write_bytes(data)
     result = CliRunner().invoke(main, ["recall", "compact", str(tmp_path)])
     assert result.exit_code == 0 and "19 labels kept" in result.output
-    assert f"removed unreadable: {tmp_path}/{path.name}: bytes 34 to" in result.output
+    assert f"could not be read: {tmp_path}/{path.name}: bytes 34 to" in result.output
 
 
 def test_a_folder_with_a_record_over_the_limit_is_read(
