--- a/review/harness.py
+++ b/review/harness.py
@@ -387,6 +387,7 @@
         self.number, self._record = number, record
         self._chance = random.Random(seed * 1000 + number)
         self._connections: dict[str, list[Connection]] = {}
+        self._all: list[Connection] = []  # also those that take no more requests, but still owe answers
         self._connecting: dict[str, asyncio.Lock] = {}
         self.tries: list[Try] = []
 
@@ -408,6 +409,7 @@
                 return None
             connection = Connection(reader, writer, self._record)
             known.append(connection)
+            self._all.append(connection)
             return connection
 
     async def send(
@@ -433,9 +435,8 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for connections in self._connections.values():
-            for connection in connections:
-                connection.close()
+        for connection in self._all:
+            connection.close()
 
 
 class Case:
