Connections: one closed for invalid data is released at once, not by the collector

Cause: _receive kept the ProtocolError in a local variable after its except block. Error, traceback, frame and variable are a cycle, which holds the connection, its parser and all frames of its last read until the cyclic collector runs. The link to the interpreter had the same cycle with its buffers. Only the error's text is kept now.

--- a/sablewheel/serving/connection.py
+++ b/sablewheel/serving/connection.py
@@ -105,16 +105,16 @@
 
     def _receive(self, data: bytes) -> None:
         self.last_used_at = now = self._owner.scheduler.clock.now
-        invalid: resp.ProtocolError | None = None
+        invalid: str | None = None  # not the error, whose traceback refers to this frame: that is a cycle
         try:
             frames = self._parser.feed(data)
         except resp.ProtocolError as error:
-            frames, invalid = error.frames, error
+            frames, invalid = error.frames, str(error)
         try:
             for words in frames:
                 self._handle_frame(words)
         except resp.ProtocolError as error:
-            invalid = error
+            invalid = str(error)
         if invalid is not None:
             self._owner.count("frames_garbled")
             log.warning("invalid data on connection", extra={"pairs": {"reason": invalid}})
@@ -161,7 +161,7 @@
         """
         self._owner.count("frames_faulty")
         tag = error.tag
-        log.warning("invalid message", extra={"pairs": {"tag": tag, "reason": error}})
+        log.warning("invalid message", extra={"pairs": {"tag": tag, "reason": str(error)}})
         if not tag or tag in self.open:
             if tag:
                 self._cancel(self.open[tag])
--- a/sablewheel/serving/interpreter_client.py
+++ b/sablewheel/serving/interpreter_client.py
@@ -230,19 +230,19 @@
         self._count("links")
         try:
             self._receive(stream)
-            reason: object = "the interpreter closed it"
+            reason = "the interpreter closed it"
         except interpreter.ProtocolError as error:
             self._count("notices_garbled")
             self._skip_unreadable(error)
-            reason = error
+            reason = str(error)  # the error itself would keep the link's buffers, through its traceback
         except Exception as error:  # an internal error must not end the reconnection loop
             self._count("faults")
             log.exception("link broken by a fault")
-            reason = error
+            reason = str(error)
         if self._stream is stream:
             self._lose_link(stream, reason)
 
-    def _lose_link(self, stream: Stream, reason: object) -> None:
+    def _lose_link(self, stream: Stream, reason: str) -> None:
         """Close the link. Commands that were not written yet are written to the next one."""
         unproven = sum(run.fence > self._fences.proven for run in self._runs.values())
         pairs = {"reason": reason, "open_runs": len(self._runs), "unproven": unproven}
