Protocol: no more is kept of an unfinished message than a valid one can have

Cause: the parser kept up to 16 words of 64 KiB of an incomplete array, a megabyte for each connection, though the longest valid message has about 3 KB. It was freed only with the connection.

Change: the most that a valid message has is computed from the protocol and the configured names; a word beyond it is read, counted and dropped. The message is answered as before, with an error and its tag, or by a close. What is kept of an incomplete message is dropped when reading stops. The buffer is replaced, not resized: blocks shrunk in place leave holes in the heap. Unknown fields may now have about 700 bytes, before 64 KiB.

--- a/sablewheel/protocol/resp.py
+++ b/sablewheel/protocol/resp.py
@@ -6,12 +6,15 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TypeAlias
 
 MAX_FRAME_WORDS = 16
 MAX_WORD_BYTES = 1 << 16
 MAX_BODY_BYTES = 2048
+MAX_VERB_BYTES = 10
+MAX_FIELDS_BYTES = 1024  # without the tenant's name; the known fields have under 350 together
 MAX_DIGITS = 19
 MEMORY_LIMIT_KB = 2000.0  # a request's memory has to be less
 # Patterns, since Python's own number parsers also accept signs, blanks, underscores and exponents.
@@ -99,20 +102,55 @@
 Message: TypeAlias = RequestMessage | CancelMessage | HealthCheckMessage
 
 
+class SkippedWord(bytes):
+    """An empty word in place of one that was not kept, as its frame exceeds the limit of a message."""
+
+    __slots__ = ()
+
+
+def max_message_bytes(class_names: Iterable[bytes], tenant_names: Iterable[bytes]) -> int:
+    """Return how many bytes the words of a valid message have at most, without their headers."""
+    longest_class = max(map(len, class_names), default=0)
+    longest_tenant = max(map(len, tenant_names), default=0)
+    return MAX_VERB_BYTES + MAX_DIGITS + longest_class + MAX_FIELDS_BYTES + longest_tenant + MAX_BODY_BYTES
+
+
 class Parser:
-    """Incremental parser: takes bytes as they are read and returns the arrays that are complete."""
+    """Incremental parser: takes bytes as they are read and returns the arrays that are complete.
+
+    Invariant: of an incomplete array no more than `max_frame_bytes` and one header are kept. Words beyond
+    that are read, counted and dropped, so that the array can still be answered.
+
+    Args:
+        max_frame_bytes: The limit of the words of one array together; a word that would exceed it is
+            returned as a `SkippedWord`.
+    """
 
-    def __init__(self) -> None:
-        self._buffer = bytearray()
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_WORDS * MAX_WORD_BYTES) -> None:
+        self._max_frame_bytes = max_frame_bytes
+        self._buffer = b""  # replaced, not resized: blocks that shrink in place fragment the heap
         self._position = 0
         self._words: list[bytes] = []
+        self._word_bytes = 0  # in the words of the incomplete array
         self._missing_words = 0  # number of words that the incomplete array lacks; 0 if there is none
+        self._missing_skipped_bytes: int | None = None  # of a word that is skipped; None if none is
 
     @property
     def partial(self) -> bool:
         """Whether an array was received in part only."""
         return bool(self._buffer or self._missing_words)
 
+    @property
+    def kept_bytes(self) -> int:
+        """The number of bytes kept of arrays that are incomplete, or not returned yet."""
+        return len(self._buffer) - self._position + self._word_bytes
+
+    def clear(self) -> None:
+        """Drop what was received of an incomplete array, and all bytes after it."""
+        self._buffer, self._words = b"", []
+        self._position = self._word_bytes = self._missing_words = 0
+        self._missing_skipped_bytes = None
+
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Return the frames that `data` completes.
 
@@ -120,41 +158,43 @@
             ProtocolError: The bytes are not of this protocol.
         """
         self._buffer += data
-        self._position = 0
         frames: list[list[bytes]] = []
         try:
-            self._parse_frames(frames)
+            while (frame := self._next_frame()) is not None:
+                frames.append(frame)
         except ProtocolError as error:
             error.frames = frames
             raise
-        del self._buffer[: self._position]
+        self._buffer, self._position = self._buffer[self._position :], 0
         return frames
 
-    def _parse_frames(self, frames: list[list[bytes]]) -> None:
-        """Append all complete frames to `frames`."""
+    def _next_frame(self) -> list[bytes] | None:
+        """Return the next complete frame, or None while it is incomplete."""
         while True:
             if not self._missing_words:
                 count = self._parse_length(b"*", MAX_FRAME_WORDS)
                 if count is None:
-                    return
+                    return None
                 if not count:
                     raise ProtocolError("empty array")
                 self._words, self._missing_words = [], count
             word = self._parse_word()
             if word is None:
-                return
+                return None
             self._words.append(word)
+            self._word_bytes += len(word)
             self._missing_words -= 1
             if not self._missing_words:
-                frames.append(self._words)
+                frame, self._words, self._word_bytes = self._words, [], 0
+                return frame
 
     def _parse_length(self, prefix: bytes, limit: int) -> int | None:
         """Return the number in a header line, or None while the line is incomplete."""
         start = self._position
         if len(self._buffer) > start and self._buffer[start : start + 1] != prefix:
-            raise ProtocolError(f"expected {prefix!r}, got {bytes(self._buffer[start : start + 1])!r}")
+            raise ProtocolError(f"expected {prefix!r}, got {self._buffer[start : start + 1]!r}")
         end = self._buffer.find(b"\r\n", start, start + MAX_DIGITS + 3)
-        digits = bytes(self._buffer[start + 1 : end if end >= 0 else None])
+        digits = self._buffer[start + 1 : end if end >= 0 else start + MAX_DIGITS + 3]
         if end < 0:
             if len(digits) > MAX_DIGITS + 1:
                 raise ProtocolError(f"length without CR LF after {MAX_DIGITS} digits")
@@ -166,18 +206,40 @@
 
     def _parse_word(self) -> bytes | None:
         """Return the next bulk string, or None while it is incomplete."""
+        if self._missing_skipped_bytes is not None:
+            return self._skip_word()
         word_start = self._position
         size = self._parse_length(b"$", MAX_WORD_BYTES)
         if size is None:
             return None
+        if self._word_bytes + size > self._max_frame_bytes:
+            self._missing_skipped_bytes = size
+            return self._skip_word()
         start, end = self._position, self._position + size
         if len(self._buffer) < end + 2:
             self._position = word_start
             return None
+        self._position = end
+        self._parse_line_end()
+        return self._buffer[start:end]
+
+    def _skip_word(self) -> SkippedWord | None:
+        """Drop the bytes of a word as they are received; return its substitute once all were."""
+        assert self._missing_skipped_bytes is not None
+        dropped = min(self._missing_skipped_bytes, len(self._buffer) - self._position)
+        self._position += dropped
+        self._missing_skipped_bytes -= dropped
+        if self._missing_skipped_bytes or len(self._buffer) < self._position + 2:
+            return None
+        self._parse_line_end()
+        self._missing_skipped_bytes = None
+        return SkippedWord()
+
+    def _parse_line_end(self) -> None:
+        end = self._position
         if self._buffer[end : end + 2] != b"\r\n":
             raise ProtocolError("bulk string is not followed by CR LF at its declared length")
         self._position = end + 2
-        return bytes(self._buffer[start:end])
 
 
 def parse_message(words: list[bytes]) -> Message:
@@ -189,6 +251,8 @@
     if len(words) < 2 or not words[1].isdigit() or len(words[1]) > MAX_DIGITS or not int(words[1]):
         raise InvalidMessageError("missing or invalid tag")
     verb, tag = words[0], int(words[1])
+    if any(isinstance(word, SkippedWord) for word in words):
+        raise InvalidMessageError("larger than any valid message", tag)
     match verb, len(words):
         case b"RPC.CALL", 4 | 5:
             return _parse_request(tag, words)
--- a/sablewheel/serving/connection.py
+++ b/sablewheel/serving/connection.py
@@ -30,6 +30,7 @@
     server_status: ServerStatus
     observer: RequestObserver
     count: Callable[[str], None]
+    max_message_bytes: int
 
     def make_request(self, message: resp.RequestMessage) -> Request:
         """Return the request of a message. Raises `InvalidMessageError`."""
@@ -70,7 +71,7 @@
         self.reading_stopped = False
         self.shut_down_at: float | None = None
         self._owner = owner
-        self._parser = resp.Parser()
+        self._parser = resp.Parser(owner.max_message_bytes)
         self._answers: list[Callable[[float | None], bytes]] = []
         self._discarded_bytes = 0
         self._peer_open = True  # False once the end of the peer's stream was read
@@ -100,7 +101,7 @@
             return self.close(CloseReason.PEER_ENDED)
         if not self.reading_stopped:
             self._owner.count("connections_half_closed")
-        self.close_announced = self.reading_stopped = True
+        self._discard_from_now_on()
         return None
 
     def _receive(self, data: bytes) -> None:
@@ -126,6 +127,12 @@
             self.frame_deadline = now + FRAME_TIMEOUT_S
         return None
 
+    def _discard_from_now_on(self) -> None:
+        """Discard what was received of an incomplete frame, and all data from now on."""
+        self.close_announced = self.reading_stopped = True
+        self.frame_deadline = inf
+        self._parser.clear()
+
     def _discard(self, size: int) -> bool:
         """Discard data that was read after reading stopped. Returns whether the limit is exceeded."""
         if self.shut_down_at is not None and not self._discarded_bytes:
@@ -215,8 +222,7 @@
     def stop_reading(self, reason: CloseReason) -> None:
         """Accept no more data. Requests received before are answered, then the connection is shut down."""
         self._log("stopped reading from connection", reason)
-        self.close_announced = self.reading_stopped = True
-        self.frame_deadline = inf
+        self._discard_from_now_on()
         if self.idle:
             self.shut_down(reason)
 
@@ -230,7 +236,7 @@
             return self.close(reason)
         if self.shut_down_at is None:
             self._log("connection shut down for writing", reason)
-            self.close_announced = self.reading_stopped = True
+            self._discard_from_now_on()
             self.shut_down_at = self._owner.scheduler.clock.now
             self.stream.shut_down_writing()
             if not self.stream.open:
--- a/sablewheel/serving/listener.py
+++ b/sablewheel/serving/listener.py
@@ -66,6 +66,7 @@
     ) -> None:
         self.scheduler, self.server_status, self.handler = scheduler, server_status, handler
         self.count, self.observer = count, observer
+        self.max_message_bytes = resp.max_message_bytes(request_classes, tenants)
         self.connections: dict[Connection, None] = {}
         self._request_classes, self._tenants = request_classes, tenants
         self._max_connections = max_connections
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import tracemalloc
 import weakref
 from collections.abc import Iterator
 
@@ -73,3 +74,51 @@
     reference = weakref.ref(link)
     del link
     assert reference() is None
+
+
+def allocated_bytes(server: SimulatedServer, chunks: list[bytes], connections: int) -> int:
+    """Return how many bytes more are allocated once that many peers have sent these chunks each."""
+    streams = [connect(server)[0] for _ in range(connections)]
+    gc.collect()
+    tracemalloc.start()
+    try:
+        for chunk in chunks:
+            for stream in streams:
+                stream.feed(bytes(bytearray(chunk)))  # a copy for each, as a socket gives
+            server.settle()
+        gc.collect()
+        return tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def test_messages_without_end_need_no_more_memory_than_the_largest_valid_one() -> None:
+    """Guards against the megabyte that the parser kept of each peer that had not finished (review/3)."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    head, word = b"*16\r\n$8\r\nRPC.CALL\r\n", b"$65000\r\n" + b"x" * 65_000 + b"\r\n"
+    data = head + word * 14
+    chunks = [data[position : position + 4096] for position in range(0, len(data), 4096)]
+    peers = 30
+    assert allocated_bytes(server, chunks, peers) < peers * 3 * server.listener.max_message_bytes
+    assert len(server.listener.connections) == peers + 1
+
+
+def test_what_an_unfinished_message_needs_is_released_when_reading_stops() -> None:
+    """Guards against the buffer of a peer that is disconnected, or has left, but whose requests are open."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    stream, connection = connect(server)
+    stream.feed(call(1, NAME, b"lookup", server.now, b"body"))
+    stream.feed(frame(b"RPC.CALL", b"2", b"lookup", b"", b"x" * 2000)[:-9])
+    server.settle()
+    assert connection._parser.kept_bytes > 2000
+    stream.feed(b"")
+    server.settle()
+    assert connection.open and connection._parser.kept_bytes == 0
+
+
+def test_a_message_that_is_too_large_fails_and_its_connection_stays_usable() -> None:
+    server = SimulatedServer(SERVER_SETTINGS)
+    large = frame(b"RPC.CALL", b"71", b"lookup", b"x" * 40_000, b"x" * 65_536)
+    assert [words[:2] for words in server.ask(large)] == [[b"71", b"FAILED"]]
+    assert [words[:2] for words in server.ask(frame(b"RPC.HEALTH", b"72", b""))] == [[b"72", b"UP"]]
+    assert server.client.open
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -92,6 +92,59 @@
         interpreter.Parser().feed(data)
 
 
+@settings(max_examples=200, derandomize=True, database=None, deadline=None)
+@given(
+    st.lists(st.lists(st.integers(0, 400), min_size=1, max_size=16), min_size=1, max_size=4),
+    st.integers(1, 300),
+    st.integers(1, 700),
+)
+def test_a_frame_over_the_limit_is_parsed_without_its_words_beyond_it(
+    sizes: list[list[int]], limit: int, read_size: int
+) -> None:
+    """Guards against a parser that keeps all of a message that can't be valid."""
+    expected = [[bytes([index % 251]) * size for index, size in enumerate(words)] for words in sizes]
+    data = b"".join(frame(*words) for words in expected)
+    parser = resp.Parser(limit)
+    frames: list[list[bytes]] = []
+    for position in range(0, len(data), read_size):
+        frames += parser.feed(data[position : position + read_size])
+        assert parser.kept_bytes <= limit + len(b"$65536\r\n") + len(b"\r\n")
+    assert not parser.partial and parser.kept_bytes == 0
+    for words, original in zip(frames, expected, strict=True):
+        kept = [None if isinstance(word, resp.SkippedWord) else word for word in words]
+        sum_bytes = 0
+        for word, original_word in zip(kept, original, strict=True):
+            fits = sum_bytes + len(original_word) <= limit
+            assert word == (original_word if fits else None)
+            sum_bytes += len(original_word) * fits
+
+
+def test_a_message_over_the_limit_is_invalid_and_a_valid_one_never_exceeds_it() -> None:
+    limit = resp.max_message_bytes([b"lookup", b"record"], [b"a" * 5000])
+    body = b"x" * resp.MAX_BODY_BYTES
+    fields = (
+        b"ref=%b,since=%b,sender=%b,room=%b,class_rank=%b,replay=%b,lookup=%b,allow=%b,dup=%b,effort=%b"
+        % (
+            NAME,
+            b"1" * 16,
+            b"1" * 19,
+            b"1" + b"." + b"1" * 9,
+            b"0." + b"1" * 19,
+            NAME * 2,
+            b"x" * 64,
+            b"1" * 9,
+            b"1" * 9,
+            b"1" * 9 + b"." + b"1" * 9,
+        )
+    )
+    largest = frame(b"RPC.CALL", b"9" * 19, b"record", fields + b",project=" + b"a" * 5000, body)
+    assert isinstance(resp.parse_message(resp.Parser(limit).feed(largest)[0]), resp.RequestMessage)
+    too_large = frame(b"RPC.CALL", b"9", b"record", fields, b"x" * 65_536)
+    with pytest.raises(resp.InvalidMessageError) as caught:
+        resp.parse_message(resp.Parser(limit).feed(too_large)[0])
+    assert caught.value.tag == 9
+
+
 def test_the_fields_of_a_call_that_decisions_depend_on_are_parsed() -> None:
     words = frame(
         b"RPC.CALL",
