Connections: what was read last is not kept while the next read waits

What was seen: with the parser bounded, 400 connections in the middle of a message with no end still needed 16.7 kB each, though the parser kept nothing of it.

Cause: the loop variable of each reading greenlet refers to the last read, up to 16 KiB, until the next read returns. The collector's connections did the same, and links between peers kept their last frame, up to a megabyte, too.

Change: a read is handled in a function that returns before the next wait, in all three.

Tests: one for each of the three places; all fail before.

--- a/sablewheel/forwarding/peer_connections.py
+++ b/sablewheel/forwarding/peer_connections.py
@@ -294,16 +294,22 @@
             self._scheduler.after(self._settings.ping_interval_s, self._ping_connections)
 
     def _read_frames(self, connection: Connection) -> None:
-        data: bytes = b""
-        while True:
-            for message in connection.reader.feed(data):
-                if connection not in self._connections or not self._handle_frame(connection, message):
-                    return
+        """Read and handle frames until the connection ends; first those read with the handshake."""
+        data = b""
+        while self._handle_data(connection, data):
+            data = b""  # not retained while the next read waits
             data = connection.stream.read()
             if not data:
                 return
             connection.last_received_at = self._clock()
 
+    def _handle_data(self, connection: Connection, data: bytes) -> bool:
+        """Handle the frames that the data completes; return whether to read on."""
+        for message in connection.reader.feed(data):
+            if connection not in self._connections or not self._handle_frame(connection, message):
+                return False
+        return True
+
     def _handle_frame(self, connection: Connection, message: pb.Frame) -> bool:
         """Handle a frame; return False for a bye frame."""
         now = self._clock()
--- a/sablewheel/serving/connection.py
+++ b/sablewheel/serving/connection.py
@@ -86,11 +86,8 @@
     def serve(self) -> None:
         """Read until the end of the stream. The peer may close only its side and still wait for answers."""
         try:
-            while data := self.stream.read():
-                if not self.reading_stopped:
-                    self._receive(data)
-                elif self._discard(len(data)):
-                    break
+            while self._read():
+                pass
         except Exception:
             # If the connection stayed open, data that is not read yet would never be read.
             log.exception("connection closed by a fault")
@@ -104,6 +101,17 @@
         self._discard_from_now_on()
         return None
 
+    def _read(self) -> bool:
+        """Read once. Returns whether to read on.
+
+        A function of its own, so that the data is not retained while the next read waits.
+        """
+        data = self.stream.read()
+        if not self.reading_stopped and data:
+            self._receive(data)
+            return True
+        return bool(data) and not self._discard(len(data))
+
     def _receive(self, data: bytes) -> None:
         self.last_used_at = now = self._owner.scheduler.clock.now
         invalid: str | None = None  # not the error, whose traceback refers to this frame: that is a cycle
--- a/sablewheel/usage_metering/collector.py
+++ b/sablewheel/usage_metering/collector.py
@@ -43,15 +43,22 @@
     def serve(self) -> None:
         """Read frames until the connection ends; they are handled at the end of the round."""
         try:
-            while not self.closing and (data := self.stream.read()):
-                self.last_received_at = self._collector.scheduler.clock.now
-                self.inbox.extend(self.decoder.feed(data))
-                self._collector.dirty[self] = None
+            while not self.closing and self._read():
+                pass
         except FrameError as error:
             self._collector.refuse(self, Refusal("frame", str(error)))
         if not self.closing:
             self._collector.drop(self)
 
+    def _read(self) -> bool:
+        """Read once; return False at the end. The data is not retained while the next read waits."""
+        data = self.stream.read()
+        self.last_received_at = self._collector.scheduler.clock.now
+        if data:
+            self.inbox.extend(self.decoder.feed(data))
+            self._collector.dirty[self] = None
+        return bool(data)
+
     def send_frame(self, message: pb.Frame) -> None:
         """Write one frame to the server."""
         self.stream.write(encode_frame(message))
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 import gc
+import sys
 import tracemalloc
 import weakref
 from collections.abc import Iterator
+from types import SimpleNamespace
 
 import pytest
-from simulated_server import FakeStream, SimulatedServer, call, frame
+from simulated_server import FakeScheduler, FakeStream, SimulatedServer, call, frame
+from test_forwarding import LoopbackFleet, run_greenlet, wait
 from test_serving import SERVER_SETTINGS
 
+from sablewheel.forwarding import connection as peers
+from sablewheel.forwarding import forwarding_pb2
+from sablewheel.forwarding.peer_connections import PeerConnections
 from sablewheel.serving.connection import Connection
+from sablewheel.transport.scheduler import Scheduler
+from sablewheel.usage_metering import collector
+from sablewheel.usage_metering import usage_metering_pb2 as pb
+from sablewheel.usage_metering.frames import encode_frame
 
 NAME = b"9b1f03aa5c7e2d41"
 
@@ -86,6 +96,7 @@
             for stream in streams:
                 stream.feed(bytes(bytearray(chunk)))  # a copy for each, as a socket gives
             server.settle()
+            server.counts.clear()
         gc.collect()
         return tracemalloc.get_traced_memory()[0]
     finally:
@@ -98,9 +109,9 @@
     head, word = b"*16\r\n$8\r\nRPC.CALL\r\n", b"$65000\r\n" + b"x" * 65_000 + b"\r\n"
     data = head + word * 14
     chunks = [data[position : position + 4096] for position in range(0, len(data), 4096)]
-    peers = 30
-    assert allocated_bytes(server, chunks, peers) < peers * 3 * server.listener.max_message_bytes
-    assert len(server.listener.connections) == peers + 1
+    clients = 30
+    assert allocated_bytes(server, chunks, clients) < clients * 3 * server.listener.max_message_bytes
+    assert len(server.listener.connections) == clients + 1
 
 
 def test_what_an_unfinished_message_needs_is_released_when_reading_stops() -> None:
@@ -122,3 +133,63 @@
     assert [words[:2] for words in server.ask(large)] == [[b"71", b"FAILED"]]
     assert [words[:2] for words in server.ask(frame(b"RPC.HEALTH", b"72", b""))] == [[b"72", b"UP"]]
     assert server.client.open
+
+
+READ_BYTES = 16_384
+
+
+def test_the_last_read_of_a_client_is_not_kept_while_the_next_one_is_awaited() -> None:
+    """Guards against a local variable of the reading greenlet, which kept 16 KiB of each peer."""
+    server, clients = SimulatedServer(SERVER_SETTINGS), 30
+    cancel = frame(b"RPC.CANCEL", b"7")
+    data = cancel * (READ_BYTES // len(cancel))
+    assert allocated_bytes(server, [data], clients) < clients * READ_BYTES / 4
+
+
+def test_the_last_read_of_a_server_is_not_kept_by_the_collector() -> None:
+    scheduler = FakeScheduler()
+    streams = [FakeStream(scheduler) for _ in range(30)]
+    owner = SimpleNamespace(scheduler=scheduler, dirty={}, drop=lambda connection: None)
+    connections = [collector.Connection(owner, stream, 1 << 20) for stream in streams]  # type: ignore[arg-type]
+    for connection in connections:
+        scheduler.spawn(connection.serve)
+    scheduler.run_ready()
+    lost = encode_frame(pb.Frame(lost=pb.Lost(reason="x" * (READ_BYTES - 100))))
+    tracemalloc.start()
+    try:
+        for stream in streams:
+            stream.feed(bytes(bytearray(lost)))
+        scheduler.run_ready()
+        for connection in connections:
+            assert len(connection.inbox) == 1
+            connection.inbox.clear()
+        assert tracemalloc.get_traced_memory()[0] < len(streams) * READ_BYTES / 4
+    finally:
+        tracemalloc.stop()
+
+
+def test_the_last_frame_of_a_peer_is_not_kept_while_the_next_one_is_awaited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the same in a link between peers, where a frame may have a megabyte."""
+    frames: list[forwarding_pb2.Frame] = []
+    original = PeerConnections._handle_frame
+
+    def record(links: PeerConnections, connection: peers.Connection, message: forwarding_pb2.Frame) -> bool:
+        if message.WhichOneof("body") == "data":
+            frames.append(message)
+        return original(links, connection, message)
+
+    monkeypatch.setattr(PeerConnections, "_handle_frame", record)
+
+    def body(scheduler: Scheduler) -> None:
+        fleet = LoopbackFleet(scheduler, "ab", ping_interval_s=60.0, max_silence_s=120.0)
+        sender, _ = fleet.start("a"), fleet.start("b")
+        sender.send("b", "word", b"x" * 900_000, expires_in_s=2.0)
+        wait(scheduler, lambda: frames)
+        scheduler.sleep(0.02)
+        references = sys.getrefcount(frames[0])  # protobuf messages have no weak references
+        assert references == 2, "more than the list and the argument"
+        fleet.close()
+
+    run_greenlet(body)
