Connections: one sum limits what all of them hold, from the configured memory

What callers saw: clients that send many requests at once, or don't read their answers, add up without a limit: by arithmetic 55 to 90 MB for 492 connections in servers of 32 to 192 MB, and the platform kills the process.

Cause: each connection had limits of its own, and nothing knew the sum.

The number of connections follows where memory allows fewer than descriptors. A request for which there is no room is rejected at once, or fails if an attempt of it may have run; a client with unread answers is not read; if these need too much, the connections with the most are closed. Counters and gauges tell it.

Tests: invariants of the sum and the plan, the four rules with little memory, rejections, repeats, peers that don't read.

--- a/sablewheel/overload/interface/actions.py
+++ b/sablewheel/overload/interface/actions.py
@@ -15,6 +15,7 @@
     DRAINING = "draining"  # the request arrived after the grace period of the drain
     IDEMPOTENCY_TABLE_FULL = "no_room"  # the idempotency key cannot be stored yet
     MEMORY = "memory"  # the memory limit would be exceeded
+    CONNECTION_MEMORY = "connection_memory"  # the server's connections hold as much as they may
     WAIT_BUDGET = "wait"  # the wait would exceed the budget, or the objective is out of reach
     QUEUE_TIMEOUT = "held_out"  # the request was queued for too long
 
--- a/sablewheel/program/application.py
+++ b/sablewheel/program/application.py
@@ -10,12 +10,13 @@
 from typing import TYPE_CHECKING
 
 from ..overload.interface import Outcome
-from ..protocol import naming
+from ..protocol import naming, resp
 from ..serving.dispatcher import Dispatcher
 from ..serving.exchange import Exchange, ServerStatus
 from ..serving.idempotency_keys import IdempotencyTable
 from ..serving.interpreter_client import InterpreterClient
 from ..serving.listener import RequestHandler, RequestListener
+from ..transport.connection_memory import ConnectionMemory
 from ..transport.datagram import DatagramSender
 from ..transport.listening_socket import Listener
 from ..transport.scheduler import Clock, Scheduler
@@ -25,6 +26,7 @@
 from .configuration_reload import ConfigurationReloader, merge
 from .counters import Counters
 from .feature import Feature, NoFeature
+from .memory_plan import plan_memory
 
 if TYPE_CHECKING:
     from .feature_file import Features
@@ -36,7 +38,7 @@
 ANSWER_MARGIN_S = 2 * END_MARGIN_S  # before the stop: all open requests are answered
 MIN_FINAL_ROUNDS_S = 0.002  # from the last answers to the end of the event loop, however late the answers are
 CLOSE_RETRY_S = 0.02  # between attempts to close the listening socket while connections are queued on it
-RESULT_MEMORY_DIVISOR = 16  # cached results may use 1/16 of the program's memory
+MAX_UNSENT_CLIENT_BYTES = 0  # a client with unsent answers is not read, since it does not read either
 
 log = logging.getLogger(__name__)
 
@@ -77,6 +79,11 @@
         self.phase = Phase.WAITING
         self._placement_settings = placement_settings
         self._counters = Counters()
+        self._memory_plan = plan_memory(
+            placement_settings.memory_bytes,
+            placement_settings.max_connections,
+            resp.max_message_bytes(placement_settings.request_classes, placement_settings.tenants),
+        )
         self._scheduler = Scheduler(Clock())
         self._scheduler.on_internal_error = lambda: self._counters.count("faults")
         self._server_status = ServerStatus()
@@ -97,6 +104,7 @@
                 self._request_listener.has_capacity,
                 self._request_listener.accepted,
                 self._request_listener.evict_unused,
+                MAX_UNSENT_CLIENT_BYTES,
             )
         )
         self._interpreter = InterpreterClient(
@@ -131,7 +139,7 @@
         idempotency_keys = IdempotencyTable(
             self._longest_timeout_s(),
             placement_settings.server_settings.answer_slack_s,
-            max(placement_settings.memory_bytes // RESULT_MEMORY_DIVISOR, self._features.max_result_bytes),
+            max(self._memory_plan.result_bytes, self._features.max_result_bytes),
         )
         return Dispatcher(
             self._scheduler,
@@ -156,6 +164,8 @@
             self._max_client_connections(),
             self._features.observer,
             placement_settings.server_settings.clients,
+            ConnectionMemory(self._memory_plan.shared_bytes, self._memory_plan.reserved_bytes),
+            self._dispatcher.reject_for_memory,
         )
 
     def _longest_timeout_s(self) -> float:
@@ -333,9 +343,10 @@
         self._request_listener.set_max_connections(self._max_client_connections())
 
     def _max_client_connections(self) -> int:
-        """Return how many connections clients may have, given the descriptors that features need now."""
-        max_connections = self._placement_settings.max_connections
-        return max(max_connections - self._features.descriptors, max_connections // 2)
+        """Return how many connections clients may have by memory and the descriptors that features leave."""
+        descriptors = self._placement_settings.max_connections
+        left_by_features = max(descriptors - self._features.descriptors, descriptors // 2)
+        return min(left_by_features, self._memory_plan.max_connections)
 
     # -- reports and counters
 
@@ -372,6 +383,7 @@
             open_requests=self._dispatcher.open_count,
             open_connections=len(self._request_listener.connections),
             said=self._server_status.advertised,
+            **self._request_listener.memory_gauges(),
             **self._dispatcher.outcomes.rejections,
             **self._dispatcher.outcomes.failures,
             **self._features.gauges(),
--- a/sablewheel/protocol/resp.py
+++ b/sablewheel/protocol/resp.py
@@ -118,6 +118,8 @@
 class Parser:
     """Incremental parser: takes bytes as they are read and returns the arrays that are complete.
 
+    `add` takes bytes, and `next_frame` returns one array after the other; `feed` does both.
+
     Invariant: of an incomplete array no more than `max_frame_bytes` and one header are kept. Words beyond
     that are read, counted and dropped, so that the array can still be answered.
 
@@ -157,19 +159,32 @@
         Raises:
             ProtocolError: The bytes are not of this protocol.
         """
-        self._buffer += data
+        self.add(data)
         frames: list[list[bytes]] = []
         try:
-            while (frame := self._next_frame()) is not None:
+            while (frame := self.next_frame()) is not None:
                 frames.append(frame)
         except ProtocolError as error:
             error.frames = frames
             raise
-        self._buffer, self._position = self._buffer[self._position :], 0
         return frames
 
-    def _next_frame(self) -> list[bytes] | None:
-        """Return the next complete frame, or None while it is incomplete."""
+    def add(self, data: bytes) -> None:
+        """Take bytes as they were read."""
+        self._buffer, self._position = self._buffer[self._position :] + data, 0
+
+    def next_frame(self) -> list[bytes] | None:
+        """Return the next complete frame, or None while it is incomplete.
+
+        Raises:
+            ProtocolError: The bytes are not of this protocol.
+        """
+        frame = self._parse_frame()
+        if frame is None:
+            self._buffer, self._position = self._buffer[self._position :], 0
+        return frame
+
+    def _parse_frame(self) -> list[bytes] | None:
         while True:
             if not self._missing_words:
                 count = self._parse_length(b"*", MAX_FRAME_WORDS)
--- a/sablewheel/serving/close_reasons.py
+++ b/sablewheel/serving/close_reasons.py
@@ -21,6 +21,7 @@
     GIVEN_UP = "given_up"  # its deadline passed, or its run was cancelled
     STOPPING = "stopping"  # the process stops while its run continues
     FAULT = "fault"  # an internal error
+    NO_MEMORY = "no_memory"  # a repeat of a request that may have run, while connections have no memory left
 
 
 class CloseReason(Enum):
@@ -38,6 +39,7 @@
     STOPPING = "stopping"
     LINGERED = "lingered"  # shut down for writing, but the peer kept its side open
     STUCK = "stuck"  # the peer does not read its answers
+    MEMORY = "memory"  # it holds most of the answers that peers do not read, and they need too much memory
     UNFINISHED = "unfinished"  # a frame was not completed in time
     LEFT_OPEN = "left_open"  # the close was announced, but the client kept the connection open
 
--- a/sablewheel/serving/connection.py
+++ b/sablewheel/serving/connection.py
@@ -19,10 +19,17 @@
 FIRST_FRAME_TIMEOUT_S = 2.0
 FRAME_TIMEOUT_S = 2.0  # for any later frame, from its first byte
 MAX_DISCARDED_BYTES = 1 << 16  # read after reading stopped, so that no reset destroys answers
+MIN_READ_BYTES = 1024  # at once, however much of a message is kept; what was not read yet is the kernel's
+REQUEST_BYTES = 1536  # memory of a request that is not answered, without its body
 
 log = logging.getLogger(__name__)
 
 
+def max_unfinished_bytes(max_message_bytes: int) -> int:
+    """Return how much a connection keeps at most of what it has read and not handled."""
+    return max_message_bytes + MIN_READ_BYTES
+
+
 class ConnectionOwner(Protocol):
     """The part of the listener that connections use."""
 
@@ -31,6 +38,7 @@
     observer: RequestObserver
     count: Callable[[str], None]
     max_message_bytes: int
+    max_unfinished_bytes: int
 
     def make_request(self, message: resp.RequestMessage) -> Request:
         """Return the request of a message. Raises `InvalidMessageError`."""
@@ -38,6 +46,9 @@
     def arrived(self, exchange: Exchange) -> None:
         """Called when a request was received."""
 
+    def memory_full(self, exchange: Exchange) -> None:
+        """Called instead of `arrived` if there is no memory for a request; answers it at once."""
+
     def cancelled(self, exchange: Exchange) -> None:
         """Called when the client no longer waits for an answer."""
 
@@ -59,10 +70,12 @@
         close_announced: Whether the client was asked to send no new request, or can send none.
         reading_stopped: Whether received data is discarded; open requests are still answered.
         shut_down_at: When the writing side was shut down; None if it was not.
+        account: Counts the memory that the connection holds.
     """
 
     def __init__(self, owner: ConnectionOwner, stream: Stream) -> None:
         self.stream = stream
+        self.account = stream.account
         self.open: dict[int, Exchange] = {}
         self.last_used_at = owner.scheduler.clock.now
         self.frame_deadline = self.last_used_at + FIRST_FRAME_TIMEOUT_S
@@ -81,6 +94,11 @@
         """Whether no request is open and all answers are sent, including those of this round."""
         return not self.open and not self._answers and self.stream.all_sent
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """How much is kept of a message that was received in part."""
+        return self._parser.kept_bytes
+
     # -- reading
 
     def serve(self) -> None:
@@ -102,37 +120,43 @@
         return None
 
     def _read(self) -> bool:
-        """Read once. Returns whether to read on.
+        """Read once, and handle the frames that are complete. Returns whether to read on.
 
         A function of its own, so that the data is not retained while the next read waits.
         """
-        data = self.stream.read()
-        if not self.reading_stopped and data:
-            self._receive(data)
-            return True
-        return bool(data) and not self._discard(len(data))
+        data = self.stream.read(self._owner.max_unfinished_bytes - self._parser.kept_bytes)
+        if not data or self.reading_stopped:
+            return bool(data) and not self._discard(len(data))
+        self._receive(data)
+        return True
 
     def _receive(self, data: bytes) -> None:
-        self.last_used_at = now = self._owner.scheduler.clock.now
-        invalid: str | None = None  # not the error, whose traceback refers to this frame: that is a cycle
-        try:
-            frames = self._parser.feed(data)
-        except resp.ProtocolError as error:
-            frames, invalid = error.frames, str(error)
-        try:
-            for words in frames:
-                self._handle_frame(words)
-        except resp.ProtocolError as error:
-            invalid = str(error)
+        self.last_used_at = self._owner.scheduler.clock.now
+        self._parser.add(data)
+        invalid = self._handle_frames()
         if invalid is not None:
             self._owner.count("frames_garbled")
             log.warning("invalid data on connection", extra={"pairs": {"reason": invalid}})
-            return self.stop_reading(CloseReason.GARBLED)
-        self.has_received = self.has_received or bool(frames)
+            self.stop_reading(CloseReason.GARBLED)
+
+    def _handle_frames(self) -> str | None:
+        """Handle the frames that are complete.
+
+        Returns:
+            Why the rest of the data is invalid; None if it is valid. The error itself would keep all data,
+            as its traceback refers to this frame.
+        """
+        handled = False
+        try:
+            while (words := self._parser.next_frame()) is not None:
+                handled = self.has_received = True
+                self._handle_frame(words)
+        except resp.ProtocolError as error:
+            return str(error)
         if not self._parser.partial:
             self.frame_deadline = inf
-        elif frames or self.frame_deadline == inf:
-            self.frame_deadline = now + FRAME_TIMEOUT_S
+        elif handled or self.frame_deadline == inf:
+            self.frame_deadline = self._owner.scheduler.clock.now + FRAME_TIMEOUT_S
         return None
 
     def _discard_from_now_on(self) -> None:
@@ -203,17 +227,30 @@
         )
         if message.deadline_unix is not None:
             exchange.client_deadline = request.arrived_at + (message.deadline_unix - message.arrived_at_unix)
-        self.open[tag] = exchange
+        exchange.held_bytes = REQUEST_BYTES + len(message.body)
+        has_room = self.account.has_room(exchange.held_bytes)
+        self._add_open(exchange)
         try:
-            owner.arrived(exchange)
+            if has_room:
+                owner.arrived(exchange)
+            else:
+                owner.memory_full(exchange)
         except Exception:
             # An internal error fails only this request; the others on the connection continue.
             log.exception("request failed by a fault", extra={"pairs": {"tag": tag}})
             owner.count("faults")
             exchange.fail()
 
+    def _add_open(self, exchange: Exchange) -> None:
+        self.open[exchange.tag] = exchange
+        self.account.add_request(exchange.held_bytes)
+
+    def _remove_open(self, exchange: Exchange) -> None:
+        if self.open.pop(exchange.tag, None) is not None:
+            self.account.remove_request(exchange.held_bytes)
+
     def _cancel(self, exchange: Exchange) -> None:
-        self.open.pop(exchange.tag, None)
+        self._remove_open(exchange)
         if exchange.cancel():
             self._owner.count("tickets_gone")
             self._owner.cancelled(exchange)
@@ -258,6 +295,7 @@
         self._owner.closed(self)
         for exchange in list(self.open.values()):
             self._cancel(exchange)
+        self._parser.clear()
 
     def _log(self, event: str, reason: CloseReason) -> None:
         log_reason(log, event, reason, open_requests=len(self.open), unsent=not self.stream.all_sent)
@@ -297,7 +335,7 @@
             self.shut_down(CloseReason.ANSWERED)
 
     def _answer(self, exchange: Exchange, outcome: str, encode: Callable[[float | None], bytes]) -> None:
-        self.open.pop(exchange.tag, None)
+        self._remove_open(exchange)
         self._owner.count(f"tickets_{outcome}")
         self._queue(encode)
 
--- a/sablewheel/serving/dispatcher.py
+++ b/sablewheel/serving/dispatcher.py
@@ -397,20 +397,34 @@
         self._open_requests.fail(exchange, FailureReason.FAULT)
         self._open_requests.finish(exchange)
 
-    # -- shutdown
+    # -- requests that are answered without a decision
+
+    def reject_for_memory(self, exchange: Exchange) -> None:
+        """Reject a request for which the connections have no memory left."""
+        if exchange.idempotency_key in self._undecided_keys:
+            self._decide()  # its original may be in the current batch
+        self._reject_at_once(exchange, interface.RejectionReason.CONNECTION_MEMORY, FailureReason.NO_MEMORY)
 
     def reject_draining(self, exchange: Exchange) -> None:
-        """Reject a request that never ran and will not run on this server, which is draining.
+        """Reject a request that never ran and will not run on this server, which is draining."""
+        self._reject_at_once(exchange, interface.RejectionReason.DRAINING, FailureReason.STOPPING)
+
+    def _reject_at_once(
+        self, exchange: Exchange, reason: interface.RejectionReason, failure_reason: FailureReason
+    ) -> None:
+        """Reject a request that never ran.
 
         A request of which any attempt ran or may have run must not be rejected; it fails instead.
         """
         if exchange.request not in self._open_requests and self._duplicate_checks.is_known(exchange):
             return self._open_requests.fail(exchange, FailureReason.REPEATED_ID)
         if self._duplicate_checks.may_be_duplicate(exchange):
-            return self._open_requests.fail(exchange, FailureReason.STOPPING)
+            return self._open_requests.fail(exchange, failure_reason)
         retry_after_s = self._server_settings.max_retry_after_s
         exchange.reject(retry_after_s, False)
-        self.outcomes.count_rejection(exchange, interface.RejectionReason.DRAINING, retry_after_s)
+        self.outcomes.count_rejection(exchange, reason, retry_after_s)
+
+    # -- shutdown
 
     def reject_waiting_for_start(self) -> None:
         """Reject the requests that wait for a start-up that will not be completed."""
--- a/sablewheel/serving/exchange.py
+++ b/sablewheel/serving/exchange.py
@@ -118,6 +118,7 @@
         arrival_uncertainty_s: By how much the request may have arrived later than stated.
         client_deadline: When the client times out; None if clients do not state that.
         session: The key of the request's session; empty if sessions are not routed.
+        held_bytes: The memory that its connection counts for it until it is answered or cancelled.
     """
 
     __slots__ = (
@@ -130,6 +131,7 @@
         "client_deadline",
         "content_hash",
         "digest",
+        "held_bytes",
         "idempotency_key",
         "name",
         "notice_number",
@@ -172,6 +174,7 @@
         self.arrival_uncertainty_s = 0.0
         self.client_deadline: float | None = None
         self.session = ""
+        self.held_bytes = 0
 
     def has_same_content(self, other: Exchange) -> bool:
         """Whether another exchange with this idempotency key has the same class and body."""
--- a/sablewheel/serving/listener.py
+++ b/sablewheel/serving/listener.py
@@ -9,11 +9,12 @@
 
 from ..overload.interface import Idempotency, Request, RequestClass, Tenant
 from ..protocol import resp
+from ..transport.connection_memory import ConnectionMemory
 from ..transport.scheduler import Scheduler
 from ..transport.stream import Stream
 from .client_table import ClientTable
 from .close_reasons import CloseReason
-from .connection import Connection
+from .connection import Connection, max_unfinished_bytes
 from .exchange import NO_OBSERVER, Exchange, RequestObserver, ServerStatus
 
 SWEEP_INTERVAL_S = 0.25
@@ -50,6 +51,9 @@
     Args:
         max_connections: The limit of the number of connections.
         expected_clients: The number of clients in the settings.
+        memory: Limits what the connections hold.
+        on_memory_full: Called in place of `handler.arrived` with a request for which there is no memory;
+            answers it at once.
     """
 
     def __init__(
@@ -63,10 +67,15 @@
         max_connections: int,
         observer: RequestObserver = NO_OBSERVER,
         expected_clients: int = 1,
+        memory: ConnectionMemory | None = None,
+        on_memory_full: Callable[[Exchange], None] = Exchange.fail,
     ) -> None:
+        self.memory = memory or ConnectionMemory()
+        self.memory_full = on_memory_full
         self.scheduler, self.server_status, self.handler = scheduler, server_status, handler
         self.count, self.observer = count, observer
         self.max_message_bytes = resp.max_message_bytes(request_classes, tenants)
+        self.max_unfinished_bytes = max_unfinished_bytes(self.max_message_bytes)
         self.connections: dict[Connection, None] = {}
         self._request_classes, self._tenants = request_classes, tenants
         self._max_connections = max_connections
@@ -93,6 +102,7 @@
     def accepted(self, stream: Stream) -> None:
         """Serve a new connection."""
         self.count("connections_in")
+        stream.account = self.memory.open_account()
         connection = Connection(self, stream)
         self.connections[connection] = None
         self.scheduler.spawn(connection.serve)
@@ -114,7 +124,12 @@
         self.connections.pop(connection, None)
 
     def flush(self) -> None:
-        """Write all queued answers, at the end of a round."""
+        """Write all queued answers, at the end of a round; what peers don't read is limited."""
+        self._write_answers()
+        if self.memory.has_too_much_unsent:
+            self._close_peers_that_do_not_read()
+
+    def _write_answers(self) -> None:
         while self._with_answers:
             connections, self._with_answers = self._with_answers, {}
             for connection in connections:
@@ -126,6 +141,29 @@
                     self.count("faults")
                     connection.close(CloseReason.FAULT)
 
+    def _close_peers_that_do_not_read(self) -> None:
+        """Close the connections with the most unsent answers until there are few enough.
+
+        The cost: their peers lose the answers. Otherwise all peers would lose theirs with the process.
+        """
+        by_unsent = sorted(self.connections, key=lambda connection: connection.account.unsent_bytes)
+        while self.memory.has_too_much_unsent and by_unsent:
+            connection = by_unsent.pop()
+            pairs = {"unsent": connection.account.unsent_bytes, "open_requests": len(connection.open)}
+            log.warning("connection closed for want of memory", extra={"pairs": pairs})
+            self.count("connections_shed")
+            connection.close(CloseReason.MEMORY)
+
+    def memory_gauges(self) -> dict[str, int]:
+        """Return what the connections hold, by kind, and how much of the shared part is used, in bytes."""
+        accounts = [connection.account for connection in self.connections]
+        return {
+            "memory_unfinished": sum(connection.unfinished_bytes for connection in self.connections),
+            "memory_requests": sum(account.request_bytes for account in accounts),
+            "memory_unsent": sum(account.unsent_bytes for account in accounts),
+            "memory_shared": self.memory.shared_used_bytes,
+        }
+
     # -- requests
 
     def make_request(self, message: resp.RequestMessage) -> Request:
--- a/sablewheel/transport/listening_socket.py
+++ b/sablewheel/transport/listening_socket.py
@@ -39,6 +39,7 @@
         has_capacity: Returns whether another connection may be accepted.
         on_accepted: Called with each connection.
         on_full: Called while connections are queued that can't be accepted.
+        max_unsent_bytes: While a connection has more unsent bytes than that, nothing is read from it.
     """
 
     def __init__(
@@ -48,8 +49,10 @@
         has_capacity: Callable[[], bool],
         on_accepted: Callable[[Stream], None],
         on_full: Callable[[], None],
+        max_unsent_bytes: int = MAX_UNSENT_BYTES,
     ) -> None:
         self._scheduler = scheduler
+        self._max_unsent_bytes = max_unsent_bytes
         self._has_capacity, self._on_accepted, self._on_full = has_capacity, on_accepted, on_full
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -152,7 +155,7 @@
 
     def _admit(self, sock: socket.socket) -> None:
         try:
-            stream = Stream(self._scheduler, sock, MAX_UNSENT_BYTES, MAX_READ_BYTES)
+            stream = Stream(self._scheduler, sock, self._max_unsent_bytes, MAX_READ_BYTES)
         except OSError:
             close_socket(sock)  # reset meanwhile, which does not mean that the table is full
         else:
--- a/sablewheel/transport/stream.py
+++ b/sablewheel/transport/stream.py
@@ -9,11 +9,13 @@
 
 from greenlet import getcurrent, greenlet
 
+from .connection_memory import ConnectionMemory
 from .scheduler import READABLE, WRITABLE, Scheduler
 from .system_call_errors import CONNECTION_LOST_ERRORS, FailureCount
 
 MAX_READ_BYTES = 131072
 READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))
+UNLIMITED_MEMORY = ConnectionMemory()
 Address = tuple[str, int]
 
 
@@ -25,6 +27,7 @@
         max_read_bytes: The largest number of bytes in one read.
 
     Attributes:
+        account: Counts what is held for the peer; without a limit until the owner sets another one.
         bytes_queued: The total number of bytes written to this stream.
         bytes_sent: The total number of bytes handed to the system.
         stuck_since: Since when the peer has accepted none of the unsent data; None if all is sent.
@@ -41,6 +44,7 @@
         with contextlib.suppress(OSError):  # without it, small writes may be delayed, but nothing else
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.open = True
+        self.account = UNLIMITED_MEMORY.open_account()
         self.bytes_queued = self.bytes_sent = 0
         self.stuck_since: float | None = None
         self._receive_failures, self._send_failures = FailureCount(), FailureCount()
@@ -51,7 +55,7 @@
         self._paused_reader: greenlet | None = None  # set while too much is unsent
         self._sending = False
 
-    def read(self) -> bytes:
+    def read(self, max_bytes: int = MAX_READ_BYTES) -> bytes:
         """Wait for data and return it; empty at the end of the stream or after an error.
 
         Nothing is read while too much data is unsent, since a peer that never reads would make the buffer
@@ -64,7 +68,7 @@
                 continue
             self._scheduler.wait(self._socket.fileno(), READABLE)
             try:
-                return self._receive() if self.open else b""
+                return self._receive(max_bytes) if self.open else b""
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -74,13 +78,13 @@
                     self._scheduler.sleep(self._receive_failures.backoff_s)
         return b""
 
-    def _receive(self) -> bytes:
+    def _receive(self, max_bytes: int) -> bytes:
         """Receive into the buffer that all streams share, and return a copy.
 
         Allocating a block of the maximum size for each read and shrinking it would fragment the heap, and the
         process would grow although its objects do not.
         """
-        size = self._socket.recv_into(READ_BUFFER, self._max_read_bytes)
+        size = self._socket.recv_into(READ_BUFFER, min(self._max_read_bytes, max_bytes))
         self._receive_failures.clear()
         return bytes(READ_BUFFER[:size])
 
@@ -98,6 +102,8 @@
                 self._sending = True
                 self.stuck_since = self._scheduler.clock.now
                 self._scheduler.spawn(self._send_rest)
+        if self._unsent:
+            self.account.set_unsent(len(self._unsent))
 
     @property
     def all_sent(self) -> bool:
@@ -137,6 +143,7 @@
         if self.open:
             self.open = False
             self._unsent.clear()
+            self.account.set_unsent(0)
             self._resume_reader()
             self._scheduler.unregister(self._socket.fileno())
             close_socket(self._socket)
@@ -163,6 +170,7 @@
                 self._scheduler.wait(self._socket.fileno(), WRITABLE)
             unsent_before = len(self._unsent)
             self._send()
+            self.account.set_unsent(len(self._unsent))
             if len(self._unsent) < unsent_before:
                 self.stuck_since = self._scheduler.clock.now
             if len(self._unsent) <= self._max_unsent_bytes:
--- a/tests/simulated_server.py
+++ b/tests/simulated_server.py
@@ -13,14 +13,16 @@
 from sablewheel.overload import interface
 from sablewheel.overload.controller import Controller
 from sablewheel.overload.interface import Cancellation, Client, Idempotency, Outcome, Request, ServerSettings
-from sablewheel.protocol.resp import Parser
+from sablewheel.protocol.resp import MAX_BODY_BYTES, Parser
+from sablewheel.serving.connection import REQUEST_BYTES
 from sablewheel.serving.dispatcher import Dispatcher
 from sablewheel.serving.exchange import ServerStatus
 from sablewheel.serving.idempotency_keys import IdempotencyTable
 from sablewheel.serving.interpreter_client import InterpreterClient
 from sablewheel.serving.listener import RequestListener
+from sablewheel.transport.connection_memory import ConnectionMemory
 from sablewheel.transport.scheduler import Clock, Scheduler
-from sablewheel.transport.stream import Stream
+from sablewheel.transport.stream import MAX_READ_BYTES, Stream
 
 QUEUED, RUNNING, WAITING_TO_CALL, CALLING = "held", "running", "waiting_to_call", "calling"
 COALESCED, SUSPENDED, FINISHED = "coalesced", "paused", "finished"
@@ -412,6 +414,7 @@
 
     def __init__(self, scheduler: FakeScheduler) -> None:
         self.scheduler, self.open = scheduler, True
+        self.account = ConnectionMemory().open_account()
         self._unsent = bytearray()
         self.stuck_since = None
         self.unread_chunks: deque[bytes] = deque()
@@ -421,11 +424,16 @@
         self.closes_after_shutdown = True  # like a client that reads the end of the stream
         self.reader: greenlet | None = None
 
-    def read(self) -> bytes:
+    def read(self, max_bytes: int = MAX_READ_BYTES) -> bytes:
         while self.open and not self.unread_chunks:
             self.reader = getcurrent()
             self.scheduler.park()
-        return self.unread_chunks.popleft() if self.open else b""
+        if not self.open:
+            return b""
+        chunk = self.unread_chunks.popleft()
+        if len(chunk) > max_bytes:
+            self.unread_chunks.appendleft(chunk[max_bytes:])
+        return chunk[:max_bytes]
 
     def write(self, data: bytes) -> None:
         if self.open:
@@ -447,6 +455,7 @@
 
     def close(self) -> None:
         self.open = False
+        self.account.set_unsent(0)
         self.wake()
 
     def feed(self, data: bytes) -> None:
@@ -537,6 +546,13 @@
             self.link = self.links[-1]
         return self.links[-1]
 
+    def limit_memory(self, shared_bytes: int) -> None:
+        """Limit what connections hold, for those that exist as well."""
+        memory = ConnectionMemory(shared_bytes, REQUEST_BYTES + MAX_BODY_BYTES)
+        self.listener.memory, self.listener.memory_full = memory, self.dispatcher.reject_for_memory
+        for connection in self.listener.connections:
+            connection.account = connection.stream.account = memory.open_account()
+
     @property
     def now(self) -> float:
         return self.scheduler.clock.now
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
+import socket
 import sys
 import tracemalloc
 import weakref
 from collections.abc import Callable, Iterator
-from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
@@ -24,9 +25,12 @@
 from sablewheel.overload import pruned_heap
 from sablewheel.overload.interface import Request
 from sablewheel.overload.pruned_heap import MIN_ENTRIES_TO_PRUNE, PrunedHeap
+from sablewheel.program.memory_plan import CONNECTION_BYTES, plan_memory
 from sablewheel.protocol import resp
-from sablewheel.serving.connection import Connection
+from sablewheel.serving.connection import Connection, max_unfinished_bytes
+from sablewheel.transport.connection_memory import ConnectionMemory
 from sablewheel.transport.scheduler import MIN_TIMERS_TO_PRUNE, Scheduler
+from sablewheel.transport.stream import Stream
 from sablewheel.usage_metering import collector
 from sablewheel.usage_metering import usage_metering_pb2 as pb
 from sablewheel.usage_metering.frames import encode_frame
@@ -288,3 +292,157 @@
                 assert not [entry for entry in entries if entry[0] <= now and entry[1] not in obsolete]
             most_in_force = max(most_in_force, sum(item not in obsolete for _, item in entries))
             assert len(heap) <= max(2 * most_in_force, min_entries)
+
+
+# -- one sum over all connections
+
+
+@settings(max_examples=300, derandomize=True, database=None, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 4), st.sampled_from(["add", "remove", "unsent"]), st.integers(0, 5000))
+    ),
+    st.integers(0, 9000),
+)
+def test_the_sum_is_what_all_connections_hold_beyond_their_reserves(
+    steps: list[tuple[int, str, int]], shared_bytes: int
+) -> None:
+    memory = ConnectionMemory(shared_bytes, 3000)
+    accounts = [memory.open_account() for _ in range(5)]
+    requests: list[list[int]] = [[] for _ in accounts]
+    for index, step, size in steps:
+        account = accounts[index]
+        if step == "unsent":
+            account.set_unsent(size)
+        elif step == "add" and account.has_room(size):
+            was_within = memory.shared_used_bytes <= shared_bytes
+            account.add_request(size)
+            requests[index].append(size)
+            assert not was_within or memory.shared_used_bytes <= shared_bytes
+        elif step == "remove" and requests[index]:
+            account.remove_request(requests[index].pop())
+        held = [sum(requests[index]) + account.unsent_bytes for index, account in enumerate(accounts)]
+        assert [account.held_bytes for account in accounts] == held
+        assert memory.shared_used_bytes == sum(max(size - 3000, 0) for size in held)
+        assert memory.unsent_bytes == sum(account.unsent_bytes for account in accounts)
+        assert all(
+            account.has_room(max(3000 - size, 0)) for account, size in zip(accounts, held, strict=True)
+        )
+
+
+@pytest.mark.parametrize("memory_mb", [8, 32, 48, 64, 192, 1024])
+@pytest.mark.parametrize("descriptors", [4, 384, 492, 1004, 65_000])
+@pytest.mark.parametrize("longest_name", [4, 5000])
+def test_connections_and_all_they_hold_fit_into_a_quarter_of_the_memory(
+    memory_mb: int, descriptors: int, longest_name: int
+) -> None:
+    message_bytes = resp.max_message_bytes([b"lookup"], [b"a" * longest_name])
+    plan = plan_memory(memory_mb * 1_000_000, descriptors, message_bytes)
+    each_bytes = CONNECTION_BYTES + max_unfinished_bytes(message_bytes) + plan.reserved_bytes
+    assert plan.max_connections * each_bytes + plan.shared_bytes <= memory_mb * 1_000_000 / 4
+    assert 1 <= plan.max_connections <= descriptors
+    if memory_mb >= 32 and descriptors <= 492 and longest_name == 4:  # the least that servers are given
+        assert plan.max_connections >= 0.95 * descriptors
+
+
+def test_requests_are_rejected_at_once_while_connections_have_no_memory_left() -> None:
+    """Guards against a number of open requests that only the number of connections limits."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    server.limit_memory(0)
+    attempts = [server.call(b"lookup") for _ in range(4)]
+    server.settle()
+    assert [attempt.answers for attempt in attempts[:2]] == [[], []]  # within the reserve of the connection
+    assert [attempt.answers[0][1] for attempt in attempts[2:]] == [b"BUSY"] * 2
+    assert server.dispatcher.outcomes.rejections["denied_connection_memory"] == 2
+    server.end(attempts[0].name)
+    server.settle()
+    attempts.append(server.call(b"lookup"))
+    server.settle()
+    assert list(server.interpreter.running) == [attempts[1].name, attempts[4].name]
+
+
+def test_a_repeat_of_what_may_have_run_fails_and_is_not_rejected_for_want_of_memory() -> None:
+    server = SimulatedServer(SERVER_SETTINGS)
+    server.limit_memory(0)
+    for _ in range(2):  # as many as the reserve of their connection allows
+        server.call(b"lookup")
+    server.settle()
+    stream, _ = connect(server)
+    stream.feed(call(1, NAME, b"record", server.now, b"key\r\n$3", b"key"))
+    server.scheduler.run_ready()  # the original is in the batch that is not decided yet
+    repeat = server.call(b"record", b"key")
+    server.settle()
+    assert [words[1] for words in repeat.answers] == [b"FAILED"]
+    for name in list(server.interpreter.running):
+        server.end(name)
+        server.settle()
+    assert list(server.interpreter.running) == [NAME]
+    assert server.dispatcher.outcomes.failures["failed_no_memory"] == 1
+
+
+def test_many_requests_at_once_stay_within_the_shared_part() -> None:
+    server = SimulatedServer(SERVER_SETTINGS)
+    server.limit_memory(50_000)
+    memory = server.listener.memory
+    most_used = 0
+    make_request = server.listener.make_request
+
+    def record(message: resp.RequestMessage) -> Request:
+        nonlocal most_used
+        most_used = max(most_used, memory.shared_used_bytes)
+        return make_request(message)
+
+    server.listener.make_request = record  # type: ignore[method-assign]
+    for index in range(20):
+        stream, _ = connect(server)
+        for number in range(32):
+            name = b"%016x" % (100 * index + number)
+            stream.feed(call(number + 1, name, b"lookup", server.now, b"x" * 2048))
+    server.settle()
+    assert 40_000 < most_used <= 50_000 and server.counts.count("tickets_in") == 640
+    server.wait(5.0)
+    assert memory.shared_used_bytes == 0
+
+
+def test_peers_with_the_most_unread_answers_are_closed_when_these_need_too_much() -> None:
+    """Guards against answers that nobody reads, whose sum only the number of connections limits."""
+    server = SimulatedServer(SERVER_SETTINGS)
+    server.limit_memory(700_000)
+    attempt = server.call(b"lookup")
+    connections = [connect(server)[1] for _ in range(4)]
+    for connection, unsent_bytes in zip(connections, [100_000, 150_000, 90_000, 60_000], strict=True):
+        connection.account.set_unsent(unsent_bytes)
+    server.settle()
+    assert [connection.stream.open for connection in connections] == [True, False, True, True]
+    assert server.counts.count("connections_shed") == 1
+    server.end(attempt.name)
+    server.settle()
+    assert [words[1] for words in attempt.answers] == [b"OK"]
+
+
+def test_a_stream_counts_what_its_peer_has_not_taken() -> None:
+    def body(scheduler: Scheduler) -> None:
+        memory = ConnectionMemory()
+        ours, peer = socket.socketpair()
+        stream = Stream(scheduler, ours)
+        stream.account = memory.open_account()
+        stream.write(b"x" * 1_000_000)
+        stream.flush()
+        assert memory.unsent_bytes == len(stream._unsent) > 100_000
+        stream.write(b"y" * 10)
+        stream.flush()
+        assert memory.unsent_bytes == len(stream._unsent)
+        peer.setblocking(False)
+        received = 0
+        while received < 1_000_010:
+            with contextlib.suppress(BlockingIOError):
+                received += len(peer.recv(65_536))
+            scheduler.sleep(0.0)
+        wait(scheduler, lambda: memory.unsent_bytes == 0)
+        stream.write(b"x" * 1_000_000)
+        stream.flush()
+        stream.close()
+        assert memory.unsent_bytes == memory.shared_used_bytes == 0
+        peer.close()
+
+    run_greenlet(body)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -46,7 +46,7 @@
 )
 
 
-@settings(
+INTERLEAVINGS = settings(
     max_examples=150,
     derandomize=True,
     database=None,
@@ -54,9 +54,29 @@
     phases=[Phase.generate, Phase.shrink],
     suppress_health_check=[HealthCheck.too_slow],
 )
+
+
+@INTERLEAVINGS
 @given(STEPS)
 def test_rules_hold_over_any_interleaving(steps: list[tuple[str, int]]) -> None:
+    play(SimulatedServer(SERVER_SETTINGS), steps)
+
+
+@INTERLEAVINGS
+@given(STEPS, st.integers(0, 12_000))
+def test_rules_hold_over_any_interleaving_with_little_memory_for_connections(
+    steps: list[tuple[str, int]], shared_bytes: int
+) -> None:
+    """Guards against rejecting what may have run, or answering it late, for want of memory."""
     server = SimulatedServer(SERVER_SETTINGS)
+    server.limit_memory(shared_bytes)
+    play(server, steps)
+    memory = server.listener.memory
+    assert memory.shared_used_bytes == 0 or server.client.open
+
+
+def play(server: SimulatedServer, steps: list[tuple[str, int]]) -> None:
+    """Play the steps and a shutdown; the rules are checked after each step."""
     for step, number in steps:
         deliver = True
         running, attempts = list(server.interpreter.running), server.attempts
