--- a/sablewheel/protocol/resp.py
+++ b/sablewheel/protocol/resp.py
@@ -16,6 +16,7 @@
 MAX_VERB_BYTES = 10
 MAX_FIELDS_BYTES = 1024  # without the tenant's name; the known fields have under 350 together
 MAX_DIGITS = 19
+NO_LINE_END = "bulk string is not followed by CR LF at its declared length"
 MEMORY_LIMIT_KB = 2000.0  # a request's memory has to be less
 # Patterns, since Python's own number parsers also accept signs, blanks, underscores and exponents.
 FIELD_PATTERNS = {
@@ -147,6 +148,11 @@
         """The number of bytes kept of arrays that are incomplete, or not returned yet."""
         return len(self._buffer) - self._position + self._word_bytes
 
+    @property
+    def skipped_bytes(self) -> int:
+        """How many of the next bytes will be dropped."""
+        return self._missing_skipped_bytes or 0
+
     def clear(self) -> None:
         """Drop what was received of an incomplete array, and all bytes after it."""
         self._buffer, self._words = b"", []
@@ -197,7 +203,6 @@
             if word is None:
                 return None
             self._words.append(word)
-            self._word_bytes += len(word)
             self._missing_words -= 1
             if not self._missing_words:
                 frame, self._words, self._word_bytes = self._words, [], 0
@@ -205,15 +210,17 @@
 
     def _parse_length(self, prefix: bytes, limit: int) -> int | None:
         """Return the number in a header line, or None while the line is incomplete."""
-        start = self._position
-        if len(self._buffer) > start and self._buffer[start : start + 1] != prefix:
-            raise ProtocolError(f"expected {prefix!r}, got {self._buffer[start : start + 1]!r}")
-        end = self._buffer.find(b"\r\n", start, start + MAX_DIGITS + 3)
-        digits = self._buffer[start + 1 : end if end >= 0 else start + MAX_DIGITS + 3]
+        buffer, start = self._buffer, self._position
+        if not buffer.startswith(prefix, start):
+            if len(buffer) == start:
+                return None
+            raise ProtocolError(f"expected {prefix!r}, got {buffer[start : start + 1]!r}")
+        end = buffer.find(b"\r\n", start, start + MAX_DIGITS + 3)
         if end < 0:
-            if len(digits) > MAX_DIGITS + 1:
+            if len(buffer) > start + MAX_DIGITS + 2:
                 raise ProtocolError(f"length without CR LF after {MAX_DIGITS} digits")
             return None
+        digits = buffer[start + 1 : end]
         if not digits.isdigit() or int(digits) > limit:
             raise ProtocolError(f"not a length from 0 to {limit}: {digits!r}")
         self._position = end + 2
@@ -231,11 +238,14 @@
             self._missing_skipped_bytes = size
             return self._skip_word()
         start, end = self._position, self._position + size
-        if len(self._buffer) < end + 2:
+        line_end = self._buffer[end : end + 2]
+        if line_end != b"\r\n":
+            if len(line_end) == 2:
+                raise ProtocolError(NO_LINE_END)
             self._position = word_start
             return None
-        self._position = end
-        self._parse_line_end()
+        self._position = end + 2
+        self._word_bytes += size
         return self._buffer[start:end]
 
     def _skip_word(self) -> SkippedWord | None:
@@ -244,18 +254,15 @@
         dropped = min(self._missing_skipped_bytes, len(self._buffer) - self._position)
         self._position += dropped
         self._missing_skipped_bytes -= dropped
-        if self._missing_skipped_bytes or len(self._buffer) < self._position + 2:
+        line_end = self._buffer[self._position : self._position + 2]
+        if self._missing_skipped_bytes or len(line_end) < 2:
             return None
-        self._parse_line_end()
+        if line_end != b"\r\n":
+            raise ProtocolError(NO_LINE_END)
+        self._position += 2
         self._missing_skipped_bytes = None
         return SkippedWord()
 
-    def _parse_line_end(self) -> None:
-        end = self._position
-        if self._buffer[end : end + 2] != b"\r\n":
-            raise ProtocolError("bulk string is not followed by CR LF at its declared length")
-        self._position = end + 2
-
 
 def parse_message(words: list[bytes]) -> Message:
     """Return the message that a frame carries.
@@ -266,7 +273,7 @@
     if len(words) < 2 or not words[1].isdigit() or len(words[1]) > MAX_DIGITS or not int(words[1]):
         raise InvalidMessageError("missing or invalid tag")
     verb, tag = words[0], int(words[1])
-    if any(isinstance(word, SkippedWord) for word in words):
+    if SkippedWord in map(type, words):
         raise InvalidMessageError("larger than any valid message", tag)
     match verb, len(words):
         case b"RPC.CALL", 4 | 5:
--- a/sablewheel/serving/connection.py
+++ b/sablewheel/serving/connection.py
@@ -137,12 +137,17 @@
 
         A function of its own, so that the data is not retained while the next read waits.
         """
-        data = self.stream.read(self._owner.max_unfinished_bytes - self._parser.kept_bytes)
+        data = self.stream.read(self._readable_bytes())
         if not data or self.reading_stopped:
             return bool(data) and not self._discard(len(data))
         self._receive(data)
         return True
 
+    def _readable_bytes(self) -> int:
+        """Return how much to read at once: what may be kept, and what is dropped as it is read."""
+        dropped_bytes = MAX_DISCARDED_BYTES if self.reading_stopped else self._parser.skipped_bytes
+        return self._owner.max_unfinished_bytes - self._parser.kept_bytes + dropped_bytes
+
     def _receive(self, data: bytes) -> None:
         self.last_used_at = self._owner.scheduler.clock.now
         self._parser.add(data)
@@ -250,8 +255,8 @@
         if message.deadline_unix is not None:
             exchange.client_deadline = request.arrived_at + (message.deadline_unix - message.arrived_at_unix)
         exchange.held_bytes = REQUEST_BYTES + len(message.body)
-        has_room = self.account.has_room(exchange.held_bytes)
-        self._add_open(exchange)
+        self.open[tag] = exchange
+        has_room = self.account.add_request(exchange.held_bytes)
         try:
             if has_room:
                 owner.arrived(exchange)
@@ -263,10 +268,6 @@
             owner.count("faults")
             exchange.fail()
 
-    def _add_open(self, exchange: Exchange) -> None:
-        self.open[exchange.tag] = exchange
-        self.account.add_request(exchange.held_bytes)
-
     def _remove_open(self, exchange: Exchange) -> None:
         if self.open.pop(exchange.tag, None) is not None:
             self.account.remove_request(exchange.held_bytes)
--- a/sablewheel/transport/connection_memory.py
+++ b/sablewheel/transport/connection_memory.py
@@ -41,10 +41,11 @@
         unsent_bytes: Of answers that the peer has not taken.
     """
 
-    __slots__ = ("_memory", "request_bytes", "unsent_bytes")
+    __slots__ = ("_memory", "_shared_used_bytes", "request_bytes", "unsent_bytes")
 
     def __init__(self, memory: ConnectionMemory) -> None:
         self._memory = memory
+        self._shared_used_bytes = 0
         self.request_bytes = self.unsent_bytes = 0
 
     @property
@@ -52,33 +53,29 @@
         """All that the connection holds."""
         return self.request_bytes + self.unsent_bytes
 
-    def has_room(self, size: int) -> bool:
-        """Whether the connection may hold this much more."""
-        needed = self._shared(self.held_bytes + size) - self._shared(self.held_bytes)
-        free = max(self._memory.shared_bytes - self._memory.shared_used_bytes, 0)
-        return needed <= free
-
-    def add_request(self, size: int) -> None:
-        """Count a request."""
-        self._change(size)
+    def add_request(self, size: int) -> bool:
+        """Count a request. Returns whether there is room for it; if not, it is to be answered at once."""
         self.request_bytes += size
+        return self._update_shared() <= 0 or self._memory.shared_used_bytes <= self._memory.shared_bytes
 
     def remove_request(self, size: int) -> None:
         """Count a request no more that was added with this size."""
-        self._change(-size)
         self.request_bytes -= size
+        self._update_shared()
 
     def set_unsent(self, size: int) -> None:
         """Set how much is held of answers that the peer has not taken."""
-        self._change(size - self.unsent_bytes)
         self._memory.unsent_bytes += size - self.unsent_bytes
         self.unsent_bytes = size
-
-    def _change(self, difference: int) -> None:
-        """Account for a change of `held_bytes`, which is still the old value."""
-        held_bytes = self.held_bytes
-        self._memory.shared_used_bytes += self._shared(held_bytes + difference) - self._shared(held_bytes)
-
-    def _shared(self, held_bytes: int) -> int:
-        """Return how much of what is held is taken from the shared part."""
-        return max(held_bytes - self._memory.reserved_bytes, 0)
+        self._update_shared()
+
+    def _update_shared(self) -> int:
+        """Take what is held beyond the reserve from the shared part, and return how much more that is."""
+        beyond_reserve = self.request_bytes + self.unsent_bytes - self._memory.reserved_bytes
+        if beyond_reserve < 0:
+            beyond_reserve = 0
+        difference = beyond_reserve - self._shared_used_bytes
+        if difference:
+            self._shared_used_bytes = beyond_reserve
+            self._memory.shared_used_bytes += difference
+        return difference
