--- a/review/shared2/billing.py
+++ b/review/shared2/billing.py
@@ -63,6 +63,13 @@
             counts[str(statement["customer"])] += int(str(statement["billed_tickets"]))
         return counts
 
+    def billed_names(self) -> Counter[str]:
+        """Return how often the book bills each try, by the id of the try."""
+        command = [*SABLEWHEEL, "ledger", "show", "--book", str(self.book), "--most", "1000000"]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, check=True, timeout=30)
+        lines = [json.loads(line) for line in done.stdout.splitlines()]
+        return Counter(line["name"] for line in lines if line["billed"] and line["name"])
+
     async def settled(self, entries: int, within_s: float = 20.0) -> None:
         """Wait until the book has `entries` entries and has not grown for a second, or `within_s` is over."""
         deadline, before, since = time.monotonic() + within_s, -1, time.monotonic()
